Set up the build, the checks and the interfaces of the outside systems

Cause: the repository was empty; the parts that follow need one build, one set of checks and shared types to stand on. Change: Maven modules (library, stand-ins, daemon, verification, benchmarks) with Spotless, Checkstyle, Error Prone and NullAway as errors; typed names, errors, resources, the row of the operators' table, the interfaces of the key-value service and of the list of VMs, and the state of the stand-in store. Conclusion: parts can be built side by side.

--- /dev/null
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/Measure.java
@@ -0,0 +1,53 @@
+package org.damasktiller.benchmark;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+
+/** Runs the measurement named on the command line. */
+public final class Measure {
+
+    /** The exit code for a wrong command line. */
+    private static final int EXIT_USAGE = 2;
+
+    /** The flag for a short run. */
+    private static final String QUICK_FLAG = "--quick";
+
+    /** Prevents instantiation. */
+    private Measure() {}
+
+    /**
+     * Runs one measurement. The exit code is 0 once all figures are printed, also where one falls
+     * short, and 2 for a wrong command line.
+     *
+     * @param arguments the name of the measurement and optionally {@code --quick}
+     */
+    public static void main(String[] arguments) {
+        List<String> words = Arrays.asList(arguments);
+        boolean quick = words.contains(QUICK_FLAG);
+        List<String> names = words.stream().filter(word -> !word.equals(QUICK_FLAG)).toList();
+        @Nullable Supplier<Measurement> supplier =
+                names.size() == 1 ? measurements().get(names.get(0)) : null;
+        if (supplier == null) {
+            System.err.println(
+                    "usage: ./measure NAME [--quick], NAME of " + measurements().keySet());
+            System.exit(EXIT_USAGE);
+            return;
+        }
+        supplier.get().run(quick, new FigureReport(System.out));
+        System.exit(0);
+    }
+
+    /**
+     * Lists the measurements.
+     *
+     * @return a way to make each measurement, by name
+     */
+    private static Map<String, Supplier<Measurement>> measurements() {
+        Map<String, Supplier<Measurement>> measurements = new TreeMap<>();
+        return measurements;
+    }
+}
--- /dev/null
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/package-info.java
@@ -0,0 +1,5 @@
+/** Runs the measuring commands and prints their figures. */
+@NullMarked
+package org.damasktiller.benchmark;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/damasktiller-library/src/main/java/org/damasktiller/store/package-info.java
@@ -0,0 +1,5 @@
+/** Interface of the platform's key-value service. */
+@NullMarked
+package org.damasktiller.store;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/damasktiller-library/src/main/java/org/damasktiller/worker/package-info.java
@@ -0,0 +1,5 @@
+/** Interface of the platform's workers. */
+@NullMarked
+package org.damasktiller.worker;
+
+import org.jspecify.annotations.NullMarked;
