Serve the stand-in store and VM list over HTTP, with their clients

Cause: the daemon and the local run need the platform's services as separate processes, reached through a protocol. Change: a module with the clients of the platform (key-value store, VM list) over JSON and HTTP; stand-in servers for both, with outage, delay and lost answers. Measured: a write that took effect with its answer lost is reported as STORE_UNAVAILABLE with an unknown outcome, and is then read back. Conclusion: the entry daemon can be built on them.

--- /dev/null
+++ b/damasktiller-platform/src/main/java/org/damasktiller/platform/vm/HttpVmDirectory.java
@@ -0,0 +1,46 @@
+package org.damasktiller.platform.vm;
+
+import io.activej.promise.Promise;
+import java.util.List;
+import org.damasktiller.error.ErrorCode;
+import org.damasktiller.error.Step;
+import org.damasktiller.platform.http.CallContext;
+import org.damasktiller.platform.http.JsonClient;
+import org.damasktiller.vm.VmDirectory;
+import org.damasktiller.vm.VmRecord;
+
+/** Reads the platform's list of VMs over HTTP and JSON. */
+public final class HttpVmDirectory implements VmDirectory {
+
+    /** The path of the list. */
+    public static final String PATH = "/vms";
+
+    /** The client. */
+    private final JsonClient client;
+
+    /** The address of the list. */
+    private final String url;
+
+    /** How long to wait for the list, in milliseconds. */
+    private final long timeoutMillis;
+
+    /**
+     * Creates a client of the list.
+     *
+     * @param client the client for the calls
+     * @param address the IP address and port of the service
+     * @param timeoutMillis how long to wait for an answer, in milliseconds
+     */
+    public HttpVmDirectory(JsonClient client, String address, long timeoutMillis) {
+        this.client = client;
+        this.url = "http://" + address + PATH;
+        this.timeoutMillis = timeoutMillis;
+    }
+
+    @Override
+    public Promise<List<VmRecord>> list() {
+        CallContext context =
+                new CallContext(Step.READ, "vm list", ErrorCode.STORE_UNAVAILABLE, timeoutMillis);
+        return client.get(url, VmRecord[].class, context).map(records -> List.of(records));
+    }
+}
--- /dev/null
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/platform/VmListServlet.java
@@ -0,0 +1,47 @@
+package org.damasktiller.standin.platform;
+
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpMethod;
+import io.activej.http.RoutingServlet;
+import io.activej.promise.Promise;
+import io.activej.reactor.Reactor;
+import org.damasktiller.platform.http.JsonServlets;
+import org.damasktiller.platform.vm.HttpVmDirectory;
+import org.damasktiller.vm.VmRecord;
+
+/** Serves the stand-in list of VMs: GET reads it, POST adds or replaces one VM. */
+public final class VmListServlet {
+
+    /** The largest record accepted, in bytes. */
+    private static final int MAXIMUM_RECORD_BYTES = 10_000;
+
+    /** Prevents instantiation. */
+    private VmListServlet() {}
+
+    /**
+     * Makes the servlet.
+     *
+     * @param reactor the reactor that serves
+     * @param state the list
+     * @return the servlet
+     */
+    public static AsyncServlet create(Reactor reactor, VmListState state) {
+        return RoutingServlet.builder(reactor)
+                .with(
+                        HttpMethod.GET,
+                        HttpVmDirectory.PATH,
+                        JsonServlets.get(
+                                request -> Promise.of(state.list(reactor.currentTimeMillis()))))
+                .with(
+                        HttpMethod.POST,
+                        HttpVmDirectory.PATH,
+                        JsonServlets.post(
+                                VmRecord.class,
+                                MAXIMUM_RECORD_BYTES,
+                                vm -> {
+                                    state.put(vm, reactor.currentTimeMillis());
+                                    return Promise.of(vm);
+                                }))
+                .build();
+    }
+}
