Read and check the operators' table in CSV

Cause: the table had rows as objects only; operators edit it as CSV. Change: TableReader and TableWriter over one list of columns, each with a cell format that states what it allows; rules for whole tables (zones that exist, guaranteed parts up to 100%, one limit a tenant). A column tenant_limit_running holds the quota of a tenant.

--- /dev/null
+++ b/damasktiller-library/src/main/java/org/damasktiller/table/ChoiceFormat.java
@@ -0,0 +1,44 @@
+package org.damasktiller.table;
+
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Converts the constants of an enum, written in lower case with hyphens.
+ *
+ * @param <E> the enum
+ */
+final class ChoiceFormat<E extends Enum<E>> implements CellFormat<E> {
+
+    /** The constants. */
+    private final List<E> choices;
+
+    /**
+     * Creates a format.
+     *
+     * @param choices the constants
+     */
+    ChoiceFormat(List<E> choices) {
+        this.choices = List.copyOf(choices);
+    }
+
+    @Override
+    public E parse(String text) {
+        for (E choice : choices) {
+            if (format(choice).equals(text)) {
+                return choice;
+            }
+        }
+        throw new IllegalArgumentException(text);
+    }
+
+    @Override
+    public String format(E value) {
+        return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    @Override
+    public String allowed() {
+        return "one of " + choices.stream().map(this::format).toList();
+    }
+}
--- a/damasktiller-library/src/main/java/org/damasktiller/table/KindOfWork.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/table/KindOfWork.java
@@ -6,7 +6,6 @@
 import org.damasktiller.identity.TenantName;
 import org.damasktiller.identity.ZoneName;
 import org.damasktiller.resource.Resources;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Holds one row of the operators' table. Immutable; a changed row is a new object.
@@ -26,6 +25,8 @@
  * @param repeat whether work may be run again
  * @param places the availability zones in which work may run, empty for any
  * @param spill how far from its own zone a request may be sent
+ * @param tenantRunningLimit how many tasks or requests of the whole tenant may run at once, zero
+ *     for no limit; the same in each row of the tenant
  */
 public record KindOfWork(
         KindName name,
@@ -42,7 +43,8 @@
         boolean exclusive,
         Repeat repeat,
         List<ZoneName> places,
-        Spill spill) {
+        Spill spill,
+        int tenantRunningLimit) {
 
     /** Copies the list of places. */
     public KindOfWork {
@@ -67,7 +69,7 @@
         private final KindName name;
 
         /** The tenant. */
-        private final TenantName tenant;
+        private TenantName tenant;
 
         /** How soon work of the kind has to run. */
         private WorkClass workClass = WorkClass.BATCH;
@@ -85,7 +87,7 @@
         private int ratePerSecond;
 
         /** The declared size. */
-        private @Nullable Resources declared;
+        private Resources declared = Resources.NONE;
 
         /** The declared run time, in milliseconds. */
         private long runTimeMillis;
@@ -108,6 +110,9 @@
         /** How far a request may be sent. */
         private Spill spill = Spill.REGION;
 
+        /** The limit of the whole tenant, zero for none. */
+        private int tenantRunningLimit;
+
         /**
          * Creates a builder.
          *
@@ -262,6 +267,61 @@
             return this;
         }
 
+        /**
+         * Sets the value of the same name.
+         *
+         * @param value how many tasks or requests of the tenant may run at once, zero for no limit
+         * @return this builder
+         */
+        public Builder tenantRunningLimit(int value) {
+            tenantRunningLimit = value;
+            return this;
+        }
+
+        /**
+         * Replaces the tenant.
+         *
+         * @param value the tenant
+         * @return this builder
+         */
+        Builder tenant(TenantName value) {
+            tenant = value;
+            return this;
+        }
+
+        /**
+         * Replaces the processors of the declared size.
+         *
+         * @param value thousandths of a processor
+         * @return this builder
+         */
+        Builder milliProcessors(long value) {
+            declared = new Resources(value, declared.memoryMegabytes(), declared.accelerators());
+            return this;
+        }
+
+        /**
+         * Replaces the memory of the declared size.
+         *
+         * @param value megabytes
+         * @return this builder
+         */
+        Builder memoryMegabytes(long value) {
+            declared = new Resources(declared.milliProcessors(), value, declared.accelerators());
+            return this;
+        }
+
+        /**
+         * Replaces the accelerators of the declared size.
+         *
+         * @param value whole accelerators
+         * @return this builder
+         */
+        Builder accelerators(int value) {
+            declared = new Resources(declared.milliProcessors(), declared.memoryMegabytes(), value);
+            return this;
+        }
+
         /**
          * Builds the row.
          *
@@ -276,14 +336,15 @@
                     minimumSharePercent,
                     runningLimit,
                     ratePerSecond,
-                    declared == null ? Resources.NONE : declared,
+                    declared,
                     runTimeMillis,
                     latencyTargetMillis,
                     deadlineMillis,
                     exclusive,
                     repeat,
                     places,
-                    spill);
+                    spill,
+                    tenantRunningLimit);
         }
     }
 }
--- /dev/null
+++ b/damasktiller-library/src/main/java/org/damasktiller/table/NameFormat.java
@@ -0,0 +1,45 @@
+package org.damasktiller.table;
+
+import java.util.function.Function;
+import java.util.regex.Pattern;
+
+/**
+ * Converts names; the shape keeps a spreadsheet from taking a name for a formula.
+ *
+ * @param <N> the type of name
+ */
+final class NameFormat<N> implements CellFormat<N> {
+
+    /** The shape of a name. */
+    private static final Pattern SHAPE = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,62}");
+
+    /** Makes the name from its text. */
+    private final Function<String, N> constructor;
+
+    /**
+     * Creates a format.
+     *
+     * @param constructor makes the name from its text
+     */
+    NameFormat(Function<String, N> constructor) {
+        this.constructor = constructor;
+    }
+
+    @Override
+    public N parse(String text) {
+        if (!SHAPE.matcher(text).matches()) {
+            throw new IllegalArgumentException(text);
+        }
+        return constructor.apply(text);
+    }
+
+    @Override
+    public String format(N value) {
+        return value.toString();
+    }
+
+    @Override
+    public String allowed() {
+        return "1 to 63 letters, digits, dots, hyphens and underscores, a letter or digit first";
+    }
+}
--- /dev/null
+++ b/damasktiller-library/src/main/java/org/damasktiller/table/ProcessorFormat.java
@@ -0,0 +1,54 @@
+package org.damasktiller.table;
+
+import java.math.BigDecimal;
+import java.util.regex.Pattern;
+
+/** Converts processors, written like {@code 0.5} or {@code 500m}, to thousandths of a processor. */
+final class ProcessorFormat implements CellFormat<Long> {
+
+    /** The thousandths of one processor. */
+    private static final int MILLI_PROCESSORS = 1000;
+
+    /** The largest amount allowed, in thousandths of a processor. */
+    private static final long MAXIMUM = 1024L * MILLI_PROCESSORS;
+
+    /** Thousandths of a processor. */
+    private static final Pattern THOUSANDTHS = Pattern.compile("[0-9]{1,7}m");
+
+    /** Processors with up to three decimals. */
+    private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,4}(\\.[0-9]{1,3})?");
+
+    /** Creates a format. */
+    ProcessorFormat() {}
+
+    @Override
+    public Long parse(String text) {
+        long value;
+        if (THOUSANDTHS.matcher(text).matches()) {
+            value = Long.parseLong(text.substring(0, text.length() - 1));
+        } else if (DECIMAL.matcher(text).matches()) {
+            value =
+                    new BigDecimal(text)
+                            .multiply(BigDecimal.valueOf(MILLI_PROCESSORS))
+                            .longValueExact();
+        } else {
+            throw new IllegalArgumentException(text);
+        }
+        if (value > MAXIMUM) {
+            throw new IllegalArgumentException(text);
+        }
+        return value;
+    }
+
+    @Override
+    public String format(Long value) {
+        return value % MILLI_PROCESSORS == 0
+                ? Long.toString(value / MILLI_PROCESSORS)
+                : value + "m";
+    }
+
+    @Override
+    public String allowed() {
+        return "processors like 0.5 or 500m, at most " + MAXIMUM / MILLI_PROCESSORS;
+    }
+}
--- /dev/null
+++ b/damasktiller-library/src/main/java/org/damasktiller/table/RowReader.java
@@ -0,0 +1,114 @@
+package org.damasktiller.table;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.damasktiller.identity.KindName;
+import org.damasktiller.identity.TenantName;
+import org.jspecify.annotations.Nullable;
+
+/** Reads the rows that follow one first line. */
+final class RowReader {
+
+    /** Stands for the tenant until its column is read; the column is required. */
+    private static final TenantName NO_TENANT = new TenantName("-");
+
+    /** The columns as they stand in the file; null for the key of the row. */
+    private final List<@Nullable TableColumn<?>> columns;
+
+    /**
+     * Reads the first line.
+     *
+     * @param headers the names of the columns
+     */
+    RowReader(List<String> headers) {
+        columns = new ArrayList<>();
+        Set<String> seen = new HashSet<>();
+        for (String header : headers) {
+            boolean key = header.equals(TableColumns.KIND);
+            if (!key && TableColumns.find(header).isEmpty()) {
+                throw TableErrors.badCell(
+                        "1", header, header, "a column of " + TableColumns.headers());
+            }
+            if (!seen.add(header)) {
+                throw TableErrors.badCell("1", header, header, "each column once");
+            }
+            columns.add(key ? null : TableColumns.find(header).orElseThrow());
+        }
+        for (String required : List.of(TableColumns.KIND, TableColumns.TENANT)) {
+            if (!seen.contains(required)) {
+                throw TableErrors.badCell("1", required, "", "that the column is present");
+            }
+        }
+    }
+
+    /**
+     * Reads one row; an empty cell keeps the default of its column.
+     *
+     * @param number the number of the row, the first line being 1
+     * @param cells the texts of the cells
+     * @return the row
+     */
+    KindOfWork read(int number, List<String> cells) {
+        if (cells.size() != columns.size()) {
+            throw TableErrors.badTable(
+                    "row "
+                            + number
+                            + " has "
+                            + cells.size()
+                            + " cells, allowed is "
+                            + columns.size()
+                            + " as in the first line");
+        }
+        KindName name = readKey(number, cells);
+        KindOfWork.Builder builder = KindOfWork.builder(name, NO_TENANT);
+        for (int index = 0; index < columns.size(); index++) {
+            TableColumn<?> column = columns.get(index);
+            if (column != null) {
+                readCell(number + " (" + name + ")", column, cells.get(index), builder);
+            }
+        }
+        return builder.build();
+    }
+
+    /**
+     * Reads the key of a row.
+     *
+     * @param number the number of the row
+     * @param cells the texts of the cells
+     * @return the name of the kind
+     */
+    private KindName readKey(int number, List<String> cells) {
+        String text = cells.get(columns.indexOf(null));
+        try {
+            return TableColumns.KIND_FORMAT.parse(text);
+        } catch (IllegalArgumentException e) {
+            throw TableErrors.badCell(
+                    Integer.toString(number),
+                    TableColumns.KIND,
+                    text,
+                    TableColumns.KIND_FORMAT.allowed());
+        }
+    }
+
+    /**
+     * Reads one cell into a row being built.
+     *
+     * @param place where the row stands
+     * @param column the column
+     * @param text the text of the cell
+     * @param builder the row being built
+     */
+    private static void readCell(
+            String place, TableColumn<?> column, String text, KindOfWork.Builder builder) {
+        if (text.isEmpty() && !column.header().equals(TableColumns.TENANT)) {
+            return;
+        }
+        try {
+            column.apply(builder, text);
+        } catch (IllegalArgumentException e) {
+            throw TableErrors.badCell(place, column.header(), text, column.allowed());
+        }
+    }
+}
--- /dev/null
+++ b/damasktiller-library/src/main/java/org/damasktiller/table/TableColumns.java
@@ -0,0 +1,167 @@
+package org.damasktiller.table;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import java.util.Optional;
+import org.damasktiller.identity.KindName;
+import org.damasktiller.identity.TenantName;
+
+/** Lists the columns of the table. */
+final class TableColumns {
+
+    /** The name of the column that is the key of a row. */
+    static final String KIND = "kind";
+
+    /** The name of the column of the tenant. */
+    static final String TENANT = "tenant";
+
+    /** The name of the column of guaranteed parts. */
+    static final String MINIMUM_SHARE = "minimum_share";
+
+    /** The name of the column of zones. */
+    static final String PLACE = "place";
+
+    /** The name of the column of the limit of a whole tenant. */
+    static final String TENANT_LIMIT = "tenant_limit_running";
+
+    /** Reads the key of a row. */
+    static final NameFormat<KindName> KIND_FORMAT = new NameFormat<>(KindName::new);
+
+    /** The largest weight. */
+    private static final int MAXIMUM_WEIGHT = 1000;
+
+    /** The largest part, in percent. */
+    private static final int MAXIMUM_PERCENT = 100;
+
+    /** The largest limit of running tasks. */
+    private static final int MAXIMUM_RUNNING = 1_000_000;
+
+    /** The largest limit of starts a second. */
+    private static final int MAXIMUM_RATE = 100_000;
+
+    /** The largest number of accelerators of one task. */
+    private static final int MAXIMUM_ACCELERATORS = 64;
+
+    /** The columns after the key, in the order in which they are written. */
+    private static final ImmutableList<TableColumn<?>> CELLS =
+            ImmutableList.of(
+                    new TableColumn<>(
+                            TENANT,
+                            new NameFormat<>(TenantName::new),
+                            KindOfWork::tenant,
+                            KindOfWork.Builder::tenant),
+                    new TableColumn<>(
+                            "class",
+                            new ChoiceFormat<>(List.of(WorkClass.values())),
+                            KindOfWork::workClass,
+                            KindOfWork.Builder::workClass),
+                    new TableColumn<>(
+                            "weight",
+                            new CountFormat(1, MAXIMUM_WEIGHT, ""),
+                            KindOfWork::weight,
+                            KindOfWork.Builder::weight),
+                    new TableColumn<>(
+                            MINIMUM_SHARE,
+                            new CountFormat(0, MAXIMUM_PERCENT, "%"),
+                            KindOfWork::minimumSharePercent,
+                            KindOfWork.Builder::minimumSharePercent),
+                    new TableColumn<>(
+                            "limit_running",
+                            new CountFormat(0, MAXIMUM_RUNNING, ""),
+                            KindOfWork::runningLimit,
+                            KindOfWork.Builder::runningLimit),
+                    new TableColumn<>(
+                            "limit_rate",
+                            new CountFormat(0, MAXIMUM_RATE, "/s"),
+                            KindOfWork::ratePerSecond,
+                            KindOfWork.Builder::ratePerSecond),
+                    new TableColumn<>(
+                            "processors",
+                            new ProcessorFormat(),
+                            row -> row.declared().milliProcessors(),
+                            KindOfWork.Builder::milliProcessors),
+                    new TableColumn<>(
+                            "memory",
+                            UnitFormat.memory(),
+                            row -> row.declared().memoryMegabytes(),
+                            KindOfWork.Builder::memoryMegabytes),
+                    new TableColumn<>(
+                            "accelerators",
+                            new CountFormat(0, MAXIMUM_ACCELERATORS, ""),
+                            row -> row.declared().accelerators(),
+                            KindOfWork.Builder::accelerators),
+                    new TableColumn<>(
+                            "run_time",
+                            UnitFormat.time(),
+                            KindOfWork::runTimeMillis,
+                            KindOfWork.Builder::runTimeMillis),
+                    new TableColumn<>(
+                            "latency_target",
+                            UnitFormat.time(),
+                            KindOfWork::latencyTargetMillis,
+                            KindOfWork.Builder::latencyTargetMillis),
+                    new TableColumn<>(
+                            "deadline",
+                            UnitFormat.time(),
+                            KindOfWork::deadlineMillis,
+                            KindOfWork.Builder::deadlineMillis),
+                    new TableColumn<>(
+                            "exclusive",
+                            new FlagFormat(),
+                            KindOfWork::exclusive,
+                            KindOfWork.Builder::exclusive),
+                    new TableColumn<>(
+                            "repeat",
+                            new ChoiceFormat<>(List.of(Repeat.values())),
+                            KindOfWork::repeat,
+                            KindOfWork.Builder::repeat),
+                    new TableColumn<>(
+                            PLACE,
+                            new PlaceFormat(),
+                            KindOfWork::places,
+                            KindOfWork.Builder::places),
+                    new TableColumn<>(
+                            "spill",
+                            new ChoiceFormat<>(List.of(Spill.values())),
+                            KindOfWork::spill,
+                            KindOfWork.Builder::spill),
+                    new TableColumn<>(
+                            TENANT_LIMIT,
+                            new CountFormat(0, MAXIMUM_RUNNING, ""),
+                            KindOfWork::tenantRunningLimit,
+                            KindOfWork.Builder::tenantRunningLimit));
+
+    /** Prevents instantiation. */
+    private TableColumns() {}
+
+    /**
+     * Lists the columns after the key.
+     *
+     * @return the columns in the order in which they are written
+     */
+    static ImmutableList<TableColumn<?>> cells() {
+        return CELLS;
+    }
+
+    /**
+     * Finds a column.
+     *
+     * @param header its name
+     * @return the column, or empty if there is none
+     */
+    static Optional<TableColumn<?>> find(String header) {
+        return CELLS.stream().filter(column -> column.header().equals(header)).findFirst();
+    }
+
+    /**
+     * Lists the names of all columns.
+     *
+     * @return the names
+     */
+    static List<String> headers() {
+        ImmutableList.Builder<String> headers = ImmutableList.builder();
+        headers.add(KIND);
+        CELLS.forEach(column -> headers.add(column.header()));
+        return headers.build();
+    }
+}
--- /dev/null
+++ b/damasktiller-library/src/main/java/org/damasktiller/table/TableWriter.java
@@ -0,0 +1,78 @@
+package org.damasktiller.table;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectWriter;
+import com.fasterxml.jackson.dataformat.csv.CsvMapper;
+import com.fasterxml.jackson.dataformat.csv.CsvSchema;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.damasktiller.identity.KindName;
+import org.damasktiller.identity.TenantName;
+
+/** Writes tables as CSV that {@link TableReader} reads back. Safe for use by several threads. */
+public final class TableWriter {
+
+    /** A row that holds the default of each column. */
+    private static final KindOfWork DEFAULTS =
+            KindOfWork.builder(new KindName("-"), new TenantName("-")).build();
+
+    /** Joins cells to CSV. */
+    private static final ObjectWriter CELLS =
+            new CsvMapper().writer(CsvSchema.emptySchema().withLineSeparator("\n"));
+
+    /** Prevents instantiation. */
+    private TableWriter() {}
+
+    /**
+     * Writes a whole table with every column.
+     *
+     * @param table the table
+     * @return the CSV in UTF-8
+     */
+    public static byte[] write(OperatorTable table) {
+        return write(table.rows(), TableColumns.cells());
+    }
+
+    /**
+     * Writes rows without the columns in which each of them holds the default.
+     *
+     * @param rows the rows
+     * @return the CSV in UTF-8
+     */
+    static byte[] writeCompact(List<KindOfWork> rows) {
+        List<TableColumn<?>> columns = new ArrayList<>();
+        for (TableColumn<?> column : TableColumns.cells()) {
+            String standard = column.text(DEFAULTS);
+            boolean needed = rows.stream().anyMatch(row -> !column.text(row).equals(standard));
+            if (needed || column.header().equals(TableColumns.TENANT)) {
+                columns.add(column);
+            }
+        }
+        return write(rows, columns);
+    }
+
+    /**
+     * Writes rows with the given columns after the key.
+     *
+     * @param rows the rows
+     * @param columns the columns
+     * @return the CSV in UTF-8
+     */
+    private static byte[] write(List<KindOfWork> rows, List<TableColumn<?>> columns) {
+        List<List<String>> lines = new ArrayList<>();
+        List<String> headers = new ArrayList<>(List.of(TableColumns.KIND));
+        columns.forEach(column -> headers.add(column.header()));
+        lines.add(headers);
+        for (KindOfWork row : rows) {
+            List<String> cells = new ArrayList<>(List.of(row.name().value()));
+            columns.forEach(column -> cells.add(column.text(row)));
+            lines.add(cells);
+        }
+        try {
+            return CELLS.writeValueAsString(lines).getBytes(StandardCharsets.UTF_8);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("texts can always be written as CSV", e);
+        }
+    }
+}
