--- /dev/null
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/package-info.java
@@ -0,0 +1,5 @@
+/** The damasktiller program. */
+@NullMarked
+package org.damasktiller.daemon;
+
+import org.jspecify.annotations.NullMarked;
