--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/Main.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/Main.java
@@ -20,8 +20,7 @@
      */
     public static void main(String[] arguments) {
         ExitCode code =
-                new CommandLine(commands(), System.getenv(), System.out, System.err)
-                        .run(arguments);
+                new CommandLine(commands(), System.getenv(), System.out, System.err).run(arguments);
         System.exit(code.number());
     }
 
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/StandInCommand.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/StandInCommand.java
@@ -73,8 +73,7 @@
     private AsyncServlet servlet(Eventloop eventloop) {
         return switch (standIn) {
             case "store" ->
-                    StoreServlet.create(
-                            eventloop, new StoreService(eventloop, new StoreState()));
+                    StoreServlet.create(eventloop, new StoreService(eventloop, new StoreState()));
             case "vms" -> VmListServlet.create(eventloop, new VmListState(lagMillis));
             default -> throw Settings.refused(NAME, standIn, ALLOWED, null);
         };
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/settings/EntrySettings.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/settings/EntrySettings.java
@@ -24,7 +24,8 @@
 
     /** What a zone list looks like, for error messages. */
     private static final String ZONES_ALLOWED =
-            "zone=region pairs separated by commas, such as leinster-1=leinster,connacht-1=connacht";
+            "zone=region pairs separated by commas, such as"
+                    + " leinster-1=leinster,connacht-1=connacht";
 
     /** The address for callers. */
     @Parameter(
@@ -156,8 +157,7 @@
      * @return the address
      */
     public InetSocketAddress operatorAddress() {
-        return Settings.required(
-                "--operator-address", operatorAddress, AddressConverter.ALLOWED);
+        return Settings.required("--operator-address", operatorAddress, AddressConverter.ALLOWED);
     }
 
     /**
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/settings/Settings.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/settings/Settings.java
@@ -36,11 +36,10 @@
      * @param settings the object with JCommander's annotations
      * @param arguments the flags
      * @param environment the environment variables
-     * @throws DamasktillerException with code BAD_SETTING, naming the setting, the value and what is
-     *     allowed
+     * @throws DamasktillerException with code BAD_SETTING, naming the setting, the value and what
+     *     is allowed
      */
-    public static void read(
-            Object settings, String[] arguments, Map<String, String> environment) {
+    public static void read(Object settings, String[] arguments, Map<String, String> environment) {
         JCommander parser =
                 JCommander.newBuilder()
                         .addObject(settings)
