--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/CommandLine.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/CommandLine.java
@@ -6,7 +6,6 @@
 import java.io.PrintStream;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import org.damasktiller.daemon.settings.Settings;
 import org.damasktiller.error.DamasktillerException;
 
@@ -90,30 +89,41 @@
                         .programName(PROGRAM)
                         .addObject(help)
                         .defaultProvider(flag -> environment.get(Settings.variableOf(flag)));
-        commands.forEach(command -> builder.addCommand(command.name(), command));
+        commands.forEach(
+                command -> builder.addCommand(command.name(), List.of(command, new HelpFlag())));
         return builder.build();
     }
 
     /**
-     * Runs the command that was selected.
+     * Runs the command that was selected, or prints help.
      *
      * @param parser the parser after parsing
-     * @param help the flag for help
+     * @param help the flag for help on the whole program
      * @return the exit code
      */
     private ExitCode dispatch(JCommander parser, HelpFlag help) {
-        String name = parser.getParsedCommand();
-        if (help.requested) {
-            output.println(usage(parser));
-            return ExitCode.SUCCESS;
+        JCommander selected = parser.getCommands().get(parser.getParsedCommand());
+        if (help.requested || selected == null) {
+            (help.requested ? output : errors).println(usage(parser));
+            return help.requested ? ExitCode.SUCCESS : ExitCode.USAGE;
         }
-        if (name == null) {
-            errors.println(usage(parser));
-            return ExitCode.USAGE;
+        if (asksForHelp(selected)) {
+            output.println(usage(selected));
+            return ExitCode.SUCCESS;
         }
-        Optional<Command> selected =
-                commands.stream().filter(command -> command.name().equals(name)).findFirst();
-        return selected.orElseThrow().run(output);
+        Command command = (Command) selected.getObjects().get(0);
+        return command.run(output);
+    }
+
+    /**
+     * Tells whether help on a command was asked for.
+     *
+     * @param command the parser of the command
+     * @return whether its flag for help is set
+     */
+    private static boolean asksForHelp(JCommander command) {
+        return command.getObjects().stream()
+                .anyMatch(object -> object instanceof HelpFlag flag && flag.requested);
     }
 
     /**
