Edit the table in the store by row and cell

Cause: two operators edit the table at the same moment, answers of the store get lost, and the store can come back with an older state. Change: TableEditor decides each step of an edit without I/O: a three-way merge by row and cell under compare-and-swap, an identity that makes a lost answer harmless, a conflict refused with both values. TableRepository drives it over KeyValueStore: read, readAt, put, edit, history, repair.

--- a/damasktiller-library/src/main/java/org/damasktiller/table/OperatorTable.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/table/OperatorTable.java
@@ -2,8 +2,12 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.damasktiller.identity.KindName;
 
@@ -19,15 +23,20 @@
     /** The rows by kind, in the operators' order. */
     private final ImmutableMap<KindName, KindOfWork> rows;
 
+    /** The sum of the hashes of the rows, kept up to date by each delta. */
+    private final long rowHashes;
+
     /**
      * Creates a table.
      *
      * @param version the version
      * @param rows the rows by kind
+     * @param rowHashes the sum of the hashes of the rows
      */
-    private OperatorTable(long version, ImmutableMap<KindName, KindOfWork> rows) {
+    private OperatorTable(long version, ImmutableMap<KindName, KindOfWork> rows, long rowHashes) {
         this.version = version;
         this.rows = rows;
+        this.rowHashes = rowHashes;
     }
 
     /**
@@ -44,7 +53,8 @@
         }
         ImmutableMap.Builder<KindName, KindOfWork> byName = ImmutableMap.builder();
         rows.forEach(row -> byName.put(row.name(), row));
-        return new OperatorTable(version, byName.buildOrThrow());
+        long hashes = rows.stream().mapToLong(OperatorTable::hash).sum();
+        return new OperatorTable(version, byName.buildOrThrow(), hashes);
     }
 
     /**
@@ -76,7 +86,8 @@
     }
 
     /**
-     * Computes a digest of version and rows, equal on all members that hold the same table.
+     * Computes a digest of version and rows, equal on all members that hold the same table. It does
+     * not depend on the order of the rows.
      *
      * @return the digest
      */
@@ -84,11 +95,76 @@
         return Hashing.murmur3_128()
                 .newHasher()
                 .putLong(version)
-                .putBytes(TableWriter.write(this))
+                .putLong(rowHashes)
                 .hash()
                 .asLong();
     }
 
+    /**
+     * Applies the edit that follows this version.
+     *
+     * @param delta the edit, complete and of the next version
+     * @return the table of the next version
+     * @throws IllegalArgumentException if the edit is not complete or not the next one
+     */
+    public OperatorTable apply(TableDelta delta) {
+        if (delta.version() != version + 1 || !delta.complete()) {
+            throw new IllegalArgumentException("not the complete edit after version " + version);
+        }
+        return with(delta.version(), delta.changes());
+    }
+
+    /**
+     * Undoes an edit, if the rows before it are known.
+     *
+     * @param delta the complete edit that made this version, with the rows before it
+     * @return the table of the version before
+     */
+    OperatorTable undo(TableDelta delta) {
+        return with(
+                delta.version() - 1,
+                delta.changes().stream()
+                        .map(change -> new RowChange(change.kind(), null, change.before()))
+                        .toList());
+    }
+
+    /**
+     * Changes rows.
+     *
+     * @param newVersion the version of the result
+     * @param changes the changed rows
+     * @return the changed table
+     */
+    OperatorTable with(long newVersion, List<RowChange> changes) {
+        Map<KindName, KindOfWork> changed = new LinkedHashMap<>(rows);
+        long hashes = rowHashes;
+        for (RowChange change : changes) {
+            KindOfWork after = change.after();
+            KindOfWork before =
+                    after == null
+                            ? changed.remove(change.kind())
+                            : changed.put(change.kind(), after);
+            hashes -= before == null ? 0 : hash(before);
+            hashes += after == null ? 0 : hash(after);
+        }
+        return new OperatorTable(newVersion, ImmutableMap.copyOf(changed), hashes);
+    }
+
+    /**
+     * Hashes the cells of a row.
+     *
+     * @param row the row
+     * @return the hash
+     */
+    private static long hash(KindOfWork row) {
+        Hasher hasher = Hashing.murmur3_128().newHasher();
+        hasher.putString(row.name().value(), StandardCharsets.UTF_8);
+        for (TableColumn<?> column : TableColumns.cells()) {
+            hasher.putString(column.text(row), StandardCharsets.UTF_8).putChar(',');
+        }
+        return hasher.hash().asLong();
+    }
+
     @Override
     public boolean equals(Object other) {
         return other instanceof OperatorTable that
--- /dev/null
+++ b/damasktiller-library/src/main/java/org/damasktiller/table/TableHistory.java
@@ -0,0 +1,114 @@
+package org.damasktiller.table;
+
+import io.activej.promise.Promise;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.damasktiller.error.DamasktillerException;
+import org.damasktiller.error.ErrorCode;
+import org.damasktiller.error.Outcome;
+import org.damasktiller.error.Step;
+import org.damasktiller.store.KeyValueStore;
+import org.damasktiller.store.StoredValue;
+
+/** Reads accepted edits and earlier versions from the store. Belongs to one reactor thread. */
+final class TableHistory {
+
+    /** The key-value service. */
+    private final KeyValueStore store;
+
+    /**
+     * Creates a history.
+     *
+     * @param store the key-value service
+     */
+    TableHistory(KeyValueStore store) {
+        this.store = store;
+    }
+
+    /**
+     * Reads the deltas after a version; the segments are read only if the head does not hold them.
+     *
+     * @param loaded the table in force
+     * @param version the version
+     * @return the deltas that are kept up to the version in force, the latest first
+     */
+    Promise<List<TableDelta>> deltasAfter(LoadedTable loaded, long version) {
+        List<TableDelta> tail = loaded.head().tail();
+        boolean covered = !tail.isEmpty() && tail.get(0).version() <= version + 1;
+        if (covered || version >= loaded.table().version()) {
+            return Promise.of(merge(loaded, List.of(), version));
+        }
+        return store.list(TableKeys.SEGMENTS)
+                .then(segments -> Attempt.of(() -> Promise.of(merge(loaded, segments, version))));
+    }
+
+    /**
+     * Reads the table of an earlier version.
+     *
+     * @param loaded the table in force
+     * @param version the version
+     * @return the table; fails with code BAD_REQUEST if the history does not reach back to it
+     */
+    Promise<OperatorTable> tableAt(LoadedTable loaded, long version) {
+        return deltasAfter(loaded, version)
+                .then(deltas -> Attempt.of(() -> Promise.of(undo(loaded, deltas, version))));
+    }
+
+    /**
+     * Merges the deltas of head and segments.
+     *
+     * @param loaded the table in force
+     * @param segments the segments
+     * @param version the version after which deltas are wanted
+     * @return the deltas, the latest first
+     */
+    private static List<TableDelta> merge(
+            LoadedTable loaded, List<StoredValue> segments, long version) {
+        List<TableDelta> all = new ArrayList<>(loaded.head().tail());
+        for (StoredValue segment : segments) {
+            all.addAll(TableCodec.decodeDeltas(segment.value()));
+        }
+        Set<Long> versions = new HashSet<>();
+        all.removeIf(
+                delta ->
+                        delta.version() <= version
+                                || delta.version() > loaded.table().version()
+                                || !versions.add(delta.version()));
+        all.sort(Comparator.comparingLong(TableDelta::version).reversed());
+        return all;
+    }
+
+    /**
+     * Undoes edits back to a version.
+     *
+     * @param loaded the table in force
+     * @param deltas the deltas, the latest first
+     * @param version the version
+     * @return the table of the version
+     */
+    private static OperatorTable undo(LoadedTable loaded, List<TableDelta> deltas, long version) {
+        OperatorTable table = loaded.table();
+        for (TableDelta delta : deltas) {
+            if (delta.complete() && delta.version() == table.version()) {
+                table = table.undo(delta);
+            }
+        }
+        if (table.version() == version) {
+            return table;
+        }
+        throw new DamasktillerException(
+                ErrorCode.BAD_REQUEST,
+                Step.TABLE,
+                "",
+                Outcome.NOT_RUN,
+                "table version "
+                        + version
+                        + " is not kept; allowed are "
+                        + table.version()
+                        + " to "
+                        + loaded.table().version());
+    }
+}
--- /dev/null
+++ b/damasktiller-library/src/test/java/org/damasktiller/store/FakeStore.java
@@ -0,0 +1,170 @@
+package org.damasktiller.store;
+
+import io.activej.promise.Promise;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.damasktiller.error.DamasktillerException;
+import org.damasktiller.error.ErrorCode;
+import org.damasktiller.error.Outcome;
+import org.damasktiller.error.Step;
+
+/** Keeps keys in memory and fails as told. */
+public final class FakeStore implements KeyValueStore {
+
+    /** What happens to a write of a key. */
+    public enum Fault {
+        /** The write and its answer arrive. */
+        NONE,
+        /** The write takes effect and its answer is lost. */
+        LOST_ANSWER,
+        /** The write takes effect, its answer is lost and nothing answers any more. */
+        LOST_ANSWER_THEN_DOWN,
+        /** The write is lost. */
+        LOST_WRITE,
+        /** The write takes effect after the next write of the key was sent, its answer is lost. */
+        LATE_WRITE
+    }
+
+    /** The keys in order. */
+    private final TreeMap<String, StoredValue> values = new TreeMap<>();
+
+    /** What happens to the next writes of the head. */
+    private final Deque<Fault> faults = new ArrayDeque<>();
+
+    /** What to do before the next writes of the head. */
+    private final Deque<Runnable> interruptions = new ArrayDeque<>();
+
+    /** Writes that have not arrived yet. */
+    private final List<SwapRequest> late = new ArrayList<>();
+
+    /** The revision of the latest write. */
+    private long revision;
+
+    /** Whether nothing answers. */
+    private boolean down;
+
+    /** The number of calls. */
+    private int calls;
+
+    public void down(boolean value) {
+        down = value;
+    }
+
+    public void faultNextHeadWrites(Fault... next) {
+        faults.addAll(List.of(next));
+    }
+
+    public void beforeNextHeadWrite(Runnable action) {
+        interruptions.add(action);
+    }
+
+    public SortedMap<String, StoredValue> copy() {
+        return new TreeMap<>(values);
+    }
+
+    public void restore(SortedMap<String, StoredValue> older) {
+        values.clear();
+        values.putAll(older);
+    }
+
+    public int calls() {
+        return calls;
+    }
+
+    @Override
+    public Promise<Optional<StoredValue>> get(String key) {
+        calls++;
+        return down ? unavailable() : Promise.of(Optional.ofNullable(values.get(key)));
+    }
+
+    @Override
+    public Promise<List<StoredValue>> list(String prefix) {
+        calls++;
+        return down
+                ? unavailable()
+                : Promise.of(
+                        values.tailMap(prefix, true).values().stream()
+                                .filter(value -> value.key().startsWith(prefix))
+                                .toList());
+    }
+
+    @Override
+    public Promise<SwapResult> compareAndSwap(SwapRequest request) {
+        calls++;
+        boolean head = request.key().endsWith("/head");
+        if (head && !interruptions.isEmpty()) {
+            interruptions.remove().run();
+        }
+        if (down) {
+            return unavailable();
+        }
+        late.forEach(this::apply);
+        late.clear();
+        Fault fault = head && !faults.isEmpty() ? faults.remove() : Fault.NONE;
+        if (fault == Fault.LATE_WRITE) {
+            late.add(request);
+        }
+        if (fault == Fault.LOST_ANSWER || fault == Fault.LOST_ANSWER_THEN_DOWN) {
+            apply(request);
+            down = fault == Fault.LOST_ANSWER_THEN_DOWN;
+        }
+        return fault == Fault.NONE ? Promise.of(apply(request)) : unavailable();
+    }
+
+    @Override
+    public Promise<Long> grantLease(long durationMillis) {
+        return Promise.of(1L);
+    }
+
+    @Override
+    public Promise<Boolean> renewLease(long leaseId) {
+        return Promise.of(true);
+    }
+
+    @Override
+    public Promise<Void> revokeLease(long leaseId) {
+        return Promise.complete();
+    }
+
+    @Override
+    public Promise<List<StoredValue>> watch(String prefix, long afterRevision, long timeoutMillis) {
+        return list(prefix)
+                .map(
+                        all ->
+                                all.stream()
+                                        .filter(value -> value.revision() > afterRevision)
+                                        .toList());
+    }
+
+    private SwapResult apply(SwapRequest request) {
+        StoredValue current = values.get(request.key());
+        if ((current == null ? 0 : current.revision()) != request.expectedRevision()) {
+            return new SwapResult(false, 0, current);
+        }
+        revision++;
+        byte[] bytes = request.value();
+        if (bytes == null) {
+            values.remove(request.key());
+        } else if (bytes.length > 1_000_000) {
+            throw new IllegalStateException("value of " + bytes.length + " bytes");
+        } else {
+            values.put(request.key(), new StoredValue(request.key(), bytes, revision, 0));
+        }
+        return new SwapResult(true, revision, null);
+    }
+
+    private static <T> Promise<T> unavailable() {
+        return Promise.ofException(
+                new DamasktillerException(
+                        ErrorCode.STORE_UNAVAILABLE,
+                        Step.COMMIT,
+                        "store",
+                        Outcome.OUTCOME_UNKNOWN,
+                        "no answer"));
+    }
+}
