--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/Main.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/Main.java
@@ -3,9 +3,12 @@
 import java.util.List;
 import org.damasktiller.daemon.command.Command;
 import org.damasktiller.daemon.command.CommandLine;
+import org.damasktiller.daemon.command.DrainCommand;
 import org.damasktiller.daemon.command.EntryCommand;
 import org.damasktiller.daemon.command.ExitCode;
 import org.damasktiller.daemon.command.StandInCommand;
+import org.damasktiller.daemon.command.StatusCommand;
+import org.damasktiller.daemon.command.TableCommand;
 
 /** Starts the program. */
 public final class Main {
@@ -30,6 +33,11 @@
      * @return the commands
      */
     static List<Command> commands() {
-        return List.of(new EntryCommand(), new StandInCommand());
+        return List.of(
+                new EntryCommand(),
+                new StandInCommand(),
+                new TableCommand(),
+                new StatusCommand(),
+                new DrainCommand());
     }
 }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/DrainCommand.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/DrainCommand.java
@@ -26,8 +26,7 @@
         DrainBody body =
                 server.call(
                         OperatorPaths.DRAIN,
-                        (client, url, context) ->
-                                client.post(url, "", DrainBody.class, context));
+                        (client, url, context) -> client.post(url, "", DrainBody.class, context));
         server.print(
                 output,
                 body,
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/ServerOptions.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/ServerOptions.java
@@ -46,12 +46,10 @@
      * @return the answer
      */
     <T> T call(String path, ServerCall<T> call) {
-        InetSocketAddress address =
-                Settings.required("--server", server, AddressConverter.ALLOWED);
+        InetSocketAddress address = Settings.required("--server", server, AddressConverter.ALLOWED);
         String peer = address.getAddress().getHostAddress() + ":" + address.getPort();
         CallContext context =
-                new CallContext(
-                        Step.ACCEPT, peer, ErrorCode.DEADLINE_EXCEEDED, timeoutMillis);
+                new CallContext(Step.ACCEPT, peer, ErrorCode.DEADLINE_EXCEEDED, timeoutMillis);
         try (ApiClient client = new ApiClient()) {
             return client.call(http -> call.make(http, "http://" + peer + path, context));
         }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/StatusCommand.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/StatusCommand.java
@@ -13,15 +13,6 @@
         commandDescription = "Tell the zones, members, cells, and the table in force per zone")
 public final class StatusCommand implements Command {
 
-    /** The form of a line on a zone. */
-    private static final String ZONE_FORMAT = "%-16s %-12s %8d %-26s %-10s %d live%n";
-
-    /** The form of a line on a member. */
-    private static final String MEMBER_FORMAT = "%-24s %-16s %-10s %d%n";
-
-    /** The form of a line on a cell. */
-    private static final String CELL_FORMAT = "%-20s %-24s %s%n";
-
     /** The flags for the entry VM. */
     @ParametersDelegate private final ServerOptions server = new ServerOptions();
 
@@ -62,7 +53,7 @@
         output.println("ZONE             REGION       TABLE    IN FORCE SINCE             LINK");
         for (StatusBody.ZoneBody zone : status.zones()) {
             output.printf(
-                    ZONE_FORMAT,
+                    "%-16s %-12s %8d %-26s %-10s %d live%n",
                     zone.zone(),
                     zone.region(),
                     zone.tableVersion(),
@@ -73,16 +64,13 @@
         output.println("MEMBER                   ZONE             STATE      INCARNATION");
         for (StatusBody.MemberBody member : status.members()) {
             output.printf(
-                    MEMBER_FORMAT,
-                    member.vm(),
-                    member.zone(),
-                    member.state(),
-                    member.incarnation());
+                    "%-24s %-16s %-10s %d%n",
+                    member.vm(), member.zone(), member.state(), member.incarnation());
         }
         output.println("CELL                 OWNER                    HERE");
         for (StatusBody.CellBody cell : status.cells()) {
             output.printf(
-                    CELL_FORMAT, cell.cell(), cell.owner(), cell.ownedHere() ? "yes" : "no");
+                    "%-20s %-24s %s%n", cell.cell(), cell.owner(), cell.ownedHere() ? "yes" : "no");
         }
     }
 }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/TableCommand.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/TableCommand.java
@@ -131,8 +131,7 @@
      * @return the exit code
      */
     private ExitCode edit(PrintStream output) {
-        TableCellBody body =
-                new TableCellBody(editId, operator, baseVersion, kind, column, value);
+        TableCellBody body = new TableCellBody(editId, operator, baseVersion, kind, column, value);
         TableChangeBody change =
                 server.call(
                         OperatorPaths.TABLE_CELL,
@@ -151,12 +150,9 @@
         TableHistoryBody body =
                 server.call(
                         OperatorPaths.TABLE_HISTORY,
-                        (client, url, context) ->
-                                client.get(url, TableHistoryBody.class, context));
+                        (client, url, context) -> client.get(url, TableHistoryBody.class, context));
         server.print(
-                output,
-                body,
-                history -> history.edits().forEach(one -> printEdit(output, one)));
+                output, body, history -> history.edits().forEach(one -> printEdit(output, one)));
         return ExitCode.SUCCESS;
     }
 
@@ -189,14 +185,12 @@
      * @return whether it is in force before the time is up
      */
     private boolean awaitInForce(long version) {
-        long deadline =
-                System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(server.timeoutMillis());
+        long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(server.timeoutMillis());
         while (System.nanoTime() < deadline) {
             StatusBody status =
                     server.call(
                             OperatorPaths.STATUS,
-                            (client, url, context) ->
-                                    client.get(url, StatusBody.class, context));
+                            (client, url, context) -> client.get(url, StatusBody.class, context));
             if (status.zones().stream().allMatch(zone -> zone.tableVersion() >= version)) {
                 return true;
             }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryNode.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryNode.java
@@ -1,10 +1,8 @@
 package org.damasktiller.daemon.entry;
 
-import com.codahale.metrics.MetricRegistry;
 import io.activej.eventloop.Eventloop;
-import io.activej.http.HttpMethod;
+import io.activej.http.AsyncServlet;
 import io.activej.http.HttpServer;
-import io.activej.http.RoutingServlet;
 import io.activej.promise.Promise;
 import io.activej.promise.Promises;
 import java.io.IOException;
@@ -13,21 +11,17 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import org.damasktiller.daemon.metrics.MetricsServlet;
-import org.damasktiller.daemon.metrics.WorkMetrics;
 import org.damasktiller.daemon.settings.EntrySettings;
-import org.damasktiller.platform.http.JsonClient;
 import org.damasktiller.platform.http.JsonResponses;
-import org.damasktiller.platform.vm.HttpVmDirectory;
 
-/** One entry VM: its event loop, its listeners and its parts, put together. */
+/** One entry VM as it runs: its event loop, its listeners and its shutdown. */
 public final class EntryNode {
 
     /** The log. */
     private static final Logger LOGGER = System.getLogger(EntryNode.class.getName());
 
-    /** How long to wait for a connection to the platform. */
-    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+    /** How long a connection is kept for the caller's next request. */
+    private static final Duration KEEP_ALIVE = Duration.ofSeconds(30);
 
     /** The settings. */
     private final EntrySettings settings;
@@ -35,14 +29,8 @@
     /** The event loop that does the I/O. */
     private final Eventloop eventloop;
 
-    /** The client for the platform. */
-    private final JsonClient client;
-
-    /** Reads the list of VMs. */
-    private final FleetReader fleetReader;
-
-    /** The metrics. */
-    private final WorkMetrics metrics = new WorkMetrics(new MetricRegistry());
+    /** The parts of the VM. */
+    private final EntryParts parts;
 
     /** The callers' requests. */
     private final DrainableServlet callerServlet;
@@ -56,11 +44,8 @@
     /** Completed when the VM has ended, with whether no request was cut off. */
     private final CompletableFuture<Boolean> ended = new CompletableFuture<>();
 
-    /** Whether the VM takes new work. */
-    private volatile Readiness readiness = Readiness.STARTING;
-
     /**
-     * Creates the parts.
+     * Creates the listeners.
      *
      * @param settings the settings
      * @param eventloop the event loop
@@ -68,16 +53,12 @@
     private EntryNode(EntrySettings settings, Eventloop eventloop) {
         this.settings = settings;
         this.eventloop = eventloop;
-        client = new JsonClient(eventloop, CONNECT_TIMEOUT);
-        fleetReader =
-                new FleetReader(
-                        eventloop,
-                        new HttpVmDirectory(
-                                client, text(settings.vmList()), settings.storeTimeoutMillis()),
-                        settings.vmListIntervalMillis());
-        callerServlet = new DrainableServlet(callerRoutes());
+        parts = new EntryParts(settings, eventloop);
+        EntryRoutes routes = new EntryRoutes(parts, this::startDraining);
+        callerServlet = new DrainableServlet(routes.callers());
+        parts.setInFlight(callerServlet::inFlight);
         callerServer = server(settings.address(), callerServlet);
-        operatorServer = server(settings.operatorAddress(), operatorRoutes());
+        operatorServer = server(settings.operatorAddress(), routes.operators());
     }
 
     /**
@@ -89,7 +70,7 @@
     public static EntryNode start(EntrySettings settings) {
         Eventloop eventloop = Eventloop.create();
         eventloop.keepAlive(true);
-        Thread thread = new Thread(eventloop, "entry " + text(settings.address()));
+        Thread thread = new Thread(eventloop, "entry " + settings.zone());
         thread.start();
         return eventloop
                 .submit(
@@ -122,12 +103,21 @@
     }
 
     /**
-     * Returns whether the VM takes new work.
+     * Returns the address on which callers are served.
+     *
+     * @return the IP number and port
+     */
+    public String callerAddress() {
+        return Addresses.text(callerServer.getBoundAddresses().get(0));
+    }
+
+    /**
+     * Returns the address on which operators are served.
      *
-     * @return the readiness
+     * @return the IP number and port
      */
-    public Readiness readiness() {
-        return readiness;
+    public String operatorAddress() {
+        return Addresses.text(operatorServer.getBoundAddresses().get(0));
     }
 
     /** Opens the listeners and starts the parts. */
@@ -138,19 +128,26 @@
         } catch (IOException exception) {
             throw new UncheckedIOException(exception);
         }
-        fleetReader.start();
-        readiness = Readiness.READY;
-        LOGGER.log(Logger.Level.INFO, "entry VM of zone {0} listens", settings.zone());
+        parts.start();
+        LOGGER.log(
+                Logger.Level.INFO,
+                "entry VM of zone {0} serves callers on {1} and operators on {2}",
+                settings.zone(),
+                callerAddress(),
+                operatorAddress());
     }
 
-    /** Stops taking new work and ends once no request is in flight. */
+    /** Stops taking new work, hands over, and ends once no request is in flight. */
     private void startDraining() {
-        if (readiness == Readiness.DRAINING) {
+        if (parts.readiness() == Readiness.DRAINING) {
             return;
         }
-        readiness = Readiness.DRAINING;
         callerServlet.startDraining();
-        Promises.timeout(settings.drainTimeoutMillis(), callerServlet.whenIdle())
+        Promise<Void> handedOver = parts.startDraining();
+        Promise<Void> idle =
+                Promises.delay(eventloop, settings.drainNoticeMillis())
+                        .then(callerServlet::whenIdle);
+        Promises.timeout(eventloop, settings.drainTimeoutMillis(), Promises.all(handedOver, idle))
                 .whenComplete(() -> end(callerServlet.inFlight() == 0));
     }
 
@@ -160,8 +157,9 @@
      * @param clean whether no request was cut off
      */
     private void end(boolean clean) {
-        fleetReader.stop();
-        Promises.all(callerServer.close(), operatorServer.close(), client.stop())
+        LOGGER.log(
+                Logger.Level.INFO, "drained with {0} requests in flight", callerServlet.inFlight());
+        Promises.all(callerServer.close(), operatorServer.close(), parts.stop())
                 .whenComplete(
                         () -> {
                             eventloop.keepAlive(false);
@@ -170,27 +168,6 @@
                         });
     }
 
-    /**
-     * Makes the routes of the callers' listener.
-     *
-     * @return the routes
-     */
-    private RoutingServlet callerRoutes() {
-        return HealthServlets.create(eventloop, this::readiness);
-    }
-
-    /**
-     * Makes the routes of the operators' listener.
-     *
-     * @return the routes
-     */
-    private RoutingServlet operatorRoutes() {
-        return RoutingServlet.builder(eventloop)
-                .with(HttpMethod.GET, "/metrics", new MetricsServlet(metrics.registry()))
-                .merge(HealthServlets.create(eventloop, this::readiness))
-                .build();
-    }
-
     /**
      * Makes a listener.
      *
@@ -198,21 +175,13 @@
      * @param servlet the servlet
      * @return the listener, not yet open
      */
-    private HttpServer server(InetSocketAddress address, io.activej.http.AsyncServlet servlet) {
+    private HttpServer server(InetSocketAddress address, AsyncServlet servlet) {
         return HttpServer.builder(eventloop, servlet)
                 .withListenAddress(address)
+                .withKeepAliveTimeout(KEEP_ALIVE)
+                .withServeTimeoutShutdown(Duration.ofMillis(settings.drainTimeoutMillis()))
                 .withMaxBodySize(settings.maximumBodyBytes())
                 .withHttpErrorFormatter(exception -> Promise.of(JsonResponses.error(exception)))
                 .build();
     }
-
-    /**
-     * Writes an address as text.
-     *
-     * @param address the address
-     * @return the IP number and port
-     */
-    private static String text(InetSocketAddress address) {
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
-    }
 }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/settings/EntrySettings.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/settings/EntrySettings.java
@@ -108,6 +108,14 @@
                     "How long an owner goes on without the key-value service, in milliseconds")
     private long outageGraceMillis = 14_400_000;
 
+    /** How long a shutdown goes on serving so that the balancer notices. */
+    @Parameter(
+            names = "--drain-notice-millis",
+            description =
+                    "How long a draining VM still serves, for the balancer to notice, in"
+                            + " milliseconds")
+    private long drainNoticeMillis = 3_000;
+
     /** How long a shutdown waits for requests in flight. */
     @Parameter(
             names = "--drain-timeout-millis",
@@ -139,6 +147,7 @@
         Settings.inRange("--cell-lease-millis", cellLeaseMillis, 100, MAXIMUM_MILLIS);
         Settings.inRange("--outage-grace-millis", outageGraceMillis, 0, MAXIMUM_MILLIS);
         Settings.inRange("--drain-timeout-millis", drainTimeoutMillis, 0, MAXIMUM_MILLIS);
+        Settings.inRange("--drain-notice-millis", drainNoticeMillis, 0, drainTimeoutMillis);
         Settings.inRange("--maximum-body-bytes", maximumBodyBytes, 1, MAXIMUM_BODY_LIMIT_BYTES);
     }
 
@@ -292,6 +301,15 @@
         return drainTimeoutMillis;
     }
 
+    /**
+     * Returns how long a draining VM still serves, for the balancer to notice.
+     *
+     * @return the time, in milliseconds
+     */
+    public long drainNoticeMillis() {
+        return drainNoticeMillis;
+    }
+
     /**
      * Returns the largest body accepted from a caller.
      *
--- a/damasktiller-library/src/test/java/org/damasktiller/authority/layout/CellLayoutTest.java
+++ b/damasktiller-library/src/test/java/org/damasktiller/authority/layout/CellLayoutTest.java
@@ -33,8 +33,7 @@
     @Test
     void testKeyStaysWithinItsPlaces() {
         for (int index = 0; index < 100; index++) {
-            CellId cell =
-                    layout.cellOf(TENANT, new RequestKey("key-" + index), List.of(LEINSTER));
+            CellId cell = layout.cellOf(TENANT, new RequestKey("key-" + index), List.of(LEINSTER));
             assertThat(layout.zoneOf(cell), is(LEINSTER));
         }
     }
