--- /dev/null
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/AddressResolver.java
@@ -0,0 +1,32 @@
+package org.damasktiller.daemon.gateway;
+
+import io.activej.dns.IDnsClient;
+import io.activej.dns.protocol.DnsProtocol;
+import io.activej.dns.protocol.DnsQuery;
+import io.activej.dns.protocol.DnsQueryException;
+import io.activej.dns.protocol.DnsResponse;
+import io.activej.dns.protocol.DnsTransaction;
+import io.activej.promise.Promise;
+
+/** Accepts IP numbers only and never asks a name server. */
+public final class AddressResolver implements IDnsClient {
+
+    /** Creates a resolver. */
+    public AddressResolver() {}
+
+    @Override
+    public Promise<DnsResponse> resolve(DnsQuery query) {
+        DnsResponse address = IDnsClient.resolveFromQuery(query);
+        if (address != null) {
+            return Promise.of(address);
+        }
+        return Promise.ofException(
+                new DnsQueryException(
+                        DnsResponse.ofFailure(
+                                DnsTransaction.of((short) 0, query),
+                                DnsProtocol.ResponseErrorCode.NAME_ERROR)));
+    }
+
+    @Override
+    public void close() {}
+}
--- /dev/null
+++ b/damasktiller-library/src/main/java/org/damasktiller/routing/RequestRouter.java
@@ -0,0 +1,493 @@
+package org.damasktiller.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.damasktiller.error.Outcome;
+import org.damasktiller.identity.EndpointId;
+import org.damasktiller.identity.RegionName;
+import org.damasktiller.identity.ZoneName;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides where each request is sent, when it waits, is tried again or is refused. It does no I/O:
+ * events come in with the time, and the returned actions are to be carried out in their order. Used
+ * by one thread.
+ */
+public final class RequestRouter {
+
+    /** The endpoints. */
+    private final EndpointSet endpoints;
+
+    /** Gives requests their slots. */
+    private final RequestDispatcher dispatcher;
+
+    /** Decides on second tries. */
+    private final RetryPolicy retryPolicy;
+
+    /** Whether new requests are refused because the VM is leaving. */
+    private boolean draining;
+
+    /**
+     * Creates a router.
+     *
+     * @param builder the parts
+     */
+    private RequestRouter(Builder builder) {
+        this.endpoints =
+                new EndpointSet(
+                        builder.zone,
+                        builder.region,
+                        builder.settings,
+                        builder.allowance,
+                        builder.random);
+        this.dispatcher = new RequestDispatcher(builder.settings, endpoints);
+        this.retryPolicy = new RetryPolicy(builder.settings, builder.random);
+    }
+
+    /**
+     * Starts to build a router.
+     *
+     * @param zone the availability zone of this entry VM
+     * @param region its region
+     * @param random the source of random choices
+     * @return a builder with the default settings and the whole of each endpoint
+     */
+    public static Builder builder(ZoneName zone, RegionName region, RandomGenerator random) {
+        return new Builder(zone, region, random);
+    }
+
+    /**
+     * Replaces the list of endpoints.
+     *
+     * @param descriptions the endpoints
+     * @param nowMillis the time, in milliseconds
+     * @return what to do
+     */
+    public List<RoutingAction> replaceEndpoints(
+            Collection<EndpointDescription> descriptions, long nowMillis) {
+        endpoints.replace(descriptions, nowMillis);
+        List<RoutingAction> actions = new ArrayList<>();
+        dispatcher.serveQueue(nowMillis, actions);
+        dispatcher.refuseUnservable(nowMillis, actions);
+        return actions;
+    }
+
+    /**
+     * Notes that an endpoint is leaving, as another entry VM or an operator says.
+     *
+     * @param endpoint the endpoint
+     * @param nowMillis the time, in milliseconds
+     * @return what to do
+     */
+    public List<RoutingAction> endpointLeaving(EndpointId endpoint, long nowMillis) {
+        List<RoutingAction> actions = new ArrayList<>();
+        EndpointState state = endpoints.find(endpoint);
+        if (state != null && state.noteLeaving()) {
+            dispatcher.refuseUnservable(nowMillis, actions);
+        }
+        return actions;
+    }
+
+    /**
+     * Takes a request: it is sent, queued or refused at once.
+     *
+     * @param request the request, with a number not used before
+     * @param nowMillis the time, in milliseconds
+     * @return what to do
+     */
+    public List<RoutingAction> submit(RoutingRequest request, long nowMillis) {
+        List<RoutingAction> actions = new ArrayList<>();
+        PendingRequest pending = new PendingRequest(request);
+        RoutingAction refusal = refusal(pending, nowMillis);
+        if (refusal != null) {
+            actions.add(refusal);
+            return actions;
+        }
+        retryPolicy.firstTry();
+        dispatcher.begin(pending, nowMillis, actions);
+        return actions;
+    }
+
+    /**
+     * Notes how a claim ended.
+     *
+     * @param number the request
+     * @param claim how the claim ended
+     * @param nowMillis the time, in milliseconds
+     * @return what to do
+     */
+    public List<RoutingAction> claimed(long number, ClaimOutcome claim, long nowMillis) {
+        List<RoutingAction> actions = new ArrayList<>();
+        PendingRequest pending = dispatcher.find(number);
+        if (pending == null || pending.reserved == null) {
+            return actions;
+        }
+        if (claim == ClaimOutcome.GRANTED) {
+            EndpointState endpoint = pending.reserved;
+            pending.reserved = null;
+            pending.claimed = true;
+            endpoint.released();
+            if (endpoint.usable(nowMillis)) {
+                dispatcher.send(pending, endpoint, nowMillis, actions);
+            } else {
+                dispatcher.dispatch(pending, nowMillis, actions);
+            }
+            return actions;
+        }
+        dispatcher.finish(pending, nowMillis, actions);
+        actions.add(Refusals.claimFailed(number, claim));
+        dispatcher.serveQueue(nowMillis, actions);
+        return actions;
+    }
+
+    /**
+     * Notes how an attempt ended. Unless a {@link RoutingAction.Deliver} for it is returned, its
+     * answer must be thrown away.
+     *
+     * @param number the request
+     * @param attemptId the attempt
+     * @param outcome how it ended
+     * @param nowMillis the time, in milliseconds
+     * @return what to do
+     */
+    public List<RoutingAction> completed(
+            long number, long attemptId, AttemptOutcome outcome, long nowMillis) {
+        List<RoutingAction> actions = new ArrayList<>();
+        PendingRequest pending = dispatcher.find(number);
+        Attempt attempt = pending == null ? null : pending.take(attemptId);
+        if (pending == null || attempt == null) {
+            return actions;
+        }
+        noteEndpoint(attempt, outcome, nowMillis, actions);
+        noteRequest(pending, attempt, outcome, nowMillis, actions);
+        dispatcher.serveQueue(nowMillis, actions);
+        return actions;
+    }
+
+    /**
+     * Notes that the caller is gone: a request not yet sent never will be.
+     *
+     * @param number the request
+     * @param nowMillis the time, in milliseconds
+     * @return what to do
+     */
+    public List<RoutingAction> cancelled(long number, long nowMillis) {
+        List<RoutingAction> actions = new ArrayList<>();
+        PendingRequest pending = dispatcher.find(number);
+        if (pending == null) {
+            return actions;
+        }
+        pending.abandoned = true;
+        pending.hedgeMillis = PendingRequest.NEVER;
+        if (pending.attempts().isEmpty()) {
+            dispatcher.finish(pending, nowMillis, actions);
+            dispatcher.serveQueue(nowMillis, actions);
+        }
+        return actions;
+    }
+
+    /**
+     * Handles what is due.
+     *
+     * @param nowMillis the time, in milliseconds
+     * @return what to do
+     */
+    public List<RoutingAction> advance(long nowMillis) {
+        List<RoutingAction> actions = new ArrayList<>();
+        PendingRequest due = dispatcher.timers().takeDue(nowMillis);
+        while (due != null) {
+            handleDue(due, nowMillis, actions);
+            due = dispatcher.timers().takeDue(nowMillis);
+        }
+        dispatcher.serveQueue(nowMillis, actions);
+        return actions;
+    }
+
+    /**
+     * Returns when {@link #advance} has to be called next.
+     *
+     * @param nowMillis the time, in milliseconds
+     * @return the time, in milliseconds, or {@link Long#MAX_VALUE}
+     */
+    public long nextTimerMillis(long nowMillis) {
+        return dispatcher.nextTimerMillis(nowMillis);
+    }
+
+    /** Refuses all new requests from now on; those accepted are finished. */
+    public void drain() {
+        draining = true;
+    }
+
+    /**
+     * Tells whether new requests are refused because the VM is leaving.
+     *
+     * @return whether the router drains
+     */
+    public boolean draining() {
+        return draining;
+    }
+
+    /**
+     * Returns the number of requests that are not finished.
+     *
+     * @return the number
+     */
+    public int unfinishedRequests() {
+        return dispatcher.unfinishedRequests();
+    }
+
+    /**
+     * Returns the number of requests that wait for a slot.
+     *
+     * @return the number
+     */
+    public int queuedRequests() {
+        return dispatcher.queuedRequests();
+    }
+
+    /**
+     * Decides whether a new request is refused before a slot is sought.
+     *
+     * @param pending the request
+     * @param nowMillis the time, in milliseconds
+     * @return the refusal, or null
+     */
+    private @Nullable RoutingAction refusal(PendingRequest pending, long nowMillis) {
+        RoutingRequest request = pending.request();
+        if (draining) {
+            return Refusals.draining(request.number());
+        }
+        if (pending.atMostOnce() && request.key() == null) {
+            return Refusals.missingKey(request.number());
+        }
+        if (request.deadlineMillis() <= nowMillis) {
+            return Refusals.deadline(request.number(), Outcome.NOT_RUN, "");
+        }
+        return null;
+    }
+
+    /**
+     * Handles one request that is due.
+     *
+     * @param pending the request
+     * @param nowMillis the time, in milliseconds
+     * @param actions where to add what to do
+     */
+    private void handleDue(PendingRequest pending, long nowMillis, List<RoutingAction> actions) {
+        RoutingRequest request = pending.request();
+        if (request.deadlineMillis() <= nowMillis) {
+            passDeadline(pending, nowMillis, actions);
+        } else if (pending.queueUntilMillis <= nowMillis) {
+            long waited = request.deadlineMillis() - pending.queueUntilMillis;
+            Outcome outcome = pending.outcome();
+            dispatcher.finish(pending, nowMillis, actions);
+            actions.add(Refusals.overloaded(request.number(), outcome, waited));
+        } else if (pending.retryMillis <= nowMillis) {
+            dispatcher.dispatch(pending, nowMillis, actions);
+        } else if (pending.hedgeMillis <= nowMillis) {
+            dispatcher.hedge(pending, retryPolicy, nowMillis, actions);
+        } else {
+            giveUpAttempts(pending, nowMillis, actions);
+        }
+    }
+
+    /**
+     * Gives up a request whose deadline passed, blaming the endpoints that still had it.
+     *
+     * @param pending the request
+     * @param nowMillis the time, in milliseconds
+     * @param actions where to add what to do
+     */
+    private void passDeadline(PendingRequest pending, long nowMillis, List<RoutingAction> actions) {
+        String peer = "";
+        for (Attempt attempt : List.copyOf(pending.attempts())) {
+            peer = attempt.endpoint().description().id().value();
+            pending.take(attempt.id());
+            dispatcher.abort(pending, attempt, true, nowMillis, actions);
+        }
+        Outcome outcome = pending.outcome();
+        dispatcher.finish(pending, nowMillis, actions);
+        if (!pending.abandoned) {
+            actions.add(Refusals.deadline(pending.request().number(), outcome, peer));
+        }
+    }
+
+    /**
+     * Gives up the attempts of a request that timed out.
+     *
+     * @param pending the request
+     * @param nowMillis the time, in milliseconds
+     * @param actions where to add what to do
+     */
+    private void giveUpAttempts(
+            PendingRequest pending, long nowMillis, List<RoutingAction> actions) {
+        Attempt last = null;
+        for (Attempt attempt : List.copyOf(pending.attempts())) {
+            if (attempt.timeoutMillis() <= nowMillis) {
+                pending.take(attempt.id());
+                dispatcher.abort(pending, attempt, true, nowMillis, actions);
+                last = attempt;
+            }
+        }
+        if (last != null) {
+            noteRequest(pending, last, AttemptOutcome.BROKEN, nowMillis, actions);
+        }
+    }
+
+    /**
+     * Updates what is known of an endpoint.
+     *
+     * @param attempt the attempt that ended
+     * @param outcome how it ended
+     * @param nowMillis the time, in milliseconds
+     * @param actions where to add what to do
+     */
+    private void noteEndpoint(
+            Attempt attempt, AttemptOutcome outcome, long nowMillis, List<RoutingAction> actions) {
+        EndpointState endpoint = attempt.endpoint();
+        switch (outcome) {
+            case ANSWERED -> {
+                long latency = Math.max(0, nowMillis - attempt.sentMillis());
+                endpoint.answered(latency, endpoints.allowed(endpoint, nowMillis));
+                dispatcher.service().add((double) latency);
+            }
+            case DRAINING -> {
+                endpoint.released();
+                if (endpoint.noteLeaving()) {
+                    actions.add(new RoutingAction.ReportLeaving(endpoint.description().id()));
+                    dispatcher.refuseUnservable(nowMillis, actions);
+                }
+            }
+            case BUSY -> endpoint.busy();
+            default -> endpoint.failed();
+        }
+        endpoints.ejectIfOutlier(endpoint, nowMillis);
+    }
+
+    /**
+     * Decides how a request goes on after an attempt.
+     *
+     * @param pending the request
+     * @param attempt the attempt that ended
+     * @param outcome how it ended
+     * @param nowMillis the time, in milliseconds
+     * @param actions where to add what to do
+     */
+    private void noteRequest(
+            PendingRequest pending,
+            Attempt attempt,
+            AttemptOutcome outcome,
+            long nowMillis,
+            List<RoutingAction> actions) {
+        pending.maybeRun |= outcome == AttemptOutcome.BROKEN || outcome == AttemptOutcome.FAILED;
+        boolean answered = outcome == AttemptOutcome.ANSWERED;
+        if (!answered && !pending.attempts().isEmpty()) {
+            dispatcher.timers().update(pending);
+            return;
+        }
+        long delay =
+                answered || pending.abandoned
+                        ? RetryPolicy.NO_RETRY
+                        : retryPolicy.retryDelay(pending, outcome, nowMillis);
+        if (delay != RetryPolicy.NO_RETRY) {
+            retry(pending, delay, nowMillis, actions);
+            return;
+        }
+        Outcome last = pending.outcome();
+        dispatcher.finish(pending, nowMillis, actions);
+        if (pending.abandoned) {
+            return;
+        }
+        long number = pending.request().number();
+        if (answered || outcome == AttemptOutcome.FAILED) {
+            actions.add(new RoutingAction.Deliver(number, attempt.id()));
+            return;
+        }
+        String peer = attempt.endpoint().description().id().value();
+        actions.add(Refusals.endpointFailed(number, last, peer));
+    }
+
+    /**
+     * Tries a request again, at once or after a delay.
+     *
+     * @param pending the request
+     * @param delayMillis the delay, in milliseconds
+     * @param nowMillis the time, in milliseconds
+     * @param actions where to add what to do
+     */
+    private void retry(
+            PendingRequest pending, long delayMillis, long nowMillis, List<RoutingAction> actions) {
+        pending.hedgeMillis = PendingRequest.NEVER;
+        if (delayMillis == 0) {
+            dispatcher.dispatch(pending, nowMillis, actions);
+            return;
+        }
+        pending.retryMillis = nowMillis + delayMillis;
+        dispatcher.timers().update(pending);
+    }
+
+    /** Builds a router; every setter returns the builder. */
+    public static final class Builder {
+
+        /** The availability zone. */
+        private final ZoneName zone;
+
+        /** The region. */
+        private final RegionName region;
+
+        /** The source of random choices. */
+        private final RandomGenerator random;
+
+        /** The settings. */
+        private RoutingSettings settings = RoutingSettings.DEFAULT;
+
+        /** Our part of each endpoint. */
+        private EndpointAllowance allowance = new EqualAllowance(1, 0);
+
+        /**
+         * Creates a builder.
+         *
+         * @param zone the availability zone
+         * @param region the region
+         * @param random the source of random choices
+         */
+        private Builder(ZoneName zone, RegionName region, RandomGenerator random) {
+            this.zone = zone;
+            this.region = region;
+            this.random = random;
+        }
+
+        /**
+         * Sets the settings.
+         *
+         * @param value the settings
+         * @return this builder
+         */
+        public Builder settings(RoutingSettings value) {
+            settings = value;
+            return this;
+        }
+
+        /**
+         * Sets our part of each endpoint.
+         *
+         * @param value the allowance
+         * @return this builder
+         */
+        public Builder allowance(EndpointAllowance value) {
+            allowance = value;
+            return this;
+        }
+
+        /**
+         * Builds the router.
+         *
+         * @return the router
+         */
+        public RequestRouter build() {
+            return new RequestRouter(this);
+        }
+    }
+}
--- /dev/null
+++ b/damasktiller-library/src/main/java/org/damasktiller/routing/RoutingSettings.java
@@ -0,0 +1,80 @@
+package org.damasktiller.routing;
+
+/**
+ * Holds the settings of a {@link RequestRouter}.
+ *
+ * @param queueCapacity how many requests wait at most
+ * @param attemptTimeoutMillis when an attempt is given up at the latest, in milliseconds
+ * @param retryDepositPerMille how many second tries a thousand first tries allow
+ * @param retryCapacityTries how many second tries can be saved
+ * @param triesPerRequest how many tries one request gets at most
+ * @param retryBaseMillis the bound of the first retry delay, in milliseconds
+ * @param retryMaximumMillis the bound of all retry delays, in milliseconds
+ * @param hedgeFloorMillis the shortest wait before a hedge, in milliseconds
+ * @param ejectionMillis how long an outlier is ejected the first time, in milliseconds
+ * @param ejectionCapPercent the largest part of a zone's endpoints ejected at once, in percent
+ * @param slowStartMillis how long an added endpoint takes to get its full part, in milliseconds
+ * @param abandonedSlotMillis how long the slot of an aborted attempt stays in use, in milliseconds
+ */
+public record RoutingSettings(
+        int queueCapacity,
+        long attemptTimeoutMillis,
+        int retryDepositPerMille,
+        int retryCapacityTries,
+        int triesPerRequest,
+        long retryBaseMillis,
+        long retryMaximumMillis,
+        long hedgeFloorMillis,
+        long ejectionMillis,
+        int ejectionCapPercent,
+        long slowStartMillis,
+        long abandonedSlotMillis) {
+
+    /** The settings for a zone of about fifteen endpoints. */
+    public static final RoutingSettings DEFAULT =
+            new RoutingSettings(1000, 10_000, 100, 100, 3, 10, 1000, 20, 10_000, 30, 5000, 500);
+
+    /**
+     * Replaces the bound of the queue.
+     *
+     * @param value how many requests wait at most
+     * @return the changed settings
+     */
+    public RoutingSettings withQueueCapacity(int value) {
+        return new RoutingSettings(
+                value,
+                attemptTimeoutMillis,
+                retryDepositPerMille,
+                retryCapacityTries,
+                triesPerRequest,
+                retryBaseMillis,
+                retryMaximumMillis,
+                hedgeFloorMillis,
+                ejectionMillis,
+                ejectionCapPercent,
+                slowStartMillis,
+                abandonedSlotMillis);
+    }
+
+    /**
+     * Replaces the attempt timeout.
+     *
+     * @param value when an attempt is given up at the latest, in milliseconds
+     * @return the changed settings
+     */
+    public RoutingSettings withAttemptTimeoutMillis(long value) {
+        return new RoutingSettings(
+                queueCapacity,
+                value,
+                retryDepositPerMille,
+                retryCapacityTries,
+                triesPerRequest,
+                retryBaseMillis,
+                retryMaximumMillis,
+                hedgeFloorMillis,
+                ejectionMillis,
+                ejectionCapPercent,
+                slowStartMillis,
+                abandonedSlotMillis);
+    }
+}
