Serve interactive calls in the entry daemon

Cause: the gateway stood alone. Change: the entry VM routes calls to the endpoints of the platform's list; one type of error body for every HTTP interface in place of two. Conclusion: the interactive path can be run as processes.

--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryParts.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryParts.java
@@ -6,13 +6,16 @@
 import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.function.IntSupplier;
+import org.damasktiller.daemon.gateway.InteractiveGateway;
 import org.damasktiller.daemon.metrics.WorkMetrics;
 import org.damasktiller.daemon.operator.StatusBody;
 import org.damasktiller.daemon.settings.EntrySettings;
 import org.damasktiller.platform.http.JsonClient;
 import org.damasktiller.platform.store.HttpKeyValueStore;
 import org.damasktiller.platform.vm.HttpVmDirectory;
+import org.damasktiller.routing.RequestRouter;
 import org.damasktiller.store.KeyValueStore;
 import org.damasktiller.table.TableRepository;
 
@@ -52,6 +55,9 @@
     /** The metrics. */
     private final WorkMetrics metrics = new WorkMetrics(new MetricRegistry());
 
+    /** Serves interactive calls. */
+    private final InteractiveGateway gateway;
+
     /** Tells the number of requests in flight. */
     private IntSupplier inFlight = () -> 0;
 
@@ -88,12 +94,14 @@
                                 Addresses.text(settings.vmList()),
                                 settings.storeTimeoutMillis()),
                         settings.vmListIntervalMillis());
+        gateway = createGateway();
     }
 
     /** Starts the parts. */
     void start() {
         running = true;
         fleetReader.start();
+        gateway.start();
         followTable();
         readiness = Readiness.READY;
     }
@@ -116,6 +124,7 @@
     Promise<?> stop() {
         running = false;
         fleetReader.stop();
+        gateway.stop();
         return client.stop();
     }
 
@@ -139,6 +148,22 @@
                 .map(ignored -> null, exception -> null);
     }
 
+    /**
+     * Makes the gateway for interactive calls.
+     *
+     * @return the gateway, not yet started
+     */
+    private InteractiveGateway createGateway() {
+        RequestRouter router =
+                RequestRouter.builder(settings.zone(), settings.region(), new SplittableRandom())
+                        .build();
+        return InteractiveGateway.builder(eventloop, router)
+                .kinds(name -> tableInForce.get().row(name).orElse(null))
+                .endpoints(new EndpointSource(fleetReader::view, settings.zones()))
+                .registry(metrics.registry())
+                .build();
+    }
+
     /** Reads the table now and again after the interval. */
     private void followTable() {
         if (!running) {
@@ -219,6 +244,15 @@
         return repository;
     }
 
+    /**
+     * Returns the gateway for interactive calls.
+     *
+     * @return the gateway
+     */
+    InteractiveGateway gateway() {
+        return gateway;
+    }
+
     /**
      * Returns the metrics.
      *
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryRoutes.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryRoutes.java
@@ -3,6 +3,7 @@
 import io.activej.http.HttpMethod;
 import io.activej.http.RoutingServlet;
 import io.activej.promise.Promise;
+import org.damasktiller.daemon.gateway.InteractiveGateway;
 import org.damasktiller.daemon.metrics.MetricsServlet;
 import org.damasktiller.daemon.operator.DrainBody;
 import org.damasktiller.daemon.operator.OperatorPaths;
@@ -35,7 +36,10 @@
      * @return the routes
      */
     RoutingServlet callers() {
-        return HealthServlets.create(parts.eventloop(), parts::readiness);
+        return RoutingServlet.builder(parts.eventloop())
+                .with(HttpMethod.POST, InteractiveGateway.PATH, parts.gateway())
+                .merge(HealthServlets.create(parts.eventloop(), parts::readiness))
+                .build();
     }
 
     /**
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/CallDispatcher.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/CallDispatcher.java
@@ -10,9 +10,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import org.damasktiller.daemon.http.ErrorBody;
 import org.damasktiller.daemon.metrics.WorkMetrics;
 import org.damasktiller.identity.EndpointId;
+import org.damasktiller.platform.http.JsonResponses;
 import org.damasktiller.routing.AttemptOutcome;
 import org.damasktiller.routing.ClaimOutcome;
 import org.damasktiller.routing.RequestRouter;
@@ -249,7 +249,7 @@
         Call call = calls.remove(refuse.number());
         if (call != null) {
             count(call, refuse.error().code().name());
-            call.response().set(ErrorBody.response(refuse.error(), refuse.retryAfterMillis()));
+            call.response().set(JsonResponses.error(refuse.error(), refuse.retryAfterMillis()));
         }
     }
 
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/InteractiveGateway.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/InteractiveGateway.java
@@ -14,10 +14,10 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
-import org.damasktiller.daemon.http.ErrorBody;
 import org.damasktiller.error.DamasktillerException;
 import org.damasktiller.identity.EndpointId;
 import org.damasktiller.identity.KindName;
+import org.damasktiller.platform.http.JsonResponses;
 import org.damasktiller.routing.ClaimOutcome;
 import org.damasktiller.routing.EndpointAllowance;
 import org.damasktiller.routing.EndpointDescription;
@@ -149,7 +149,7 @@
         try {
             return accept(request, body);
         } catch (DamasktillerException refused) {
-            return Promise.of(ErrorBody.response(refused, 0));
+            return Promise.of(JsonResponses.error(refused, 0));
         }
     }
 
