--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryProcess.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryProcess.java
@@ -1,6 +1,7 @@
 package org.damasktiller.daemon.entry;
 
 import java.lang.System.Logger;
+import org.damasktiller.daemon.command.ExitCode;
 import org.damasktiller.daemon.settings.EntrySettings;
 
 /** Runs an entry VM as a process: the signal to terminate drains it. */
@@ -26,12 +27,15 @@
     }
 
     /**
-     * Drains the VM before the process ends.
+     * Drains the VM before the process ends, and ends it with an exit code of its own in place of
+     * the signal's.
      *
      * @param node the entry VM
      */
     private static void drain(EntryNode node) {
         boolean clean = node.drain().join();
         LOGGER.log(Logger.Level.INFO, "drained; requests cut off: {0}", clean ? "none" : "some");
+        ExitCode code = clean ? ExitCode.SUCCESS : ExitCode.FAILURE;
+        Runtime.getRuntime().halt(code.number());
     }
 }
