Add ownership, group commit and the owner of a cell

Cause: accepted work needs one authority that survives takeover, paused owners and a store that is away for hours, within a small write budget. Change: authority.ownership (lease-bound owner record, head taken over by compare-and-swap, verified by a renewal after it, outage grace, read-back by write identity); authority.commit (one write in flight, pace within a budget, head with tail, sealed segments, compaction of the oldest); authority.cell (CellOwner as a state machine of events and actions, Placement behind an interface). Conclusion: a lease that still stands is no proof of ownership if the head was written late by a paused taker; therefore a taker acts only after a renewal sent after its head write, and a worker's new process is fenced only after a confirmation sent after the process was heard of.

--- /dev/null
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/call/LeaseRevokedAnswer.java
@@ -0,0 +1,4 @@
+package org.damasktiller.authority.call;
+
+/** Answers the revocation of a lease. */
+public record LeaseRevokedAnswer() implements StoreAnswer {}
--- /dev/null
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/JobReply.java
@@ -0,0 +1,4 @@
+package org.damasktiller.authority.cell;
+
+/** The answer to a caller. */
+public sealed interface JobReply permits JobAnswer, JobRefusal {}
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/worker/Run.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/worker/Run.java
@@ -7,6 +7,7 @@
  * Records one run of an attempt on one worker.
  *
  * @param attempt the attempt
+ * @param payload the input of the task
  * @param worker the worker
  * @param startMillis when the run started, in milliseconds
  * @param endMillis when it ended, in milliseconds, or {@code Long.MAX_VALUE} while it runs
@@ -16,6 +17,7 @@
  */
 public record Run(
         AttemptId attempt,
+        String payload,
         WorkerId worker,
         long startMillis,
         long endMillis,
@@ -33,6 +35,13 @@
      */
     Run ended(long millis, long progressMillis, RunEnd reason) {
         return new Run(
-                attempt, worker, startMillis, millis, startProgressMillis, progressMillis, reason);
+                attempt,
+                payload,
+                worker,
+                startMillis,
+                millis,
+                startProgressMillis,
+                progressMillis,
+                reason);
     }
 }
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/worker/SimulatedTask.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/worker/SimulatedTask.java
@@ -1,5 +1,6 @@
 package org.damasktiller.standin.worker;
 
+import java.util.List;
 import org.damasktiller.worker.Checkpoint;
 import org.damasktiller.worker.RunningTask;
 import org.damasktiller.worker.TaskSpec;
@@ -8,14 +9,14 @@
 
 /**
  * Simulates one running task. The task takes its declared run time at full speed, or the time given
- * in a payload {@code actual:MILLISECONDS}; with a payload that starts with {@code fail} it fails.
+ * by a word {@code actual:MILLISECONDS} of its payload; with a word {@code fail} it fails.
  */
 final class SimulatedTask {
 
-    /** The payload prefix of a task that fails. */
-    static final String FAIL_PREFIX = "fail";
+    /** The payload word of a task that fails. */
+    static final String FAIL_WORD = "fail";
 
-    /** The payload prefix of a task with an actual run time. */
+    /** The prefix of the payload word that gives the actual run time. */
     static final String ACTUAL_PREFIX = "actual:";
 
     /** The speed of a task that is not throttled, in percent. */
@@ -129,7 +130,7 @@
      * @return whether it succeeds
      */
     boolean succeeds() {
-        return !start.task().payload().startsWith(FAIL_PREFIX);
+        return !words(start.task()).contains(FAIL_WORD);
     }
 
     /**
@@ -158,10 +159,21 @@
      * @return the run time at full speed, in milliseconds
      */
     private static long neededMillis(TaskSpec task) {
-        String payload = task.payload();
-        if (payload.startsWith(ACTUAL_PREFIX)) {
-            return Long.parseLong(payload.substring(ACTUAL_PREFIX.length()));
+        for (String word : words(task)) {
+            if (word.startsWith(ACTUAL_PREFIX)) {
+                return Long.parseLong(word.substring(ACTUAL_PREFIX.length()));
+            }
         }
         return task.runTimeMillis();
     }
+
+    /**
+     * Splits the payload of a task.
+     *
+     * @param task the task
+     * @return the words
+     */
+    private static List<String> words(TaskSpec task) {
+        return List.of(task.payload().split(" "));
+    }
 }
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/worker/WorkerState.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/worker/WorkerState.java
@@ -273,6 +273,7 @@
         observer.started(
                 new Run(
                         attempt,
+                        start.task().payload(),
                         worker,
                         nowMillis,
                         Long.MAX_VALUE,
