--- a/damasktiller-library/src/main/java/org/damasktiller/decision/health/RefusedJobs.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/decision/health/RefusedJobs.java
@@ -6,8 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import org.damasktiller.decision.fairshare.PendingJob;
 import org.damasktiller.identity.JobId;
+import org.damasktiller.identity.KindName;
 import org.damasktiller.identity.ZoneName;
 import org.jspecify.annotations.Nullable;
 
@@ -41,22 +43,22 @@
      */
     public Optional<String> examine(PendingJob job, List<ZoneName> places) {
         Optional<String> reason = limits.reasonAgainst(job.size(), places);
-        reason.ifPresent(
-                text -> refused.put(job.id(), new RefusedJob(job, List.copyOf(places), text)));
+        reason.ifPresent(text -> refused.put(job.id(), new RefusedJob(job, text)));
         return reason;
     }
 
     /**
-     * Examines all refused jobs again, after a change of the fleet.
+     * Examines all refused jobs again, after a change of the fleet or the table.
      *
+     * @param places the zones now allowed to a kind, empty for any
      * @return the jobs that can run now, which are no longer kept
      */
-    public List<PendingJob> examineAgain() {
+    public List<PendingJob> examineAgain(Function<KindName, List<ZoneName>> places) {
         List<PendingJob> runnable = new ArrayList<>();
         Iterator<RefusedJob> jobs = refused.values().iterator();
         while (jobs.hasNext()) {
             RefusedJob job = jobs.next();
-            if (limits.reasonAgainst(job.job().size(), job.places()).isEmpty()) {
+            if (limits.reasonAgainst(job.job().size(), places.apply(job.job().kind())).isEmpty()) {
                 jobs.remove();
                 runnable.add(job.job());
             }
@@ -89,8 +91,7 @@
      * Holds one refused job.
      *
      * @param job the job
-     * @param places the zones allowed
      * @param reason why it can never run
      */
-    private record RefusedJob(PendingJob job, List<ZoneName> places, String reason) {}
+    private record RefusedJob(PendingJob job, String reason) {}
 }
--- a/damasktiller-library/src/main/java/org/damasktiller/decision/interference/InterferenceEstimator.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/decision/interference/InterferenceEstimator.java
@@ -90,6 +90,32 @@
         correct(report.victim(), loads, level, measured - predicted, spread, nowMillis);
     }
 
+    /**
+     * Predicts the slowdown of a kind from what ran on a worker during a period.
+     *
+     * @param worker the worker
+     * @param victim the number of the kind
+     * @param fromMillis the begin of the period, in milliseconds
+     * @param toMillis its end, in milliseconds
+     * @return the slowdown, at least 1
+     */
+    public double predicted(WorkerId worker, int victim, long fromMillis, long toMillis) {
+        LoadHistory history = histories.get(worker);
+        if (history == null) {
+            return 1;
+        }
+        double[] loads = history.mean(fromMillis, toMillis);
+        int level = level(loads);
+        double sum = 1;
+        for (int kind = 0; kind < loads.length; kind++) {
+            if (kind != victim && loads[kind] > SMALLEST_LOAD) {
+                PairEstimate pair = pairs.get(key(victim, kind, level));
+                sum += loads[kind] * (pair == null ? prior(victim, kind, level) : pair.mean());
+            }
+        }
+        return sum;
+    }
+
     /**
      * Returns the estimated slowdown that a whole worker's load of one kind causes another.
      *
--- a/damasktiller-library/src/main/java/org/damasktiller/decision/interference/SlowdownBaseline.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/decision/interference/SlowdownBaseline.java
@@ -1,26 +1,28 @@
 package org.damasktiller.decision.interference;
 
-import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 
 /**
- * Learns the latency of a service that shares its worker with nothing harmful, for each level of
- * its own load, as a low quantile of the latencies measured.
+ * Learns the latency that a service would have if nothing slowed it down, for each level of its own
+ * load: the measured latency divided by the predicted slowdown, smoothed over many measurements.
  */
 public final class SlowdownBaseline {
 
     /** The number of levels of the service's own load. */
     private static final int LEVELS = 20;
 
-    /** The step by which a baseline falls when a lower latency is measured. */
-    private static final double FALL = 0.05;
+    /** The weight of the latest measurement once a level is known. */
+    private static final double LATEST_WEIGHT = 0.01;
 
-    /** The step by which a baseline rises when a higher latency is measured. */
-    private static final double RISE = 0.0125;
+    /** The number of measurements from which on a level counts as known. */
+    private static final double KNOWN_MEASUREMENTS = 1 / LATEST_WEIGHT;
 
-    /** The baselines of each kind, in milliseconds, zero where unknown. */
-    private final Map<Integer, double[]> kinds = new HashMap<>();
+    /** The number of measurements from which on a latency is judged by the baseline. */
+    private static final double LEAST_MEASUREMENTS = 5;
+
+    /** The baselines of each kind. */
+    private final Map<Integer, Levels> kinds = new HashMap<>();
 
     /** Creates a record without measurements. */
     public SlowdownBaseline() {}
@@ -31,28 +33,51 @@
      * @param kind the number of the kind
      * @param ownLoad the part of its own capacity that the service uses
      * @param latencyMillis the latency, in milliseconds
-     * @return the latency divided by the baseline
+     * @param predicted the predicted slowdown during the measurement, at least 1
+     * @return the latency divided by the baseline before the measurement
+     */
+    public double slowdown(int kind, double ownLoad, double latencyMillis, double predicted) {
+        Levels levels = kinds.computeIfAbsent(kind, key -> new Levels());
+        int level = levelOf(ownLoad);
+        double alone = latencyMillis / predicted;
+        double before = levels.counts[level] == 0 ? alone : levels.latencies[level];
+        levels.counts[level] = Math.min(KNOWN_MEASUREMENTS, levels.counts[level] + 1);
+        levels.latencies[level] = before + (alone - before) / levels.counts[level];
+        return latencyMillis / before;
+    }
+
+    /**
+     * Tells whether enough was measured at a level of load to judge a latency by it.
+     *
+     * @param kind the number of the kind
+     * @param ownLoad the part of its own capacity that the service uses
+     * @return whether the baseline is known
      */
-    public double slowdown(int kind, double ownLoad, double latencyMillis) {
-        double[] levels = kinds.computeIfAbsent(kind, key -> emptyLevels());
-        int level = (int) Math.min(LEVELS - 1, Math.max(0, ownLoad * LEVELS));
-        double known = levels[level];
-        if (known == 0) {
-            levels[level] = latencyMillis;
-            return 1;
-        }
-        levels[level] = known * (latencyMillis < known ? 1 - FALL : 1 + RISE);
-        return latencyMillis / known;
+    public boolean known(int kind, double ownLoad) {
+        Levels levels = kinds.get(kind);
+        return levels != null && levels.counts[levelOf(ownLoad)] >= LEAST_MEASUREMENTS;
     }
 
     /**
-     * Creates the levels of a kind without measurements.
+     * Returns the level of a load.
      *
-     * @return the levels
+     * @param ownLoad the part of its own capacity that the service uses
+     * @return the level
      */
-    private static double[] emptyLevels() {
-        double[] levels = new double[LEVELS];
-        Arrays.fill(levels, 0);
-        return levels;
+    private static int levelOf(double ownLoad) {
+        return (int) Math.min(LEVELS - 1, Math.max(0, ownLoad * LEVELS));
+    }
+
+    /** Holds the baselines of one kind by the level of its own load. */
+    private static final class Levels {
+
+        /** The latencies, in milliseconds. */
+        private final double[] latencies = new double[LEVELS];
+
+        /** The number of measurements, up to the number at which a level is known. */
+        private final double[] counts = new double[LEVELS];
+
+        /** Creates baselines without measurements. */
+        private Levels() {}
     }
 }
--- a/damasktiller-library/src/main/java/org/damasktiller/decision/placement/PlacementIndex.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/decision/placement/PlacementIndex.java
@@ -160,6 +160,32 @@
         return best == null ? Optional.empty() : Optional.of(best.spec().id());
     }
 
+    /**
+     * Chooses the open worker with the least cost among a random sample, whether it has room or
+     * not, for a caller who can make room.
+     *
+     * @param request the request
+     * @param score the cost of each worker
+     * @return the worker, or empty if all costs are infinite
+     */
+    public Optional<WorkerId> chooseAny(PlacementRequest request, PlacementScore score) {
+        int kind = kinds.number(request.kind());
+        WorkerState best = null;
+        double bestCost = Double.POSITIVE_INFINITY;
+        for (int sample = 0; sample < samples; sample++) {
+            WorkerState worker = anyWorker(request.places());
+            if (worker == null || !worker.available()) {
+                continue;
+            }
+            double cost = score.cost(kind, request, worker);
+            if (cost < bestCost) {
+                best = worker;
+                bestCost = cost;
+            }
+        }
+        return best == null ? Optional.empty() : Optional.of(best.spec().id());
+    }
+
     /**
      * Reserves room for a job and gives up the worker kept for it.
      *
--- a/damasktiller-library/src/test/java/org/damasktiller/decision/health/RefusedJobsTest.java
+++ b/damasktiller-library/src/test/java/org/damasktiller/decision/health/RefusedJobsTest.java
@@ -38,12 +38,21 @@
         Optional<String> reason = refused.examine(job, List.of(NEAR));
         assertThat(reason.orElse(""), containsString("64000"));
         assertThat(refused.reason(job.id()), is(reason.orElse("")));
-        assertThat(refused.examineAgain(), is(empty()));
+        assertThat(refused.examineAgain(kind -> List.of(NEAR)), is(empty()));
         limits.add(NEAR, LARGE);
-        assertThat(refused.examineAgain(), is(List.of(job)));
+        assertThat(refused.examineAgain(kind -> List.of(NEAR)), is(List.of(job)));
         assertThat(refused.reason(job.id()), is(nullValue()));
     }
 
+    @Test
+    void testChangedPlacesOfTheTableLetAJobRun() {
+        limits.add(NEAR, SMALL);
+        limits.add(FAR, LARGE);
+        PendingJob job = job(LARGE);
+        assertThat(refused.examine(job, List.of(NEAR)).isPresent(), is(true));
+        assertThat(refused.examineAgain(kind -> List.of(NEAR, FAR)), is(List.of(job)));
+    }
+
     @Test
     void testRemovedWorkersNoLongerCount() {
         limits.add(NEAR, LARGE);
