--- a/damasktiller-library/src/main/java/org/damasktiller/decision/dispatch/ServiceProtection.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/decision/dispatch/ServiceProtection.java
@@ -102,6 +102,7 @@
         double predicted = interference.predicted(service.worker, victim, from, to);
         double declared = Math.max(1, service.job.size().milliProcessors());
         double ownLoad = report.milliProcessorsUsed() / declared;
+        boolean known = baseline.known(victim, ownLoad);
         double slowdown = baseline.slowdown(victim, ownLoad, report.latencyMillis(), predicted);
         interference.observe(
                 new SlowdownReport(service.worker, victim, slowdown, from, to), nowMillis);
