Run jobs end to end: submit, state, cancel, through the owner of a cell

Cause: the owner of a cell stood alone in the library. Change: a driver gives each owner its events one at a time on a pool of threads and carries out its actions on the reactor; a host stands by for every cell of the zone; callers' interface and commands submit, job and cancel.

--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/Main.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/Main.java
@@ -1,13 +1,16 @@
 package org.damasktiller.daemon;
 
 import java.util.List;
+import org.damasktiller.daemon.command.CancelCommand;
 import org.damasktiller.daemon.command.Command;
 import org.damasktiller.daemon.command.CommandLine;
 import org.damasktiller.daemon.command.DrainCommand;
 import org.damasktiller.daemon.command.EntryCommand;
 import org.damasktiller.daemon.command.ExitCode;
+import org.damasktiller.daemon.command.JobCommand;
 import org.damasktiller.daemon.command.StandInCommand;
 import org.damasktiller.daemon.command.StatusCommand;
+import org.damasktiller.daemon.command.SubmitCommand;
 import org.damasktiller.daemon.command.TableCommand;
 
 /** Starts the program. */
@@ -38,6 +41,9 @@
                 new StandInCommand(),
                 new TableCommand(),
                 new StatusCommand(),
+                new SubmitCommand(),
+                new JobCommand(),
+                new CancelCommand(),
                 new DrainCommand());
     }
 }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryParts.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryParts.java
@@ -1,23 +1,35 @@
 package org.damasktiller.daemon.entry;
 
 import com.codahale.metrics.MetricRegistry;
+import io.activej.common.time.CurrentTimeProvider;
 import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
 import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.UUID;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.function.IntSupplier;
+import org.damasktiller.authority.layout.CellLayout;
+import org.damasktiller.authority.ownership.OwnerIdentity;
+import org.damasktiller.daemon.cell.CellEnvironment;
+import org.damasktiller.daemon.cell.CellHost;
 import org.damasktiller.daemon.gateway.InteractiveGateway;
+import org.damasktiller.daemon.job.JobServlets;
 import org.damasktiller.daemon.metrics.WorkMetrics;
 import org.damasktiller.daemon.operator.StatusBody;
 import org.damasktiller.daemon.settings.EntrySettings;
+import org.damasktiller.identity.VmId;
 import org.damasktiller.platform.http.JsonClient;
 import org.damasktiller.platform.store.HttpKeyValueStore;
 import org.damasktiller.platform.vm.HttpVmDirectory;
+import org.damasktiller.platform.worker.HttpWorkerClient;
 import org.damasktiller.routing.RequestRouter;
 import org.damasktiller.store.KeyValueStore;
 import org.damasktiller.table.TableRepository;
+import org.damasktiller.vm.VmRecord;
 
 /** The parts of an entry VM behind its listeners. Used on the event loop's thread only. */
 final class EntryParts {
@@ -46,6 +58,9 @@
     /** Reads the list of VMs. */
     private final FleetReader fleetReader;
 
+    /** The division of workers and jobs into cells. */
+    private final CellLayout layout;
+
     /** The table in the store. */
     private final TableRepository repository;
 
@@ -58,6 +73,12 @@
     /** Serves interactive calls. */
     private final InteractiveGateway gateway;
 
+    /** The threads on which decisions are taken. */
+    private final ExecutorService decisionPool;
+
+    /** Owns cells of the availability zone, or stands by to. */
+    private final CellHost cellHost;
+
     /** Tells the number of requests in flight. */
     private IntSupplier inFlight = () -> 0;
 
@@ -76,6 +97,7 @@
     EntryParts(EntrySettings settings, Eventloop eventloop) {
         this.settings = settings;
         this.eventloop = eventloop;
+        layout = new CellLayout(settings.zones().keySet(), settings.cellsPerZone());
         client = new JsonClient(eventloop, CONNECT_TIMEOUT);
         store =
                 new HttpKeyValueStore(
@@ -95,6 +117,9 @@
                                 settings.storeTimeoutMillis()),
                         settings.vmListIntervalMillis());
         gateway = createGateway();
+        decisionPool = Executors.newFixedThreadPool(settings.decisionThreads());
+        cellHost = createCellHost();
+        fleetReader.addListener(cellHost::acceptFleet);
     }
 
     /** Starts the parts. */
@@ -102,6 +127,7 @@
         running = true;
         fleetReader.start();
         gateway.start();
+        cellHost.start();
         followTable();
         readiness = Readiness.READY;
     }
@@ -113,7 +139,7 @@
      */
     Promise<Void> startDraining() {
         readiness = Readiness.DRAINING;
-        return Promise.complete();
+        return cellHost.drain();
     }
 
     /**
@@ -125,6 +151,8 @@
         running = false;
         fleetReader.stop();
         gateway.stop();
+        cellHost.stop();
+        decisionPool.shutdown();
         return client.stop();
     }
 
@@ -164,6 +192,35 @@
                 .build();
     }
 
+    /**
+     * Makes the host of the zone's cells.
+     *
+     * @return the host, not yet started
+     */
+    private CellHost createCellHost() {
+        CellEnvironment environment =
+                new CellEnvironment(
+                        eventloop,
+                        decisionPool,
+                        CurrentTimeProvider.ofSystem(),
+                        store,
+                        new HttpWorkerClient(
+                                client,
+                                worker ->
+                                        fleetReader
+                                                .view()
+                                                .find(worker.value())
+                                                .map(VmRecord::address),
+                                settings.workerTimeoutMillis()));
+        VmId self = new VmId(Addresses.text(settings.peerAddress()));
+        return new CellHost(
+                layout,
+                settings.zone(),
+                new OwnerIdentity(self, UUID.randomUUID().toString()),
+                settings.cellSettings(),
+                environment);
+    }
+
     /** Reads the table now and again after the interval. */
     private void followTable() {
         if (!running) {
@@ -187,7 +244,7 @@
                 tableInForce.get().version(),
                 List.of(),
                 List.of(),
-                List.of());
+                cellHost.status());
     }
 
     /**
@@ -253,6 +310,15 @@
         return gateway;
     }
 
+    /**
+     * Makes the servlets for jobs.
+     *
+     * @return the servlets
+     */
+    JobServlets jobs() {
+        return new JobServlets(tableInForce::get, layout, cellHost, settings.maximumBodyBytes());
+    }
+
     /**
      * Returns the metrics.
      *
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryRoutes.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryRoutes.java
@@ -38,6 +38,7 @@
     RoutingServlet callers() {
         return RoutingServlet.builder(parts.eventloop())
                 .with(HttpMethod.POST, InteractiveGateway.PATH, parts.gateway())
+                .merge(parts.jobs().routes(parts.eventloop()))
                 .merge(HealthServlets.create(parts.eventloop(), parts::readiness))
                 .build();
     }
--- /dev/null
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/job/JobServlets.java
@@ -0,0 +1,218 @@
+package org.damasktiller.daemon.job;
+
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.http.RoutingServlet;
+import io.activej.promise.Promise;
+import io.activej.reactor.Reactor;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Supplier;
+import org.damasktiller.authority.cell.JobAnswer;
+import org.damasktiller.authority.cell.JobRefusal;
+import org.damasktiller.authority.cell.JobReply;
+import org.damasktiller.authority.cell.JobSubmission;
+import org.damasktiller.authority.layout.CellLayout;
+import org.damasktiller.error.DamasktillerException;
+import org.damasktiller.error.ErrorCode;
+import org.damasktiller.error.Outcome;
+import org.damasktiller.error.Step;
+import org.damasktiller.identity.JobId;
+import org.damasktiller.identity.KindName;
+import org.damasktiller.identity.RequestKey;
+import org.damasktiller.platform.http.JsonResponses;
+import org.damasktiller.platform.http.JsonServlets;
+import org.damasktiller.table.KindOfWork;
+import org.damasktiller.table.OperatorTable;
+
+/** Serves the callers' interface to jobs: submit, state and cancel. */
+public final class JobServlets {
+
+    /** The header with the caller's request key. */
+    public static final HttpHeader KEY_HEADER = HttpHeaders.of("Damasktiller-Key");
+
+    /** The start of the path of every call. */
+    public static final String PATH = "/v1/jobs";
+
+    /** The longest request key accepted, in characters. */
+    private static final int MAXIMUM_KEY_LENGTH = 200;
+
+    /** The name of the path's parameter. */
+    private static final String NAME_PARAMETER = "name";
+
+    /** The status of an accepted job. */
+    private static final int ACCEPTED = 202;
+
+    /** The status of a job whose state is told. */
+    private static final int OK = 200;
+
+    /** Gives the table in force. */
+    private final Supplier<OperatorTable> table;
+
+    /** The division into cells. */
+    private final CellLayout layout;
+
+    /** Finds the owners of cells. */
+    private final JobRouter router;
+
+    /** The largest body accepted, in bytes. */
+    private final int maximumBodyBytes;
+
+    /**
+     * Creates the servlets.
+     *
+     * @param table gives the table in force
+     * @param layout the division into cells
+     * @param router finds the owners of cells
+     * @param maximumBodyBytes the largest body accepted, in bytes
+     */
+    public JobServlets(
+            Supplier<OperatorTable> table,
+            CellLayout layout,
+            JobRouter router,
+            int maximumBodyBytes) {
+        this.table = table;
+        this.layout = layout;
+        this.router = router;
+        this.maximumBodyBytes = maximumBodyBytes;
+    }
+
+    /**
+     * Makes the routes.
+     *
+     * @param reactor the reactor that serves
+     * @return the routes
+     */
+    public RoutingServlet routes(Reactor reactor) {
+        String path = PATH + "/:" + NAME_PARAMETER;
+        return RoutingServlet.builder(reactor)
+                .with(HttpMethod.POST, path, JsonServlets.guarded(this::submit))
+                .with(
+                        HttpMethod.GET,
+                        path,
+                        JsonServlets.guarded(
+                                request ->
+                                        router.query(job(request))
+                                                .map(reply -> respond(OK, reply))))
+                .with(
+                        HttpMethod.DELETE,
+                        path,
+                        JsonServlets.guarded(
+                                request ->
+                                        router.cancel(job(request))
+                                                .map(reply -> respond(OK, reply))))
+                .build();
+    }
+
+    /**
+     * Submits a job.
+     *
+     * @param request the request, whose path names the kind of work
+     * @return the response
+     */
+    private Promise<HttpResponse> submit(HttpRequest request) {
+        KindOfWork kind = kind(request.getPathParameter(NAME_PARAMETER));
+        RequestKey key = key(request);
+        return JsonServlets.body(request, maximumBodyBytes)
+                .map(JobServlets::text)
+                .then(
+                        payload ->
+                                router.submit(
+                                        layout.cellOf(kind.tenant(), key, kind.places()),
+                                        JobSubmission.of(key, kind, payload)))
+                .map(reply -> respond(ACCEPTED, reply));
+    }
+
+    /**
+     * Finds a kind of work.
+     *
+     * @param name the name
+     * @return the row of the table
+     */
+    private KindOfWork kind(String name) {
+        return table.get()
+                .row(new KindName(name))
+                .orElseThrow(
+                        () ->
+                                refused(
+                                        ErrorCode.UNKNOWN_KIND,
+                                        "the table has no kind of work " + name));
+    }
+
+    /**
+     * Reads the request key.
+     *
+     * @param request the request
+     * @return the key
+     */
+    private static RequestKey key(HttpRequest request) {
+        String value = request.getHeader(KEY_HEADER);
+        if (value == null || value.isBlank()) {
+            throw refused(
+                    ErrorCode.MISSING_KEY,
+                    "a job needs the header " + KEY_HEADER + " with its key");
+        }
+        if (value.length() > MAXIMUM_KEY_LENGTH) {
+            throw refused(
+                    ErrorCode.BAD_REQUEST,
+                    "a key of " + value.length() + " characters, allowed " + MAXIMUM_KEY_LENGTH);
+        }
+        return new RequestKey(value.trim());
+    }
+
+    /**
+     * Reads the job of a request.
+     *
+     * @param request the request, whose path names the job
+     * @return the job
+     */
+    private static JobId job(HttpRequest request) {
+        return new JobId(request.getPathParameter(NAME_PARAMETER));
+    }
+
+    /**
+     * Reads a text in UTF-8.
+     *
+     * @param bytes the bytes
+     * @return the text
+     */
+    private static String text(byte[] bytes) {
+        try {
+            return StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString();
+        } catch (CharacterCodingException exception) {
+            throw refused(ErrorCode.BAD_ENCODING, "the body is not valid UTF-8");
+        }
+    }
+
+    /**
+     * Makes the response for a reply of the owner.
+     *
+     * @param status the status if the owner told the state of the job
+     * @param reply the reply
+     * @return the response
+     */
+    private static HttpResponse respond(int status, JobReply reply) {
+        if (reply instanceof JobRefusal refusal) {
+            DamasktillerException failure =
+                    new DamasktillerException(
+                            refusal.code(), Step.ADMIT, "", refusal.outcome(), refusal.message());
+            return JsonResponses.error(failure, refusal.retryAfterMillis());
+        }
+        return JsonResponses.withStatus(status, JobBody.of(((JobAnswer) reply).status()));
+    }
+
+    /**
+     * Makes the error of a request that is refused before anything was done.
+     *
+     * @param code the code
+     * @param message what is wrong and what is allowed
+     * @return the error
+     */
+    private static DamasktillerException refused(ErrorCode code, String message) {
+        return new DamasktillerException(code, Step.ACCEPT, "", Outcome.NOT_RUN, message);
+    }
+}
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/settings/EntrySettings.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/settings/EntrySettings.java
@@ -6,6 +6,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.damasktiller.authority.cell.CellSettings;
+import org.damasktiller.authority.ownership.OwnershipSettings;
 import org.damasktiller.identity.RegionName;
 import org.damasktiller.identity.ZoneName;
 import org.jspecify.annotations.Nullable;
@@ -22,6 +24,12 @@
     /** The largest number of cells of one availability zone. */
     private static final long MAXIMUM_CELLS_PER_ZONE = 200;
 
+    /** The largest number of threads. */
+    private static final long MAXIMUM_THREADS = 64;
+
+    /** How many renewals fit into a lease on a cell. */
+    private static final long RENEWALS_PER_LEASE = 3;
+
     /** What a zone list looks like, for error messages. */
     private static final String ZONES_ALLOWED =
             "zone=region pairs separated by commas, such as"
@@ -108,6 +116,16 @@
                     "How long an owner goes on without the key-value service, in milliseconds")
     private long outageGraceMillis = 14_400_000;
 
+    /** How long to wait for a worker. */
+    @Parameter(
+            names = "--worker-timeout-millis",
+            description = "Longest wait for an answer of a worker, in milliseconds")
+    private long workerTimeoutMillis = 2_000;
+
+    /** The number of threads on which decisions are taken. */
+    @Parameter(names = "--decision-threads", description = "Threads on which decisions are taken")
+    private int decisionThreads = 2;
+
     /** How long a shutdown goes on serving so that the balancer notices. */
     @Parameter(
             names = "--drain-notice-millis",
@@ -146,6 +164,8 @@
         Settings.inRange("--vm-list-interval-millis", vmListIntervalMillis, 1, MAXIMUM_MILLIS);
         Settings.inRange("--cell-lease-millis", cellLeaseMillis, 100, MAXIMUM_MILLIS);
         Settings.inRange("--outage-grace-millis", outageGraceMillis, 0, MAXIMUM_MILLIS);
+        Settings.inRange("--worker-timeout-millis", workerTimeoutMillis, 1, MAXIMUM_MILLIS);
+        Settings.inRange("--decision-threads", decisionThreads, 1, MAXIMUM_THREADS);
         Settings.inRange("--drain-timeout-millis", drainTimeoutMillis, 0, MAXIMUM_MILLIS);
         Settings.inRange("--drain-notice-millis", drainNoticeMillis, 0, drainTimeoutMillis);
         Settings.inRange("--maximum-body-bytes", maximumBodyBytes, 1, MAXIMUM_BODY_LIMIT_BYTES);
@@ -292,6 +312,42 @@
         return outageGraceMillis;
     }
 
+    /**
+     * Returns how long to wait for a worker.
+     *
+     * @return the time, in milliseconds
+     */
+    public long workerTimeoutMillis() {
+        return workerTimeoutMillis;
+    }
+
+    /**
+     * Returns the number of threads on which decisions are taken.
+     *
+     * @return the number of threads
+     */
+    public int decisionThreads() {
+        return decisionThreads;
+    }
+
+    /**
+     * Returns the times and bounds of the owners of cells.
+     *
+     * @return the settings of a cell
+     */
+    public CellSettings cellSettings() {
+        OwnershipSettings standard = OwnershipSettings.DEFAULT;
+        return CellSettings.DEFAULT.withOwnership(
+                new OwnershipSettings(
+                        cellLeaseMillis,
+                        cellLeaseMillis / RENEWALS_PER_LEASE,
+                        standard.pollMillis(),
+                        standard.takeoverDelayMillis(),
+                        outageGraceMillis,
+                        standard.leaseOfTasksMillis(),
+                        standard.clockMarginMillis()));
+    }
+
     /**
      * Returns how long a shutdown waits for requests in flight.
      *
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/layout/CellLayout.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/layout/CellLayout.java
@@ -8,7 +8,11 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.damasktiller.identity.CellId;
+import org.damasktiller.identity.JobId;
 import org.damasktiller.identity.RackName;
 import org.damasktiller.identity.RequestKey;
 import org.damasktiller.identity.TenantName;
@@ -24,6 +28,9 @@
     /** The hash by which racks and keys find their cell. */
     private static final HashFunction HASH = Hashing.murmur3_128(0x6365_6c6c);
 
+    /** The shape of a job's identity, with the cell as its first group. */
+    private static final Pattern JOB_IDENTITY = Pattern.compile("(.+)-\\d+-\\d+");
+
     /** Separates the zone from the number of the cell. */
     private static final char SEPARATOR = '.';
 
@@ -101,6 +108,24 @@
         return highest(cells, tenant.value() + '\n' + key.value());
     }
 
+    /**
+     * Returns the cell that accepted a job. The identity of a job is that of its cell followed by
+     * two numbers, each after a hyphen.
+     *
+     * @param job the job
+     * @return the cell, or empty if no cell of this layout gives such identities
+     */
+    public Optional<CellId> cellOf(JobId job) {
+        Matcher matcher = JOB_IDENTITY.matcher(job.value());
+        if (!matcher.matches()) {
+            return Optional.empty();
+        }
+        CellId cell = new CellId(matcher.group(1));
+        return zones.stream().anyMatch(zone -> cellsOf(zone).contains(cell))
+                ? Optional.of(cell)
+                : Optional.empty();
+    }
+
     /**
      * Returns the cell with the highest hash together with a text.
      *
--- a/damasktiller-library/src/test/java/org/damasktiller/authority/layout/CellLayoutTest.java
+++ b/damasktiller-library/src/test/java/org/damasktiller/authority/layout/CellLayoutTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import org.damasktiller.identity.CellId;
+import org.damasktiller.identity.JobId;
 import org.damasktiller.identity.RackName;
 import org.damasktiller.identity.RequestKey;
 import org.damasktiller.identity.TenantName;
@@ -49,6 +50,14 @@
         counts.values().forEach(count -> assertThat(count, greaterThan(800)));
     }
 
+    @Test
+    void testCellOfJobIsReadFromItsIdentity() {
+        CellId cell = layout.cellsOf(LEINSTER).get(1);
+        assertThat(layout.cellOf(new JobId(cell + "-12-345")).orElseThrow(), is(cell));
+        assertThat(layout.cellOf(new JobId("munster-1.0-12-345")).isPresent(), is(false));
+        assertThat(layout.cellOf(new JobId("nonsense")).isPresent(), is(false));
+    }
+
     @Test
     void testSameKeyOfAnotherTenantIsAnotherKey() {
         long differing = 0;
