Pass calls on jobs to the owner of their cell on another entry VM

Cause: a job could be submitted and read only through the VM that owns its cell. Change: a router finds the entry VMs of the cell's zone in the platform's list, the last known owner first, and asks the next only where the call was certainly not carried out; a passed-on call is not passed on again. Conclusion: any entry VM can be asked.

--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/CellHost.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/CellHost.java
@@ -17,7 +17,6 @@
 import org.damasktiller.authority.cell.JobSubmission;
 import org.damasktiller.authority.layout.CellLayout;
 import org.damasktiller.authority.ownership.OwnerIdentity;
-import org.damasktiller.daemon.job.JobRouter;
 import org.damasktiller.daemon.operator.StatusBody;
 import org.damasktiller.error.DamasktillerException;
 import org.damasktiller.error.ErrorCode;
@@ -35,7 +34,7 @@
  * Hosts the owners of the cells of one availability zone, active or standing by. Used on its
  * reactor's thread only.
  */
-public final class CellHost implements JobRouter {
+public final class CellHost {
 
     /** The log. */
     private static final Logger LOGGER = System.getLogger(CellHost.class.getName());
@@ -108,19 +107,64 @@
                 (cell, driver) -> driver.listWorkers(workers.getOrDefault(cell, List.of())));
     }
 
-    @Override
+    /**
+     * Tells whether this VM owns a cell at the moment.
+     *
+     * @param cell the cell
+     * @return whether it does
+     */
+    public boolean owns(CellId cell) {
+        CellDriver driver = drivers.get(cell);
+        return driver != null && driver.active();
+    }
+
+    /**
+     * Tells the entry VM last seen to own a cell.
+     *
+     * @param cell the cell
+     * @return the name of the VM, or an empty text if none was seen
+     */
+    public String holder(CellId cell) {
+        CellDriver driver = drivers.get(cell);
+        if (driver == null) {
+            return "";
+        }
+        String identity = driver.holder();
+        int end = identity.indexOf(' ');
+        return end < 0 ? identity : identity.substring(0, end);
+    }
+
+    /**
+     * Submits a job to a cell that this VM owns.
+     *
+     * @param cell the cell
+     * @param submission the job
+     * @return the reply
+     */
     public Promise<JobReply> submit(CellId cell, JobSubmission submission) {
         return route(cell, driver -> driver.submit(submission));
     }
 
-    @Override
-    public Promise<JobReply> query(JobId job) {
-        return route(cellOf(job), driver -> driver.query(job));
+    /**
+     * Asks for the state of a job of a cell that this VM owns.
+     *
+     * @param cell the cell
+     * @param job the job
+     * @return the reply
+     */
+    public Promise<JobReply> query(CellId cell, JobId job) {
+        return route(cell, driver -> driver.query(job));
     }
 
-    @Override
-    public Promise<JobReply> cancel(JobId job) {
-        return route(cellOf(job), driver -> driver.cancel(job));
+    /**
+     * Cancels a job of a cell that this VM owns.
+     *
+     * @param cell the cell
+     * @param job the job
+     * @return the reply
+     */
+    public Promise<JobReply> cancel(CellId cell, JobId job) {
+        return route(cell, driver -> driver.cancel(job));
     }
 
     /**
@@ -160,24 +204,6 @@
         return call.apply(driver);
     }
 
-    /**
-     * Finds the cell of a job.
-     *
-     * @param job the job
-     * @return the cell
-     */
-    private CellId cellOf(JobId job) {
-        return layout.cellOf(job)
-                .orElseThrow(
-                        () ->
-                                new DamasktillerException(
-                                        ErrorCode.UNKNOWN_JOB,
-                                        Step.ROUTE,
-                                        "",
-                                        Outcome.NOT_RUN,
-                                        "no cell gives a job the identity " + job));
-    }
-
     /**
      * Logs a committed change of a job.
      *
--- /dev/null
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/ForwardingJobRouter.java
@@ -0,0 +1,183 @@
+package org.damasktiller.daemon.cell;
+
+import io.activej.promise.Promise;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.damasktiller.authority.cell.JobReply;
+import org.damasktiller.authority.cell.JobSubmission;
+import org.damasktiller.authority.layout.CellLayout;
+import org.damasktiller.daemon.job.JobRouter;
+import org.damasktiller.error.DamasktillerException;
+import org.damasktiller.error.ErrorCode;
+import org.damasktiller.error.Outcome;
+import org.damasktiller.error.Step;
+import org.damasktiller.identity.CellId;
+import org.damasktiller.identity.JobId;
+import org.damasktiller.vm.FleetView;
+import org.damasktiller.vm.VmRecord;
+import org.damasktiller.vm.VmRole;
+import org.damasktiller.vm.VmState;
+
+/**
+ * Passes calls on jobs to the owner of their cell: on this VM, or to the entry VMs of the cell's
+ * zone one after the other, its last known owner first. A peer that certainly did not carry out a
+ * call is followed by the next; an unknown outcome goes back to the caller, who may repeat the call
+ * with the same key.
+ */
+public final class ForwardingJobRouter implements JobRouter {
+
+    /** How many entry VMs are asked at most. */
+    private static final int MAXIMUM_PEERS = 3;
+
+    /** The cells of this VM. */
+    private final CellHost host;
+
+    /** The division into cells. */
+    private final CellLayout layout;
+
+    /** Gives the last reading of the platform's list. */
+    private final Supplier<FleetView> fleet;
+
+    /** The name of this VM in the list. */
+    private final String self;
+
+    /** Passes calls to other entry VMs. */
+    private final PeerJobClient peers;
+
+    /**
+     * Creates a router.
+     *
+     * @param host the cells of this VM
+     * @param layout the division into cells
+     * @param fleet gives the last reading of the platform's list
+     * @param self the name of this VM in the list
+     * @param peers passes calls to other entry VMs
+     */
+    public ForwardingJobRouter(
+            CellHost host,
+            CellLayout layout,
+            Supplier<FleetView> fleet,
+            String self,
+            PeerJobClient peers) {
+        this.host = host;
+        this.layout = layout;
+        this.fleet = fleet;
+        this.self = self;
+        this.peers = peers;
+    }
+
+    @Override
+    public Promise<JobReply> submit(CellId cell, JobSubmission submission, boolean forwarded) {
+        if (host.owns(cell) || forwarded) {
+            return host.submit(cell, submission);
+        }
+        return ask(candidates(cell), 0, peer -> peers.submit(peer, submission));
+    }
+
+    @Override
+    public Promise<JobReply> query(JobId job, boolean forwarded) {
+        CellId cell = cellOf(job);
+        if (host.owns(cell) || forwarded) {
+            return host.query(cell, job);
+        }
+        return ask(candidates(cell), 0, peer -> peers.query(peer, job));
+    }
+
+    @Override
+    public Promise<JobReply> cancel(JobId job, boolean forwarded) {
+        CellId cell = cellOf(job);
+        if (host.owns(cell) || forwarded) {
+            return host.cancel(cell, job);
+        }
+        return ask(candidates(cell), 0, peer -> peers.cancel(peer, job));
+    }
+
+    /**
+     * Asks entry VMs one after the other.
+     *
+     * @param candidates the entry VMs
+     * @param index the first to ask
+     * @param call passes the call to one of them
+     * @return the reply
+     */
+    private static Promise<JobReply> ask(
+            List<VmRecord> candidates, int index, Function<VmRecord, Promise<JobReply>> call) {
+        if (index >= candidates.size()) {
+            return Promise.ofException(noOwner());
+        }
+        return call.apply(candidates.get(index))
+                .then(
+                        Promise::of,
+                        exception ->
+                                mayAskNext(exception)
+                                        ? ask(candidates, index + 1, call)
+                                        : Promise.ofException(exception));
+    }
+
+    /**
+     * Tells whether another VM may be asked after an error.
+     *
+     * @param exception the error
+     * @return whether the call was certainly not carried out for want of an owner
+     */
+    private static boolean mayAskNext(Exception exception) {
+        return exception instanceof DamasktillerException failure
+                && failure.outcome() == Outcome.NOT_RUN
+                && (failure.code() == ErrorCode.NOT_OWNER || failure.code() == ErrorCode.DRAINING);
+    }
+
+    /**
+     * Lists the entry VMs to ask for a cell, the last known owner first.
+     *
+     * @param cell the cell
+     * @return the entry VMs
+     */
+    private List<VmRecord> candidates(CellId cell) {
+        FleetView view = fleet.get();
+        List<VmRecord> candidates = new ArrayList<>();
+        Optional<VmRecord> holder = view.find(host.holder(cell));
+        holder.ifPresent(candidates::add);
+        for (VmRecord vm : view.present(VmRole.ENTRY, layout.zoneOf(cell))) {
+            if (vm.state() == VmState.LIVE && !candidates.contains(vm)) {
+                candidates.add(vm);
+            }
+        }
+        candidates.removeIf(vm -> vm.name().equals(self));
+        return candidates.subList(0, Math.min(MAXIMUM_PEERS, candidates.size()));
+    }
+
+    /**
+     * Finds the cell of a job.
+     *
+     * @param job the job
+     * @return the cell
+     */
+    private CellId cellOf(JobId job) {
+        return layout.cellOf(job)
+                .orElseThrow(
+                        () ->
+                                new DamasktillerException(
+                                        ErrorCode.UNKNOWN_JOB,
+                                        Step.ROUTE,
+                                        "",
+                                        Outcome.NOT_RUN,
+                                        "no cell gives a job the identity " + job));
+    }
+
+    /**
+     * Makes the error for a cell without a known owner.
+     *
+     * @return the error
+     */
+    private static DamasktillerException noOwner() {
+        return new DamasktillerException(
+                ErrorCode.NOT_OWNER,
+                Step.ROUTE,
+                "",
+                Outcome.NOT_RUN,
+                "no entry VM that was asked owns the cell at the moment");
+    }
+}
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryParts.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryParts.java
@@ -16,7 +16,10 @@
 import org.damasktiller.authority.ownership.OwnerIdentity;
 import org.damasktiller.daemon.cell.CellEnvironment;
 import org.damasktiller.daemon.cell.CellHost;
+import org.damasktiller.daemon.cell.ForwardingJobRouter;
+import org.damasktiller.daemon.cell.PeerJobClient;
 import org.damasktiller.daemon.gateway.InteractiveGateway;
+import org.damasktiller.daemon.job.JobRouter;
 import org.damasktiller.daemon.job.JobServlets;
 import org.damasktiller.daemon.metrics.WorkMetrics;
 import org.damasktiller.daemon.operator.StatusBody;
@@ -316,7 +319,14 @@
      * @return the servlets
      */
     JobServlets jobs() {
-        return new JobServlets(tableInForce::get, layout, cellHost, settings.maximumBodyBytes());
+        JobRouter router =
+                new ForwardingJobRouter(
+                        cellHost,
+                        layout,
+                        fleetReader::view,
+                        Addresses.text(settings.peerAddress()),
+                        new PeerJobClient(client, settings.peerTimeoutMillis()));
+        return new JobServlets(tableInForce::get, layout, router, settings.maximumBodyBytes());
     }
 
     /**
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/job/JobBody.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/job/JobBody.java
@@ -3,6 +3,9 @@
 import org.damasktiller.authority.cell.JobState;
 import org.damasktiller.authority.cell.JobStatus;
 import org.damasktiller.error.Outcome;
+import org.damasktiller.identity.JobId;
+import org.damasktiller.identity.RequestKey;
+import org.damasktiller.identity.WorkerId;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -48,6 +51,22 @@
                 status.result());
     }
 
+    /**
+     * Makes the state again on the side that received the body.
+     *
+     * @return the state
+     */
+    public JobStatus toStatus() {
+        return new JobStatus(
+                new JobId(job),
+                new RequestKey(key),
+                state,
+                new WorkerId(worker),
+                attempt,
+                running,
+                result);
+    }
+
     /**
      * Tells whether a job in a state was run.
      *
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/job/JobRouter.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/job/JobRouter.java
@@ -14,23 +14,26 @@
      *
      * @param cell the cell of the job's request key
      * @param submission the job
+     * @param forwarded whether another entry VM passed the call on
      * @return the reply of the owner; fails with code NOT_OWNER if no owner was found
      */
-    Promise<JobReply> submit(CellId cell, JobSubmission submission);
+    Promise<JobReply> submit(CellId cell, JobSubmission submission, boolean forwarded);
 
     /**
      * Asks for the state of a job.
      *
      * @param job the job
+     * @param forwarded whether another entry VM passed the call on
      * @return the reply of the owner
      */
-    Promise<JobReply> query(JobId job);
+    Promise<JobReply> query(JobId job, boolean forwarded);
 
     /**
      * Cancels a job.
      *
      * @param job the job
+     * @param forwarded whether another entry VM passed the call on
      * @return the reply of the owner
      */
-    Promise<JobReply> cancel(JobId job);
+    Promise<JobReply> cancel(JobId job, boolean forwarded);
 }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/job/JobServlets.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/job/JobServlets.java
@@ -35,6 +35,12 @@
     /** The header with the caller's request key. */
     public static final HttpHeader KEY_HEADER = HttpHeaders.of("Damasktiller-Key");
 
+    /** The header of a call that another entry VM passed on. */
+    public static final HttpHeader FORWARDED_HEADER = HttpHeaders.of("Damasktiller-Forwarded");
+
+    /** The value of that header. */
+    public static final String FORWARDED_VALUE = "1";
+
     /** The start of the path of every call. */
     public static final String PATH = "/v1/jobs";
 
@@ -96,14 +102,14 @@
                         path,
                         JsonServlets.guarded(
                                 request ->
-                                        router.query(job(request))
+                                        router.query(job(request), forwarded(request))
                                                 .map(reply -> respond(OK, reply))))
                 .with(
                         HttpMethod.DELETE,
                         path,
                         JsonServlets.guarded(
                                 request ->
-                                        router.cancel(job(request))
+                                        router.cancel(job(request), forwarded(request))
                                                 .map(reply -> respond(OK, reply))))
                 .build();
     }
@@ -123,7 +129,8 @@
                         payload ->
                                 router.submit(
                                         layout.cellOf(kind.tenant(), key, kind.places()),
-                                        JobSubmission.of(key, kind, payload)))
+                                        JobSubmission.of(key, kind, payload),
+                                        forwarded(request)))
                 .map(reply -> respond(ACCEPTED, reply));
     }
 
@@ -164,6 +171,16 @@
         return new RequestKey(value.trim());
     }
 
+    /**
+     * Tells whether another entry VM passed a call on.
+     *
+     * @param request the request
+     * @return whether it did
+     */
+    private static boolean forwarded(HttpRequest request) {
+        return FORWARDED_VALUE.equals(request.getHeader(FORWARDED_HEADER));
+    }
+
     /**
      * Reads the job of a request.
      *
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/settings/EntrySettings.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/settings/EntrySettings.java
@@ -122,6 +122,12 @@
             description = "Longest wait for an answer of a worker, in milliseconds")
     private long workerTimeoutMillis = 2_000;
 
+    /** How long to wait for another entry VM. */
+    @Parameter(
+            names = "--peer-timeout-millis",
+            description = "Longest wait for an answer of another entry VM, in milliseconds")
+    private long peerTimeoutMillis = 8_000;
+
     /** The number of threads on which decisions are taken. */
     @Parameter(names = "--decision-threads", description = "Threads on which decisions are taken")
     private int decisionThreads = 2;
@@ -165,6 +171,7 @@
         Settings.inRange("--cell-lease-millis", cellLeaseMillis, 100, MAXIMUM_MILLIS);
         Settings.inRange("--outage-grace-millis", outageGraceMillis, 0, MAXIMUM_MILLIS);
         Settings.inRange("--worker-timeout-millis", workerTimeoutMillis, 1, MAXIMUM_MILLIS);
+        Settings.inRange("--peer-timeout-millis", peerTimeoutMillis, 1, MAXIMUM_MILLIS);
         Settings.inRange("--decision-threads", decisionThreads, 1, MAXIMUM_THREADS);
         Settings.inRange("--drain-timeout-millis", drainTimeoutMillis, 0, MAXIMUM_MILLIS);
         Settings.inRange("--drain-notice-millis", drainNoticeMillis, 0, drainTimeoutMillis);
@@ -321,6 +328,15 @@
         return workerTimeoutMillis;
     }
 
+    /**
+     * Returns how long to wait for another entry VM.
+     *
+     * @return the time, in milliseconds
+     */
+    public long peerTimeoutMillis() {
+        return peerTimeoutMillis;
+    }
+
     /**
      * Returns the number of threads on which decisions are taken.
      *
