--- a/damasktiller-library/src/main/java/org/damasktiller/routing/Refusals.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/routing/Refusals.java
@@ -4,6 +4,7 @@
 import org.damasktiller.error.ErrorCode;
 import org.damasktiller.error.Outcome;
 import org.damasktiller.error.Step;
+import org.jspecify.annotations.Nullable;
 
 /** Builds the errors with which the router refuses or gives up requests. */
 final class Refusals {
@@ -35,13 +36,31 @@
                 DRAIN_RETRY_MILLIS);
     }
 
+    /**
+     * Decides whether a new request is refused before a slot is sought.
+     *
+     * @param pending the request
+     * @param nowMillis the time, in milliseconds
+     * @return the refusal, or null
+     */
+    static @Nullable RoutingAction unfit(PendingRequest pending, long nowMillis) {
+        RoutingRequest request = pending.request();
+        if (pending.atMostOnce() && request.key() == null) {
+            return missingKey(request.number());
+        }
+        if (request.deadlineMillis() <= nowMillis) {
+            return deadline(request.number(), Outcome.NOT_RUN, "");
+        }
+        return null;
+    }
+
     /**
      * Refuses an at-most-once request without a key.
      *
      * @param number the request
      * @return the action
      */
-    static RoutingAction missingKey(long number) {
+    private static RoutingAction missingKey(long number) {
         return refuse(
                 number,
                 new DamasktillerException(
--- a/damasktiller-library/src/main/java/org/damasktiller/routing/RequestRouter.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/routing/RequestRouter.java
@@ -8,7 +8,6 @@
 import org.damasktiller.identity.EndpointId;
 import org.damasktiller.identity.RegionName;
 import org.damasktiller.identity.ZoneName;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Decides where each request is sent, when it waits, is tried again or is refused. It does no I/O:
@@ -100,7 +99,8 @@
     public List<RoutingAction> submit(RoutingRequest request, long nowMillis) {
         List<RoutingAction> actions = new ArrayList<>();
         PendingRequest pending = new PendingRequest(request);
-        RoutingAction refusal = refusal(pending, nowMillis);
+        RoutingAction refusal =
+                draining ? Refusals.draining(request.number()) : Refusals.unfit(pending, nowMillis);
         if (refusal != null) {
             actions.add(refusal);
             return actions;
@@ -229,6 +229,18 @@
         return draining;
     }
 
+    /**
+     * Returns how many slots of an endpoint are in use, to be reported with its share.
+     *
+     * @param endpoint the endpoint
+     * @param nowMillis the time, in milliseconds
+     * @return the number of slots
+     */
+    public int usedSlots(EndpointId endpoint, long nowMillis) {
+        EndpointState state = endpoints.find(endpoint);
+        return state == null ? 0 : state.used(nowMillis);
+    }
+
     /**
      * Returns the number of requests that are not finished.
      *
@@ -247,27 +259,6 @@
         return dispatcher.queuedRequests();
     }
 
-    /**
-     * Decides whether a new request is refused before a slot is sought.
-     *
-     * @param pending the request
-     * @param nowMillis the time, in milliseconds
-     * @return the refusal, or null
-     */
-    private @Nullable RoutingAction refusal(PendingRequest pending, long nowMillis) {
-        RoutingRequest request = pending.request();
-        if (draining) {
-            return Refusals.draining(request.number());
-        }
-        if (pending.atMostOnce() && request.key() == null) {
-            return Refusals.missingKey(request.number());
-        }
-        if (request.deadlineMillis() <= nowMillis) {
-            return Refusals.deadline(request.number(), Outcome.NOT_RUN, "");
-        }
-        return null;
-    }
-
     /**
      * Handles one request that is due.
      *
