Run the whole system on loopback with one command

Cause: no command showed the whole path; and three faults that its first run brought out. A VM that had given its cell back dropped the replies to calls passed on to it, so that 20 jobs hung for 30 s and the drain cut requests off. Unchecked errors with codes were logged as fatal by the event loop. A peer that answered NOT_OWNER with an unknown outcome was not followed by the next. Change: the command local with both deployments (platform, workers, endpoints, four entry VMs in three zones, mixed load, edit, drain, accounts); replies are passed on after the release; one maker of event loops that logs faults only; the next peer is asked whenever one does not own the cell. Conclusion: the whole path runs; claims and peers are the next parts.

--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/Main.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/Main.java
@@ -8,6 +8,7 @@
 import org.damasktiller.daemon.command.EntryCommand;
 import org.damasktiller.daemon.command.ExitCode;
 import org.damasktiller.daemon.command.JobCommand;
+import org.damasktiller.daemon.command.LocalCommand;
 import org.damasktiller.daemon.command.StandInCommand;
 import org.damasktiller.daemon.command.StatusCommand;
 import org.damasktiller.daemon.command.SubmitCommand;
@@ -44,6 +45,7 @@
                 new SubmitCommand(),
                 new JobCommand(),
                 new CancelCommand(),
-                new DrainCommand());
+                new DrainCommand(),
+                new LocalCommand());
     }
 }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/CellDriver.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/CellDriver.java
@@ -227,15 +227,23 @@
      * @param action the action
      */
     private void carryOut(CellAction action) {
-        if (!running) {
-            return;
+        if (action instanceof Reply reply) {
+            answer(reply);
+        } else if (running) {
+            carryOutAsOwner(action);
         }
+    }
+
+    /**
+     * Carries out one action that an owner may take only until it has given its cell back.
+     *
+     * @param action the action
+     */
+    private void carryOutAsOwner(CellAction action) {
         if (action instanceof StoreRequest request) {
             callStore(request);
         } else if (action instanceof WorkerRequest request) {
             callWorker(request);
-        } else if (action instanceof Reply reply) {
-            answer(reply);
         } else if (action instanceof JobChanged change) {
             jobListener.accept(change);
         } else if (action instanceof Released) {
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/ForwardingJobRouter.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/ForwardingJobRouter.java
@@ -23,9 +23,9 @@
 
 /**
  * Passes calls on jobs to the owner of their cell: on this VM, or to the entry VMs of the cell's
- * zone one after the other, its last known owner first. A peer that certainly did not carry out a
- * call is followed by the next; an unknown outcome goes back to the caller, who may repeat the call
- * with the same key.
+ * zone one after the other, its last known owner first. A peer that does not own the cell is
+ * followed by the next; any other error goes back to the caller, who may repeat the call with the
+ * same key.
  */
 public final class ForwardingJobRouter implements JobRouter {
 
@@ -74,7 +74,8 @@
         if (host.owns(cell) || forwarded) {
             return host.submit(cell, submission);
         }
-        return ask(candidates(cell), 0, peer -> peers.submit(peer, submission));
+        return ask(
+                candidates(cell), noOwner(Outcome.NOT_RUN), peer -> peers.submit(peer, submission));
     }
 
     @Override
@@ -83,7 +84,8 @@
         if (host.owns(cell) || forwarded) {
             return host.query(cell, job);
         }
-        return ask(candidates(cell), 0, peer -> peers.query(peer, job));
+        return ask(
+                candidates(cell), noOwner(Outcome.OUTCOME_UNKNOWN), peer -> peers.query(peer, job));
     }
 
     @Override
@@ -92,40 +94,47 @@
         if (host.owns(cell) || forwarded) {
             return host.cancel(cell, job);
         }
-        return ask(candidates(cell), 0, peer -> peers.cancel(peer, job));
+        return ask(
+                candidates(cell),
+                noOwner(Outcome.OUTCOME_UNKNOWN),
+                peer -> peers.cancel(peer, job));
     }
 
     /**
-     * Asks entry VMs one after the other.
+     * Asks entry VMs one after the other until one owns the cell.
      *
      * @param candidates the entry VMs
-     * @param index the first to ask
+     * @param failure the error to report if none is left, which is that of the last one asked
      * @param call passes the call to one of them
      * @return the reply
      */
     private static Promise<JobReply> ask(
-            List<VmRecord> candidates, int index, Function<VmRecord, Promise<JobReply>> call) {
-        if (index >= candidates.size()) {
-            return Promise.ofException(noOwner());
+            List<VmRecord> candidates,
+            Exception failure,
+            Function<VmRecord, Promise<JobReply>> call) {
+        if (candidates.isEmpty()) {
+            return Promise.ofException(failure);
         }
-        return call.apply(candidates.get(index))
+        List<VmRecord> others = candidates.subList(1, candidates.size());
+        return call.apply(candidates.get(0))
                 .then(
                         Promise::of,
                         exception ->
                                 mayAskNext(exception)
-                                        ? ask(candidates, index + 1, call)
+                                        ? ask(others, exception, call)
                                         : Promise.ofException(exception));
     }
 
     /**
-     * Tells whether another VM may be asked after an error.
+     * Tells whether another VM may be asked after an error. A submission that a former owner may
+     * have accepted is safe to pass on: the next owner finds it by its key or accepts it anew, and
+     * the former one's write can not take effect any more.
      *
      * @param exception the error
-     * @return whether the call was certainly not carried out for want of an owner
+     * @return whether the peer does not own the cell
      */
     private static boolean mayAskNext(Exception exception) {
         return exception instanceof DamasktillerException failure
-                && failure.outcome() == Outcome.NOT_RUN
                 && (failure.code() == ErrorCode.NOT_OWNER || failure.code() == ErrorCode.DRAINING);
     }
 
@@ -170,14 +179,15 @@
     /**
      * Makes the error for a cell without a known owner.
      *
+     * @param outcome whether the work of the call was run
      * @return the error
      */
-    private static DamasktillerException noOwner() {
+    private static DamasktillerException noOwner(Outcome outcome) {
         return new DamasktillerException(
                 ErrorCode.NOT_OWNER,
                 Step.ROUTE,
                 "",
-                Outcome.NOT_RUN,
-                "no entry VM that was asked owns the cell at the moment");
+                outcome,
+                "no entry VM is known that could own the cell");
     }
 }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/ApiClient.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/ApiClient.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.Function;
 import org.damasktiller.error.DamasktillerException;
+import org.damasktiller.platform.http.EventLoops;
 import org.damasktiller.platform.http.JsonClient;
 
 /** Calls the HTTP interface of an entry VM and waits for the answer. */
@@ -22,11 +23,7 @@
 
     /** Creates a client with a thread of its own. */
     public ApiClient() {
-        eventloop = Eventloop.create();
-        eventloop.keepAlive(true);
-        Thread thread = new Thread(eventloop, "client");
-        thread.setDaemon(true);
-        thread.start();
+        eventloop = EventLoops.start("client");
         client = new JsonClient(eventloop, CONNECT_TIMEOUT);
     }
 
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryNode.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryNode.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.damasktiller.daemon.settings.EntrySettings;
+import org.damasktiller.platform.http.EventLoops;
 import org.damasktiller.platform.http.JsonResponses;
 
 /** One entry VM as it runs: its event loop, its listeners and its shutdown. */
@@ -68,8 +69,7 @@
      * @return the running VM
      */
     public static EntryNode start(EntrySettings settings) {
-        Eventloop eventloop = Eventloop.create();
-        eventloop.keepAlive(true);
+        Eventloop eventloop = EventLoops.create();
         Thread thread = new Thread(eventloop, "entry " + settings.zone());
         thread.start();
         return eventloop
@@ -102,6 +102,15 @@
         return ended.join();
     }
 
+    /**
+     * Returns the name of the VM in the platform's list.
+     *
+     * @return the IP number and port for other entry VMs
+     */
+    public String name() {
+        return Addresses.text(settings.peerAddress());
+    }
+
     /**
      * Returns the address on which callers are served.
      *
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/EndpointConnection.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/EndpointConnection.java
@@ -16,6 +16,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Objects;
+import org.damasktiller.platform.http.AddressResolver;
 import org.damasktiller.routing.AttemptOutcome;
 import org.jspecify.annotations.Nullable;
 
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/AddressResolver.java
+++ b/damasktiller-platform/src/main/java/org/damasktiller/platform/http/AddressResolver.java
@@ -1,4 +1,4 @@
-package org.damasktiller.daemon.gateway;
+package org.damasktiller.platform.http;
 
 import io.activej.dns.IDnsClient;
 import io.activej.dns.protocol.DnsProtocol;
--- a/damasktiller-platform/src/main/java/org/damasktiller/platform/http/JsonClient.java
+++ b/damasktiller-platform/src/main/java/org/damasktiller/platform/http/JsonClient.java
@@ -1,8 +1,5 @@
 package org.damasktiller.platform.http;
 
-import io.activej.dns.IDnsClient;
-import io.activej.dns.protocol.DnsQuery;
-import io.activej.dns.protocol.DnsResponse;
 import io.activej.http.HttpClient;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpRequest;
@@ -13,9 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import org.damasktiller.error.DamasktillerException;
-import org.damasktiller.error.ErrorCode;
 import org.damasktiller.error.Outcome;
-import org.damasktiller.error.Step;
 
 /** Sends JSON over HTTP to peers named by IP address. Used on its reactor's thread only. */
 public final class JsonClient {
@@ -40,7 +35,7 @@
      */
     public JsonClient(NioReactor reactor, Duration connectTimeout) {
         client =
-                HttpClient.builder(reactor, new NoNameResolution())
+                HttpClient.builder(reactor, new AddressResolver())
                         .withKeepAliveTimeout(KEEP_ALIVE)
                         .withConnectTimeout(connectTimeout)
                         .withMaxBodySize(MAXIMUM_ANSWER_BYTES)
@@ -152,27 +147,4 @@
                 "no answer from " + context.peer() + ": " + exception,
                 exception);
     }
-
-    /** Refuses to resolve names: peers are known by IP number. */
-    private static final class NoNameResolution implements IDnsClient {
-
-        @Override
-        public Promise<DnsResponse> resolve(DnsQuery query) {
-            DnsResponse numeric = IDnsClient.resolveFromQuery(query);
-            if (numeric != null) {
-                return Promise.of(numeric);
-            }
-            return Promise.ofException(
-                    new DamasktillerException(
-                            ErrorCode.BAD_SETTING,
-                            Step.SETTINGS,
-                            query.getDomainName(),
-                            Outcome.NOT_RUN,
-                            "an IP number is needed in place of the name "
-                                    + query.getDomainName()));
-        }
-
-        @Override
-        public void close() {}
-    }
 }
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/platform/StandInServer.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/platform/StandInServer.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import org.damasktiller.platform.http.EventLoops;
 import org.damasktiller.platform.http.JsonResponses;
 
 /** Runs one stand-in HTTP server on an event loop and thread of its own. */
@@ -47,8 +48,7 @@
      */
     public static StandInServer start(
             String name, InetSocketAddress address, Function<Eventloop, AsyncServlet> servlet) {
-        Eventloop eventloop = Eventloop.create();
-        eventloop.keepAlive(true);
+        Eventloop eventloop = EventLoops.create();
         HttpServer server =
                 HttpServer.builder(eventloop, servlet.apply(eventloop))
                         .withListenAddress(address)
