--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/Measure.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/Measure.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Supplier;
+import org.damasktiller.benchmark.decisions.DecisionsMeasurement;
 import org.jspecify.annotations.Nullable;
 
 /** Runs the measurement named on the command line. */
@@ -23,21 +24,24 @@
      * Runs one measurement. The exit code is 0 once all figures are printed, also where one falls
      * short, and 2 for a wrong command line.
      *
-     * @param arguments the name of the measurement and optionally {@code --quick}
+     * @param arguments the name of the measurement, optionally {@code --quick}, and words that the
+     *     measurement understands
      */
     public static void main(String[] arguments) {
         List<String> words = Arrays.asList(arguments);
         boolean quick = words.contains(QUICK_FLAG);
         List<String> names = words.stream().filter(word -> !word.equals(QUICK_FLAG)).toList();
         @Nullable Supplier<Measurement> supplier =
-                names.size() == 1 ? measurements().get(names.get(0)) : null;
-        if (supplier == null) {
+                names.isEmpty() ? null : measurements().get(names.get(0));
+        @Nullable Measurement measurement = supplier == null ? null : supplier.get();
+        if (measurement == null || !measurement.accept(names.subList(1, names.size()))) {
             System.err.println(
-                    "usage: ./measure NAME [--quick], NAME of " + measurements().keySet());
+                    "usage: ./measure NAME [--quick] [words of the measurement], NAME of "
+                            + measurements().keySet());
             System.exit(EXIT_USAGE);
             return;
         }
-        supplier.get().run(quick, new FigureReport(System.out));
+        measurement.run(quick, new FigureReport(System.out));
         System.exit(0);
     }
 
@@ -48,6 +52,7 @@
      */
     private static Map<String, Supplier<Measurement>> measurements() {
         Map<String, Supplier<Measurement>> measurements = new TreeMap<>();
+        measurements.put("decisions", DecisionsMeasurement::new);
         return measurements;
     }
 }
