Reserve processors by a lower quantile and by a job's own peak

Cause: workers were full by reservation while 0.65 to 0.71 of their processors were used. Processors were reserved at the 0.9 quantile of their kind and never below it, although a job short of processors is only a little slower, while one short of memory hardly progresses. Change: processors at the 0.6 quantile, and after three reports at the job's own peak; memory as before.

--- a/damasktiller-library/src/main/java/org/damasktiller/decision/dispatch/SizeControl.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/decision/dispatch/SizeControl.java
@@ -68,12 +68,13 @@
             return List.of();
         }
         Resources usual = sizes.estimate(kind, task.full, limits.largest(), nowMillis);
+        boolean known = sizes.processorsKnown(report.job());
         Resources target =
                 new Resources(
                         adapt(
                                 task.full.milliProcessors(),
                                 wanted.milliProcessors(),
-                                usual.milliProcessors()),
+                                known ? 0 : usual.milliProcessors()),
                         adapt(
                                 task.full.memoryMegabytes(),
                                 wanted.memoryMegabytes(),
--- a/damasktiller-library/src/main/java/org/damasktiller/decision/estimate/SizeEstimator.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/decision/estimate/SizeEstimator.java
@@ -17,8 +17,14 @@
     /** The weight of observations from which on the declared size no longer counts. */
     private static final double ENOUGH_OBSERVATIONS = 4;
 
-    /** The quantile that is reserved. */
-    private static final double QUANTILE = 0.9;
+    /** The quantile of memory that is reserved; a job short of memory hardly progresses. */
+    private static final double MEMORY_QUANTILE = 0.9;
+
+    /** The quantile of processors that is reserved; a job short of them is only a little slower. */
+    private static final double PROCESSOR_QUANTILE = 0.6;
+
+    /** The reports of a job from which on its own peak tells what processors it needs. */
+    private static final int ENOUGH_REPORTS = 3;
 
     /** The standard deviations of the confidence bound. */
     private static final double DEVIATIONS = 1;
@@ -86,8 +92,9 @@
         if (usage == null || usage.memory.count(nowMillis) < ENOUGH_OBSERVATIONS) {
             return declared;
         }
-        long processors = bound(usage.processors, nowMillis, largest.milliProcessors());
-        long memory = bound(usage.memory, nowMillis, largest.memoryMegabytes());
+        long processors =
+                bound(usage.processors, PROCESSOR_QUANTILE, nowMillis, largest.milliProcessors());
+        long memory = bound(usage.memory, MEMORY_QUANTILE, nowMillis, largest.memoryMegabytes());
         return new Resources(processors, memory, declared.accelerators());
     }
 
@@ -109,17 +116,30 @@
                 reserved.accelerators());
     }
 
+    /**
+     * Tells whether a job has reported often enough to judge its processors by its own reports.
+     *
+     * @param job the job
+     * @return whether its peak is known
+     */
+    public boolean processorsKnown(JobId job) {
+        Peak peak = peaks.get(job);
+        return peak != null && peak.reports >= ENOUGH_REPORTS;
+    }
+
     /**
      * Returns the upper bound of the quantile with a margin that shrinks with experience.
      *
      * @param histogram the observations
+     * @param quantile the quantile
      * @param nowMillis the time, in milliseconds
      * @param largest the largest value that a worker has
      * @return the bound
      */
-    private static long bound(DecayingHistogram histogram, long nowMillis, long largest) {
+    private static long bound(
+            DecayingHistogram histogram, double quantile, long nowMillis, long largest) {
         double margin = 1 + MARGIN / Math.sqrt(Math.max(1, histogram.count(nowMillis)));
-        double value = histogram.upperQuantile(QUANTILE, DEVIATIONS, nowMillis) * margin;
+        double value = histogram.upperQuantile(quantile, DEVIATIONS, nowMillis) * margin;
         return Math.min(largest, Math.max(SMALLEST, Math.round(value)));
     }
 
