--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/Measure.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/Measure.java
@@ -6,6 +6,7 @@
 import java.util.TreeMap;
 import java.util.function.Supplier;
 import org.damasktiller.benchmark.decisions.DecisionsMeasurement;
+import org.damasktiller.benchmark.path.PathMeasurement;
 import org.jspecify.annotations.Nullable;
 
 /** Runs the measurement named on the command line. */
@@ -53,6 +54,7 @@
     private static Map<String, Supplier<Measurement>> measurements() {
         Map<String, Supplier<Measurement>> measurements = new TreeMap<>();
         measurements.put("decisions", DecisionsMeasurement::new);
+        measurements.put("path", PathMeasurement::new);
         return measurements;
     }
 }
