Measure the cost of decisions and keep pair estimates in arrays

Change: estimates lie in one array a victim, guarded kinds in a bit set, and only the pairs of a guarded kind are drawn.

--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/decisions/DecisionsMeasurement.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/decisions/DecisionsMeasurement.java
@@ -25,6 +25,9 @@
     /** The word that selects one scenario. */
     private static final String SCENARIO_WORD = "--scenario";
 
+    /** The word that selects the measurement of the cost alone. */
+    private static final String COST_WORD = "--cost";
+
     /** The word that selects the seeds for tuning. */
     private static final String TUNING_WORD = "--tuning";
 
@@ -43,6 +46,9 @@
     /** Whether to use the seeds for tuning. */
     private boolean tuning;
 
+    /** Whether to measure the cost of decisions. */
+    private boolean cost = true;
+
     /** Creates the measurement of all scenarios. */
     public DecisionsMeasurement() {}
 
@@ -51,16 +57,23 @@
         List<String> left = new ArrayList<>(words);
         tuning = left.remove(TUNING_WORD);
         int at = left.indexOf(SCENARIO_WORD);
+        if (left.remove(COST_WORD)) {
+            scenarios.clear();
+        }
         if (at >= 0 && at + 1 < left.size()) {
             String name = left.get(at + 1);
             scenarios.removeIf(scenario -> !scenario.commandName().equals(name));
             left.subList(at, at + 2).clear();
+            cost = false;
         }
-        return left.isEmpty() && !scenarios.isEmpty();
+        return left.isEmpty() && (cost || !scenarios.isEmpty());
     }
 
     @Override
     public void run(boolean quick, FigureReport report) {
+        if (cost) {
+            new DecisionCost(quick).print(report);
+        }
         ExecutorService threads = Executors.newFixedThreadPool(THREADS);
         try {
             List<SubmittedRuns> runs = new ArrayList<>();
--- a/damasktiller-library/src/main/java/org/damasktiller/decision/interference/HarmScore.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/decision/interference/HarmScore.java
@@ -1,7 +1,6 @@
 package org.damasktiller.decision.interference;
 
-import java.util.HashSet;
-import java.util.Set;
+import java.util.BitSet;
 import java.util.random.RandomGenerator;
 import org.damasktiller.decision.placement.PlacementRequest;
 import org.damasktiller.decision.placement.PlacementScore;
@@ -25,7 +24,7 @@
     private final HarmSettings settings;
 
     /** The numbers of the guarded kinds. */
-    private final Set<Integer> guarded = new HashSet<>();
+    private final BitSet guarded = new BitSet();
 
     /**
      * Creates a score.
@@ -48,11 +47,7 @@
      * @param value whether it is
      */
     public void guard(int kind, boolean value) {
-        if (value) {
-            guarded.add(kind);
-        } else {
-            guarded.remove(kind);
-        }
+        guarded.set(kind, value);
     }
 
     /**
@@ -62,7 +57,7 @@
      * @return whether it is
      */
     public boolean guards(int kind) {
-        return guarded.contains(kind);
+        return guarded.get(kind);
     }
 
     @Override
@@ -71,13 +66,13 @@
         double added = request.size().milliProcessors() / whole;
         double load = added + totalLoad(worker);
         LoadLevel level = LoadLevel.of(load);
-        boolean self = guarded.contains(kind);
+        boolean self = guarded.get(kind);
         double cost = self ? 0 : settings.loadCost() * load;
         double suffered = 0;
         for (int at = 0; at < worker.kindCount(); at++) {
             int other = worker.kindAt(at);
-            suffered += drawn(kind, other, level) * worker.loadAt(at);
-            if (!self && guarded.contains(other)) {
+            suffered += estimator.factor(kind, other, level) * worker.loadAt(at);
+            if (!self && guarded.get(other)) {
                 double after = harm(other, worker, level) + drawn(other, kind, level) * added;
                 if (after > settings.allowedSlowdown()) {
                     return Double.POSITIVE_INFINITY;
--- a/damasktiller-library/src/main/java/org/damasktiller/decision/interference/InterferenceEstimator.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/decision/interference/InterferenceEstimator.java
@@ -1,6 +1,8 @@
 package org.damasktiller.decision.interference;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.damasktiller.identity.WorkerId;
 import org.jspecify.annotations.Nullable;
@@ -26,14 +28,11 @@
     /** The largest slowdown that a report may claim, so that one outlier moves little. */
     private static final double LARGEST_SLOWDOWN = 4;
 
-    /** The bits of a kind's number within a key. */
-    private static final int KIND_BITS = 14;
-
     /** The number of levels. */
     private static final int LEVELS = LoadLevel.values().length;
 
-    /** The estimates by victim, aggressor and level. */
-    private final Map<Integer, PairEstimate> pairs = new HashMap<>();
+    /** The estimates by victim. */
+    private final List<PairRow> pairs = new ArrayList<>();
 
     /** The load history of each worker. */
     private final Map<WorkerId, LoadHistory> histories = new HashMap<>();
@@ -109,7 +108,7 @@
         double sum = 1;
         for (int kind = 0; kind < loads.length; kind++) {
             if (kind != victim && loads[kind] > SMALLEST_LOAD) {
-                PairEstimate pair = pairs.get(key(victim, kind, level));
+                PairEstimate pair = known(victim, kind, level);
                 sum += loads[kind] * (pair == null ? prior(victim, kind, level) : pair.mean());
             }
         }
@@ -125,7 +124,7 @@
      * @return the estimate, a prior if the pair was never seen
      */
     public double factor(int victim, int aggressor, LoadLevel level) {
-        PairEstimate pair = pairs.get(key(victim, aggressor, level.index()));
+        PairEstimate pair = known(victim, aggressor, level.index());
         return pair == null ? prior(victim, aggressor, level.index()) : pair.mean();
     }
 
@@ -138,7 +137,7 @@
      * @return the standard deviation
      */
     public double deviation(int victim, int aggressor, LoadLevel level) {
-        PairEstimate pair = pairs.get(key(victim, aggressor, level.index()));
+        PairEstimate pair = known(victim, aggressor, level.index());
         return pair == null ? Math.sqrt(PairEstimate.PRIOR_VARIANCE) : pair.deviation();
     }
 
@@ -187,13 +186,15 @@
      * @return the estimate
      */
     private PairEstimate pair(int victim, int aggressor, int level, long nowMillis) {
-        int key = key(victim, aggressor, level);
-        @Nullable PairEstimate known = pairs.get(key);
+        PairEstimate known = known(victim, aggressor, level);
         if (known != null) {
             return known;
         }
         PairEstimate created = new PairEstimate(prior(victim, aggressor, level), nowMillis);
-        pairs.put(key, created);
+        while (pairs.size() <= victim) {
+            pairs.add(new PairRow());
+        }
+        pairs.get(victim).put(aggressor, level, created);
         return created;
     }
 
@@ -208,13 +209,13 @@
      */
     private double prior(int victim, int aggressor, int level) {
         for (int lower = level - 1; lower >= 0; lower--) {
-            PairEstimate known = pairs.get(key(victim, aggressor, lower));
+            PairEstimate known = known(victim, aggressor, lower);
             if (known != null) {
                 return known.mean();
             }
         }
         for (int higher = level + 1; higher < LEVELS; higher++) {
-            PairEstimate known = pairs.get(key(victim, aggressor, higher));
+            PairEstimate known = known(victim, aggressor, higher);
             if (known != null) {
                 return known.mean();
             }
@@ -223,14 +224,14 @@
     }
 
     /**
-     * Returns the key of a pair at a level.
+     * Returns what is known of a pair at a level.
      *
      * @param victim the number of the victim
      * @param aggressor the number of the other kind
      * @param level the index of the level
-     * @return the key
+     * @return the estimate, or null if the pair was not seen at the level
      */
-    private static int key(int victim, int aggressor, int level) {
-        return ((victim << KIND_BITS) + aggressor) * LEVELS + level;
+    private @Nullable PairEstimate known(int victim, int aggressor, int level) {
+        return victim < pairs.size() ? pairs.get(victim).get(aggressor, level) : null;
     }
 }
