--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/CellDriver.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/CellDriver.java
@@ -88,6 +88,9 @@
     /** The process last seen to own the cell. */
     private volatile String holder = "";
 
+    /** Whether the threads of the pool may be gone. */
+    private boolean stopped;
+
     /** Whether the owner still acts. */
     private boolean running = true;
 
@@ -185,9 +188,10 @@
         return holder;
     }
 
-    /** Stops without giving the cell back. */
+    /** Stops without giving the cell back; events that come later are dropped. */
     public void stop() {
         running = false;
+        stopped = true;
     }
 
     /**
@@ -210,6 +214,9 @@
      * @param event the event
      */
     private void post(CellEvent event) {
+        if (stopped) {
+            return;
+        }
         events.execute(
                 () -> {
                     List<CellAction> actions = owner.handle(event, clock.currentTimeMillis());
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryParts.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryParts.java
@@ -18,6 +18,7 @@
 import org.damasktiller.daemon.cell.CellHost;
 import org.damasktiller.daemon.cell.ForwardingJobRouter;
 import org.damasktiller.daemon.cell.PeerJobClient;
+import org.damasktiller.daemon.gateway.GatewayLimits;
 import org.damasktiller.daemon.gateway.InteractiveGateway;
 import org.damasktiller.daemon.job.JobRouter;
 import org.damasktiller.daemon.job.JobServlets;
@@ -192,6 +193,7 @@
                 .kinds(name -> tableInForce.get().row(name).orElse(null))
                 .endpoints(new EndpointSource(fleetReader::view, settings.zones()))
                 .registry(metrics.registry())
+                .limits(GatewayLimits.DEFAULT.withRequestBytes(settings.maximumBodyBytes()))
                 .build();
     }
 
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/GatewayLimits.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/GatewayLimits.java
@@ -24,4 +24,21 @@
     /** The limits that suit answers of up to some megabytes. */
     public static final GatewayLimits DEFAULT =
             new GatewayLimits(64 << 20, 64 << 20, 256 << 10, 30_000, 1000, 5000, 1000);
+
+    /**
+     * Returns these limits with another size of requests.
+     *
+     * @param value the largest body of a request, in bytes
+     * @return the limits
+     */
+    public GatewayLimits withRequestBytes(int value) {
+        return new GatewayLimits(
+                value,
+                answerBytes,
+                bufferedBytes,
+                defaultDeadlineMillis,
+                connectMillis,
+                probeIdleMillis,
+                probeTimeoutMillis);
+    }
 }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/InteractiveGateway.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/InteractiveGateway.java
@@ -18,6 +18,7 @@
 import org.damasktiller.identity.EndpointId;
 import org.damasktiller.identity.KindName;
 import org.damasktiller.platform.http.JsonResponses;
+import org.damasktiller.platform.http.JsonServlets;
 import org.damasktiller.routing.ClaimOutcome;
 import org.damasktiller.routing.EndpointAllowance;
 import org.damasktiller.routing.EndpointDescription;
@@ -134,8 +135,10 @@
 
     @Override
     public Promise<HttpResponse> serve(HttpRequest request) {
-        return request.loadBody(limits.requestBytes())
-                .then(body -> acceptOrRefuse(request, body.getArray()));
+        return JsonServlets.body(request, limits.requestBytes())
+                .then(
+                        body -> acceptOrRefuse(request, body),
+                        exception -> Promise.of(JsonResponses.error(exception)));
     }
 
     /**
--- a/damasktiller-platform/src/main/java/org/damasktiller/platform/http/JsonServlets.java
+++ b/damasktiller-platform/src/main/java/org/damasktiller/platform/http/JsonServlets.java
@@ -9,6 +9,7 @@
 import org.damasktiller.error.ErrorCode;
 import org.damasktiller.error.Outcome;
 import org.damasktiller.error.Step;
+import org.jspecify.annotations.Nullable;
 
 /** Makes servlets that take and answer JSON. */
 public final class JsonServlets {
@@ -69,18 +70,40 @@
     public static Promise<byte[]> body(HttpRequest request, int maximumBytes) {
         return request.loadBody(maximumBytes)
                 .map(
-                        buffer -> buffer.getArray(),
+                        buffer -> checkSize(buffer.getArray(), maximumBytes),
                         exception -> {
-                            throw new DamasktillerException(
-                                    ErrorCode.BODY_TOO_LARGE,
-                                    Step.ACCEPT,
-                                    "",
-                                    Outcome.NOT_RUN,
-                                    "the body was not read whole; allowed "
-                                            + maximumBytes
-                                            + " bytes: "
-                                            + exception.getMessage(),
-                                    exception);
+                            throw tooLarge(maximumBytes, exception);
                         });
     }
+
+    /**
+     * Checks the size of a body; the library checks that of a body in parts only.
+     *
+     * @param body the body
+     * @param maximumBytes the largest body accepted, in bytes
+     * @return the body
+     */
+    private static byte[] checkSize(byte[] body, int maximumBytes) {
+        if (body.length > maximumBytes) {
+            throw tooLarge(maximumBytes, null);
+        }
+        return body;
+    }
+
+    /**
+     * Makes the error of a body that is too large.
+     *
+     * @param maximumBytes the largest body accepted, in bytes
+     * @param cause the error beneath, or null
+     * @return the error
+     */
+    private static DamasktillerException tooLarge(int maximumBytes, @Nullable Throwable cause) {
+        return new DamasktillerException(
+                ErrorCode.BODY_TOO_LARGE,
+                Step.ACCEPT,
+                "",
+                Outcome.NOT_RUN,
+                "the body was not read whole; allowed are " + maximumBytes + " bytes",
+                cause);
+    }
 }
