Drive owners of cells and claim shards with one loop

Cause: the drivers of both need the same order of events, clock and replies. Conclusion: claims can be wired without a second driver.

--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/CellDriver.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/CellDriver.java
@@ -1,17 +1,9 @@
 package org.damasktiller.daemon.cell;
 
-import com.google.common.util.concurrent.MoreExecutors;
-import io.activej.common.time.CurrentTimeProvider;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
-import io.activej.reactor.Reactor;
-import java.lang.System.Logger;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.Executor;
 import java.util.function.Consumer;
-import java.util.function.LongFunction;
 import org.damasktiller.authority.call.StoreCalls;
 import org.damasktiller.authority.cell.Cancel;
 import org.damasktiller.authority.cell.CellAction;
@@ -30,39 +22,26 @@
 import org.damasktiller.authority.cell.StoreRequest;
 import org.damasktiller.authority.cell.Submit;
 import org.damasktiller.authority.cell.Tick;
+import org.damasktiller.authority.cell.UsageObserved;
 import org.damasktiller.authority.cell.WorkerAnswered;
 import org.damasktiller.authority.cell.WorkerFailed;
 import org.damasktiller.authority.cell.WorkerRequest;
 import org.damasktiller.authority.cell.WorkersListed;
+import org.damasktiller.daemon.drive.OwnerEnvironment;
+import org.damasktiller.daemon.drive.OwnerLoop;
+import org.damasktiller.daemon.drive.PendingReplies;
 import org.damasktiller.identity.JobId;
 import org.damasktiller.store.KeyValueStore;
 import org.damasktiller.worker.WorkerClient;
 
 /**
- * Drives the owner of one cell. Events go to the owner one at a time on a pool of threads shared by
- * all cells; its actions are carried out on the reactor, whose thread calls every public method.
- * The owner is touched by the pool only, what it tells is passed on in volatile fields, and the
- * rest of the state is touched by the reactor only, so no lock is held anywhere.
+ * Drives the owner of one cell. Every public method is called on the reactor's thread; the owner
+ * itself runs on the pool, and what it tells is passed on in volatile fields.
  */
 public final class CellDriver {
 
-    /** The log. */
-    private static final Logger LOGGER = System.getLogger(CellDriver.class.getName());
-
-    /** The time between two ticks of the owner, in milliseconds. */
-    private static final long TICK_MILLIS = 20;
-
-    /** The owner of the cell. */
-    private final CellOwner owner;
-
-    /** The reactor that does the I/O. */
-    private final Reactor reactor;
-
-    /** Runs the owner's events one after the other. */
-    private final Executor events;
-
-    /** The clock read at the moment an event is handled. */
-    private final CurrentTimeProvider clock;
+    /** Gives the owner its events. */
+    private final OwnerLoop<CellEvent, CellAction> loop;
 
     /** The key-value service. */
     private final KeyValueStore store;
@@ -73,24 +52,18 @@
     /** Told of each committed change of a job. */
     private final Consumer<JobChanged> jobListener;
 
-    /** The callers that wait for a reply, by number. */
-    private final Map<Long, SettablePromise<JobReply>> waitingCallers = new HashMap<>();
+    /** The callers that wait for a reply. */
+    private final PendingReplies<JobReply> replies = new PendingReplies<>();
 
     /** Completed once the cell is given back. */
     private final SettablePromise<Void> released = new SettablePromise<>();
 
-    /** The number of the latest reply asked for. */
-    private long lastReplyId;
-
     /** Whether the owner held the cell after its latest event. */
     private volatile boolean active;
 
     /** The process last seen to own the cell. */
     private volatile String holder = "";
 
-    /** Whether the threads of the pool may be gone. */
-    private boolean stopped;
-
     /** Whether the owner still acts. */
     private boolean running = true;
 
@@ -102,23 +75,21 @@
      * @param jobListener told of each committed change of a job, on the reactor's thread
      */
     public CellDriver(
-            CellOwner owner, CellEnvironment environment, Consumer<JobChanged> jobListener) {
-        this.owner = owner;
-        this.reactor = environment.reactor();
-        this.events = MoreExecutors.newSequentialExecutor(environment.decisionPool());
-        this.clock = environment.clock();
+            CellOwner owner, OwnerEnvironment environment, Consumer<JobChanged> jobListener) {
         this.store = environment.store();
         this.workers = environment.workers();
         this.jobListener = jobListener;
+        this.loop =
+                new OwnerLoop<>(
+                        environment,
+                        (event, nowMillis) -> handle(owner, event, nowMillis),
+                        Tick::new,
+                        this::carryOut);
     }
 
     /** Starts to give the owner its ticks. */
     public void start() {
-        if (!running) {
-            return;
-        }
-        post(new Tick());
-        reactor.delayBackground(TICK_MILLIS, this::start);
+        loop.start();
     }
 
     /**
@@ -128,7 +99,7 @@
      * @return the reply, once the acceptance is committed or refused
      */
     public Promise<JobReply> submit(JobSubmission submission) {
-        return ask(replyId -> new Submit(replyId, submission));
+        return replies.ask(number -> loop.post(new Submit(number, submission)));
     }
 
     /**
@@ -138,7 +109,7 @@
      * @return the reply
      */
     public Promise<JobReply> query(JobId job) {
-        return ask(replyId -> new Query(replyId, job));
+        return replies.ask(number -> loop.post(new Query(number, job)));
     }
 
     /**
@@ -148,7 +119,7 @@
      * @return the reply, once the cancellation is committed or refused
      */
     public Promise<JobReply> cancel(JobId job) {
-        return ask(replyId -> new Cancel(replyId, job));
+        return replies.ask(number -> loop.post(new Cancel(number, job)));
     }
 
     /**
@@ -157,7 +128,7 @@
      * @param cellWorkers the workers of the cell
      */
     public void listWorkers(List<CellWorker> cellWorkers) {
-        post(new WorkersListed(cellWorkers));
+        loop.post(new WorkersListed(cellWorkers));
     }
 
     /**
@@ -166,10 +137,16 @@
      * @return completed once it is given back
      */
     public Promise<Void> drain() {
-        post(new Drain());
+        loop.post(new Drain());
         return released;
     }
 
+    /** Stops without giving the cell back; events that come later are dropped. */
+    public void stop() {
+        running = false;
+        loop.stop();
+    }
+
     /**
      * Tells whether the owner holds the cell.
      *
@@ -188,54 +165,29 @@
         return holder;
     }
 
-    /** Stops without giving the cell back; events that come later are dropped. */
-    public void stop() {
-        running = false;
-        stopped = true;
-    }
-
-    /**
-     * Passes an event that needs a reply to the owner.
-     *
-     * @param event makes the event from the number of the reply
-     * @return the reply
-     */
-    private Promise<JobReply> ask(LongFunction<CellEvent> event) {
-        lastReplyId++;
-        SettablePromise<JobReply> reply = new SettablePromise<>();
-        waitingCallers.put(lastReplyId, reply);
-        post(event.apply(lastReplyId));
-        return reply;
-    }
-
     /**
-     * Passes an event to the owner and carries out its actions.
+     * Passes an event to the owner and notes what it tells; runs on the pool.
      *
+     * @param owner the owner
      * @param event the event
+     * @param nowMillis the time, in milliseconds
+     * @return the owner's actions
      */
-    private void post(CellEvent event) {
-        if (stopped) {
-            return;
-        }
-        events.execute(
-                () -> {
-                    List<CellAction> actions = owner.handle(event, clock.currentTimeMillis());
-                    active = owner.active();
-                    holder = owner.holder();
-                    if (!actions.isEmpty()) {
-                        reactor.execute(() -> actions.forEach(this::carryOut));
-                    }
-                });
+    private List<CellAction> handle(CellOwner owner, CellEvent event, long nowMillis) {
+        List<CellAction> actions = owner.handle(event, nowMillis);
+        active = owner.active();
+        holder = owner.holder();
+        return actions;
     }
 
     /**
-     * Carries out one action.
+     * Carries out one action. Replies are passed on also after the cell was given back.
      *
      * @param action the action
      */
     private void carryOut(CellAction action) {
         if (action instanceof Reply reply) {
-            answer(reply);
+            replies.answer(reply.replyId(), reply.reply());
         } else if (running) {
             carryOutAsOwner(action);
         }
@@ -256,8 +208,8 @@
         } else if (action instanceof Released) {
             running = false;
             released.trySet(null);
-        } else {
-            LOGGER.log(Logger.Level.DEBUG, "no one listens to {0}", action);
+        } else if (!(action instanceof UsageObserved)) {
+            throw new IllegalStateException("unknown action " + action);
         }
     }
 
@@ -268,8 +220,8 @@
      */
     private void callStore(StoreRequest request) {
         StoreCalls.send(store, request.call())
-                .whenResult(answer -> post(new StoreAnswered(request.callId(), answer)))
-                .whenException(exception -> post(new StoreFailed(request.callId())));
+                .whenResult(answer -> loop.post(new StoreAnswered(request.callId(), answer)))
+                .whenException(exception -> loop.post(new StoreFailed(request.callId())));
     }
 
     /**
@@ -279,19 +231,7 @@
      */
     private void callWorker(WorkerRequest request) {
         workers.send(request.worker(), request.command())
-                .whenResult(answer -> post(new WorkerAnswered(request.callId(), answer)))
-                .whenException(exception -> post(new WorkerFailed(request.callId())));
-    }
-
-    /**
-     * Passes a reply to the caller that waits for it.
-     *
-     * @param reply the reply
-     */
-    private void answer(Reply reply) {
-        SettablePromise<JobReply> caller = waitingCallers.remove(reply.replyId());
-        if (caller != null) {
-            caller.set(reply.reply());
-        }
+                .whenResult(answer -> loop.post(new WorkerAnswered(request.callId(), answer)))
+                .whenException(exception -> loop.post(new WorkerFailed(request.callId())));
     }
 }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/CellHost.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/CellHost.java
@@ -17,6 +17,7 @@
 import org.damasktiller.authority.cell.JobSubmission;
 import org.damasktiller.authority.layout.CellLayout;
 import org.damasktiller.authority.ownership.OwnerIdentity;
+import org.damasktiller.daemon.drive.OwnerEnvironment;
 import org.damasktiller.daemon.operator.StatusBody;
 import org.damasktiller.error.DamasktillerException;
 import org.damasktiller.error.ErrorCode;
@@ -62,7 +63,7 @@
             ZoneName zone,
             OwnerIdentity self,
             CellSettings settings,
-            CellEnvironment environment) {
+            OwnerEnvironment environment) {
         this.layout = layout;
         this.zone = zone;
         for (CellId cell : layout.cellsOf(zone)) {
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/CellEnvironment.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/drive/OwnerEnvironment.java
@@ -1,4 +1,4 @@
-package org.damasktiller.daemon.cell;
+package org.damasktiller.daemon.drive;
 
 import io.activej.common.time.CurrentTimeProvider;
 import io.activej.reactor.Reactor;
@@ -7,7 +7,7 @@
 import org.damasktiller.worker.WorkerClient;
 
 /**
- * Holds what the owners of cells need from their entry VM.
+ * Holds what the owners of cells and claim shards need from their entry VM.
  *
  * @param reactor the reactor that does the I/O
  * @param decisionPool the threads on which decisions are taken
@@ -15,7 +15,7 @@
  * @param store the key-value service
  * @param workers the workers
  */
-public record CellEnvironment(
+public record OwnerEnvironment(
         Reactor reactor,
         Executor decisionPool,
         CurrentTimeProvider clock,
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryParts.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryParts.java
@@ -14,10 +14,10 @@
 import java.util.function.IntSupplier;
 import org.damasktiller.authority.layout.CellLayout;
 import org.damasktiller.authority.ownership.OwnerIdentity;
-import org.damasktiller.daemon.cell.CellEnvironment;
 import org.damasktiller.daemon.cell.CellHost;
 import org.damasktiller.daemon.cell.ForwardingJobRouter;
 import org.damasktiller.daemon.cell.PeerJobClient;
+import org.damasktiller.daemon.drive.OwnerEnvironment;
 import org.damasktiller.daemon.gateway.GatewayLimits;
 import org.damasktiller.daemon.gateway.InteractiveGateway;
 import org.damasktiller.daemon.job.JobRouter;
@@ -203,8 +203,8 @@
      * @return the host, not yet started
      */
     private CellHost createCellHost() {
-        CellEnvironment environment =
-                new CellEnvironment(
+        OwnerEnvironment environment =
+                new OwnerEnvironment(
                         eventloop,
                         decisionPool,
                         CurrentTimeProvider.ofSystem(),
--- a/damasktiller-daemon/src/test/java/org/damasktiller/daemon/cell/CellDriverTest.java
+++ b/damasktiller-daemon/src/test/java/org/damasktiller/daemon/cell/CellDriverTest.java
@@ -19,6 +19,7 @@
 import org.damasktiller.authority.cell.JobReply;
 import org.damasktiller.authority.cell.JobSubmission;
 import org.damasktiller.authority.ownership.OwnerIdentity;
+import org.damasktiller.daemon.drive.OwnerEnvironment;
 import org.damasktiller.error.ErrorCode;
 import org.damasktiller.error.Outcome;
 import org.damasktiller.identity.CellId;
@@ -60,8 +61,8 @@
     void startDriver() {
         eventloop = EventLoops.start("driver");
         StoreService store = new StoreService(eventloop, new StoreState());
-        CellEnvironment environment =
-                new CellEnvironment(
+        OwnerEnvironment environment =
+                new OwnerEnvironment(
                         eventloop,
                         pool,
                         clock,
