Keep shares in a full fleet whose jobs differ in size

Throttled jobs ran on far beyond the time charged for them without being charged. Change: a kind ahead of its share leaves coming room to a kind that is behind and was refused for room, for at most 30 s without a start and only if the size is at most half of the largest worker; for larger sizes workers are kept for the kind, a quarter of the fleet at most, for 5 s at a time; a kind refused because of harm gathers no credit; overruns are charged at each report. Placement tells room from harm. Other jobs leave free memory for an urgent one.

--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/decisions/ScenarioFigures.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/decisions/ScenarioFigures.java
@@ -24,6 +24,9 @@
     /** The longest time in which urgent jobs start at the 99.9th percentile, in seconds. */
     private static final double URGENT_TARGET = 1.1;
 
+    /** The largest relative difference of a share from its weight. */
+    private static final double SHARE_TARGET = 0.05;
+
     /** The microseconds of a second. */
     private static final double MICROS = 1_000_000;
 
@@ -92,6 +95,7 @@
         report.add(prefix + "/overcommits", (double) own.overcommits, "count", 0, Bound.AT_MOST);
         double urgent = own.urgentWaits.getValueAtPercentile(PERCENTILES[2]) / MICROS;
         report.add(prefix + "/urgent_p999", urgent, "s", URGENT_TARGET, Bound.AT_MOST);
+        report.add(prefix + "/share_error", own.shareError, "part", SHARE_TARGET, Bound.AT_MOST);
         if (scenario == Scenario.BLACK_HOLE_WORKER) {
             double part = (double) own.startsOnFailing / own.starts;
             report.add(
@@ -126,6 +130,7 @@
         report.add(begin + "evictions", (double) figures.evictions, "count");
         report.add(begin + "work_lost", figures.lostWork / HOUR, "processor-hours");
         report.add(begin + "longest_wait", figures.longestWaitSeconds, "s");
+        report.add(begin + "share_error", figures.shareError, "part");
         report.add(begin + "overcommits", (double) figures.overcommits, "count");
     }
 
--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/decisions/ScenarioRun.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/decisions/ScenarioRun.java
@@ -59,6 +59,9 @@
     /** The number of thirds. */
     private static final int THIRDS = 3;
 
+    /** The time between two readings of the shares, in seconds. */
+    private static final int SHARE_SECONDS = 60;
+
     /** The milliseconds of a second. */
     private static final long SECOND = 1000;
 
@@ -110,6 +113,9 @@
     /** The length of the run, in seconds. */
     private final int seconds;
 
+    /** The shares read back. */
+    private final ShareWatch shares = new ShareWatch();
+
     /** The figures. */
     private final RunFigures figures = new RunFigures();
 
@@ -163,7 +169,9 @@
             apply(reports.deliver(policy, now));
             apply(policy.round((now + 1) * SECOND));
             advance();
+            readShares();
         }
+        figures.shareError = shares.largestError();
         for (FakeTask task : jobs.values()) {
             if (!task.started && !task.poisoned && !task.cancelled) {
                 waited(task);
@@ -181,6 +189,14 @@
         return world;
     }
 
+    /** Reads the shares back once a minute after the change of the scenario. */
+    private void readShares() {
+        boolean due = now > profile.changeSecond() && now % SHARE_SECONDS == 0;
+        if (due && policy instanceof DispatcherPolicy dispatcher) {
+            shares.read(dispatcher.shares(now * SECOND));
+        }
+    }
+
     /** Makes the changes of the scenario that are due. */
     private void change() {
         int since = now - profile.changeSecond();
--- a/damasktiller-library/src/main/java/org/damasktiller/decision/dispatch/Dispatcher.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/decision/dispatch/Dispatcher.java
@@ -2,12 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.damasktiller.decision.KindIndex;
 import org.damasktiller.decision.estimate.RunTimeEstimator;
@@ -18,10 +16,10 @@
 import org.damasktiller.decision.health.FleetLimits;
 import org.damasktiller.decision.health.PoisonedJobs;
 import org.damasktiller.decision.health.RefusedJobs;
-import org.damasktiller.decision.health.WorkerHealth;
 import org.damasktiller.decision.health.WorkerStanding;
 import org.damasktiller.decision.interference.HarmScore;
 import org.damasktiller.decision.interference.InterferenceEstimator;
+import org.damasktiller.decision.placement.PlacementChoice;
 import org.damasktiller.decision.placement.PlacementIndex;
 import org.damasktiller.decision.placement.PlacementRequest;
 import org.damasktiller.decision.placement.PlacementScore;
@@ -42,6 +40,9 @@
  */
 public final class Dispatcher {
 
+    /** How long workers are kept for a kind that finds no room, in milliseconds. */
+    private static final long HOLD_MILLIS = 5000;
+
     /** The settings. */
     private final DispatchSettings settings;
 
@@ -78,8 +79,8 @@
     /** The jobs that can never run. */
     private final RefusedJobs refused = new RefusedJobs(limits);
 
-    /** The standing of workers. */
-    private final WorkerHealth health;
+    /** Opens and closes workers. */
+    private final WorkerAccess access;
 
     /** The jobs that fail. */
     private final PoisonedJobs poisoned;
@@ -93,8 +94,8 @@
     /** Protects services. */
     private final ServiceProtection protection;
 
-    /** The workers that are leaving. */
-    private final Set<WorkerId> draining = new HashSet<>();
+    /** The memory that other jobs leave free on each worker for an urgent one. */
+    private Resources urgentMemory = Resources.NONE;
 
     /** The capacity of the fleet. */
     private Resources capacity = Resources.NONE;
@@ -111,8 +112,8 @@
         queue = new FairShareQueue(Resources.NONE, settings.aging());
         harm = new HarmScore(interference, settings.harm(), random);
         tasks = new TaskTable(kinds, index, queue, interference);
-        health = new WorkerHealth(settings.health());
-        poisoned = new PoisonedJobs(settings.workersToPoison(), health);
+        access = new WorkerAccess(index, settings.health());
+        poisoned = new PoisonedJobs(settings.workersToPoison(), access.health());
         sizeControl = new SizeControl(tasks, sizes, limits);
         rooms = new RoomMaker(tasks);
         protection = new ServiceProtection(tasks, rooms, kinds, interference, settings);
@@ -127,6 +128,10 @@
     public void putKind(KindOfWork row, long nowMillis) {
         rows.put(row.name(), row);
         queue.putKind(row, nowMillis);
+        if (row.workClass() == WorkClass.URGENT) {
+            long most = Math.max(urgentMemory.memoryMegabytes(), row.declared().memoryMegabytes());
+            urgentMemory = new Resources(0, most, 0);
+        }
         boolean guarded = row.workClass() == WorkClass.INTERACTIVE;
         harm.guard(kinds.number(row.name()), guarded);
         refused.examineAgain(kind -> row(kind).places()).forEach(queue::submit);
@@ -152,7 +157,7 @@
             return;
         }
         index.addWorker(spec);
-        health.addWorker(spec.id());
+        access.health().addWorker(spec.id());
         limits.add(spec.zone(), spec.capacity());
         capacity = capacity.plus(spec.capacity());
         queue.capacity(capacity);
@@ -165,8 +170,7 @@
      * @param id the worker
      */
     public void drain(WorkerId id) {
-        draining.add(id);
-        index.open(id, false);
+        access.drain(id);
     }
 
     /**
@@ -185,8 +189,7 @@
         List<RunningTask> lost = List.copyOf(tasks.on(id));
         lost.forEach(task -> tasks.remove(task, nowMillis));
         index.removeWorker(id);
-        draining.remove(id);
-        health.removeWorker(id);
+        access.remove(id);
         interference.workerGone(id);
         protection.workerGone(id);
         limits.remove(worker.spec().zone(), worker.spec().capacity());
@@ -236,7 +239,6 @@
      * @return the stop if it runs, otherwise nothing
      */
     public List<DispatchAction> cancel(JobId job) {
-        index.releaseHold(job);
         if (queue.cancel(job) || refused.cancel(job)) {
             poisoned.ended(job);
             return List.of();
@@ -257,15 +259,14 @@
      * @return the starts, each after the throttles that make room for it
      */
     public List<DispatchAction> round(long nowMillis) {
-        health.onTime(nowMillis).forEach(this::reopen);
+        access.onTime(nowMillis);
         List<DispatchAction> actions = new ArrayList<>();
+        index.expireHolds(nowMillis);
         queue.beginRound();
         Optional<PendingJob> next = queue.next(nowMillis);
         while (next.isPresent()) {
             PendingJob job = next.get();
-            if (!place(job, actions, nowMillis)) {
-                onNoRoom(job, nowMillis);
-            }
+            place(job, actions, nowMillis);
             next = queue.next(nowMillis);
         }
         return actions;
@@ -284,6 +285,7 @@
             return List.of();
         }
         task.workAtRiskMillis = report.workAtRiskMillis();
+        queue.chargeOverrun(report.job(), nowMillis);
         List<DispatchAction> actions = new ArrayList<>(rooms.restore(task, nowMillis));
         actions.addAll(sizeControl.onUsage(task, report, nowMillis));
         return actions;
@@ -360,49 +362,56 @@
      * @return the standing
      */
     public WorkerStanding standing(WorkerId worker) {
-        return health.standing(worker);
+        return access.health().standing(worker);
     }
 
     /**
-     * Tries to start a job.
+     * Starts a job, or passes it over for the rest of the round.
      *
      * @param job the job
      * @param actions where the actions go
      * @param nowMillis the time, in milliseconds
-     * @return whether it was started
      */
-    private boolean place(PendingJob job, List<DispatchAction> actions, long nowMillis) {
+    private void place(PendingJob job, List<DispatchAction> actions, long nowMillis) {
         PlacementRequest request = request(job, nowMillis);
-        Optional<WorkerId> worker = index.choose(request, score());
+        PlacementChoice choice = index.choose(request, score());
+        Optional<WorkerId> worker = choice.worker();
         if (worker.isEmpty() && row(job.kind()).workClass() == WorkClass.URGENT) {
-            PlacementScore room =
-                    (kind, asked, candidate) ->
-                            rooms.canFree(candidate.spec().id(), asked.size())
-                                    ? candidate.reservedShare()
-                                    : Double.POSITIVE_INFINITY;
-            worker = index.chooseAny(request, room);
-            worker.ifPresent(
-                    id ->
-                            actions.addAll(
-                                    rooms.free(id, request.size().milliProcessors(), nowMillis)));
+            worker = makeRoom(request, actions, nowMillis);
         }
-        if (worker.isEmpty() || !start(job, worker.get(), request.size(), nowMillis)) {
-            return false;
+        if (worker.isPresent() && start(job, worker.get(), request.size(), nowMillis)) {
+            actions.add(new StartTask(job.id(), worker.get(), request.size()));
+        } else if (choice.roomFound()) {
+            queue.refusedForHarm(job);
+        } else {
+            Resources twice = request.size().plus(request.size());
+            boolean soon = twice.fitsWithin(limits.largest());
+            int owed = queue.refusedForRoom(job, soon, nowMillis);
+            if (owed > 0) {
+                index.hold(request, score(), owed, nowMillis + HOLD_MILLIS);
+            }
         }
-        actions.add(new StartTask(job.id(), worker.get(), request.size()));
-        return true;
     }
 
     /**
-     * Keeps a worker for a job that has waited long.
+     * Makes room for an urgent job by throttling batch tasks.
      *
-     * @param job the job
+     * @param request the request
+     * @param actions where the actions go
      * @param nowMillis the time, in milliseconds
+     * @return the worker, or empty if no room can be made
      */
-    private void onNoRoom(PendingJob job, long nowMillis) {
-        if (queue.refused(job, nowMillis)) {
-            index.hold(request(job, nowMillis));
-        }
+    private Optional<WorkerId> makeRoom(
+            PlacementRequest request, List<DispatchAction> actions, long nowMillis) {
+        PlacementScore room =
+                (kind, asked, candidate) ->
+                        rooms.canFree(candidate.spec().id(), asked.size())
+                                ? candidate.reservedShare()
+                                : Double.POSITIVE_INFINITY;
+        Optional<WorkerId> worker = index.chooseAny(request, room);
+        long processors = request.size().milliProcessors();
+        worker.ifPresent(id -> actions.addAll(rooms.free(id, processors, nowMillis)));
+        return worker;
     }
 
     /**
@@ -415,7 +424,9 @@
     private PlacementRequest request(PendingJob job, long nowMillis) {
         Resources size = sizeControl.forNew(job.kind(), job.size(), nowMillis);
         KindOfWork row = row(job.kind());
-        return new PlacementRequest(job.id(), job.kind(), size, Resources.NONE, row.places());
+        boolean urgent = row.workClass() == WorkClass.URGENT;
+        Resources leaveFree = urgent ? Resources.NONE : urgentMemory;
+        return new PlacementRequest(job.id(), job.kind(), size, leaveFree, row.places());
     }
 
     /**
@@ -451,9 +462,7 @@
         }
         long expected = runTimes.expectedMillis(job.kind(), row.runTimeMillis(), nowMillis);
         queue.started(job.id(), size, expected, nowMillis);
-        if (health.standing(worker) == WorkerStanding.TRIAL) {
-            index.open(worker, false);
-        }
+        access.onStart(worker);
         return true;
     }
 
@@ -468,22 +477,12 @@
         boolean failed = result == TaskResult.FAILED;
         if (failed || result == TaskResult.SUCCEEDED) {
             KindName kind = task.job.kind();
-            health.onResult(task.worker, task.job.id(), kind, failed, nowMillis);
+            access.health().onResult(task.worker, task.job.id(), kind, failed, nowMillis);
             if (!failed) {
                 runTimes.observe(kind, nowMillis - task.startedMillis, nowMillis);
             }
         }
-        reopen(task.worker);
-    }
-
-    /**
-     * Opens a worker to new work unless it is leaving or on probation.
-     *
-     * @param worker the worker
-     */
-    private void reopen(WorkerId worker) {
-        boolean probation = health.standing(worker) == WorkerStanding.PROBATION;
-        index.open(worker, !probation && !draining.contains(worker));
+        access.reopen(task.worker);
     }
 
     /**
--- a/damasktiller-library/src/main/java/org/damasktiller/decision/fairshare/FairShareQueue.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/decision/fairshare/FairShareQueue.java
@@ -26,9 +26,9 @@
  * dominant share over time divided by its weight) is chosen. The expected run time is charged at
  * the start and corrected at the end. A job that cannot be placed holds up no other size or kind.
  *
- * <p>The caller opens a round, then asks for the next job and answers with {@code started} or
- * {@code refused} until none is left. A choice costs O(log n), a cancellation O(1). Not safe for
- * use by several threads.
+ * <p>The caller opens a round, then asks for the next job and answers with {@code started}, {@code
+ * refusedForRoom} or {@code refusedForHarm} until none is left. A choice costs O(log n), a
+ * cancellation O(1). Not safe for use by several threads.
  */
 public final class FairShareQueue {
 
@@ -38,6 +38,18 @@
                     .thenComparingDouble(kind -> kind.orderTime)
                     .thenComparing(kind -> kind.row.name());
 
+    /** The jobs by which a kind may be behind its share before room is kept for it. */
+    private static final int LEAST_OWED = 1;
+
+    /** The most jobs of a kind for which room is kept. */
+    private static final int MOST_OWED = 1000;
+
+    /** The virtual time that is never reached. */
+    private static final double NO_BAR = Double.POSITIVE_INFINITY;
+
+    /** The least charge of a job, in whole-fleet milliseconds. */
+    private static final double SMALLEST_CHARGE = 1e-3;
+
     /** How long jobs may wait before they are preferred. */
     private final AgingRule aging;
 
@@ -56,15 +68,15 @@
     /** The running jobs. */
     private final Map<JobId, RunningJob> running = new HashMap<>();
 
-    /** The quotas of tenants that have one. */
-    private final Map<TenantName, Resources> quotas = new HashMap<>();
-
-    /** What the running jobs of each tenant reserve. */
-    private final Map<TenantName, Resources> tenantUse = new HashMap<>();
+    /** The usage and quotas of tenants. */
+    private final TenantUsage tenants = new TenantUsage();
 
     /** The virtual time of the last choice in each rank, the least that a new entrant gets. */
     private final TreeMap<Integer, Double> floors = new TreeMap<>();
 
+    /** The virtual time in each rank beyond which no kind starts jobs in this round. */
+    private final Map<Integer, Double> bars = new HashMap<>();
+
     /** The capacity of the fleet. */
     private Resources capacity;
 
@@ -106,7 +118,7 @@
             kinds.put(row.name(), new KindQueue(row, nowMillis));
             return;
         }
-        moveTenantUse(kind, row.tenant());
+        tenants.move(kind.row.tenant(), row.tenant(), kind.used);
         if (kind.row.ratePerSecond() != row.ratePerSecond()) {
             kind.rate = new StartRate(row.ratePerSecond(), nowMillis);
         }
@@ -121,7 +133,7 @@
      * @param limit the most that its running jobs may reserve together
      */
     public void putQuota(TenantName tenant, Resources limit) {
-        quotas.put(tenant, limit);
+        tenants.putQuota(tenant, limit);
     }
 
     /**
@@ -168,6 +180,7 @@
 
     /** Opens a round: all that was passed over in the last round may be tried again. */
     public void beginRound() {
+        bars.clear();
         for (KindQueue kind : kinds.values()) {
             kind.reopen();
         }
@@ -179,7 +192,8 @@
     }
 
     /**
-     * Returns the job to start next. The caller answers with {@code started} or {@code refused}.
+     * Returns the job to start next. The caller answers with {@code started} or one of the
+     * refusals.
      *
      * @param nowMillis the time, in milliseconds
      * @return the job, or empty if no more can start in this round
@@ -192,12 +206,12 @@
         while (!ready.isEmpty()) {
             KindQueue kind = ready.first();
             QueuedJob head = kind.head();
-            if (head == null) {
+            if (head == null || kind.orderTime > bars.getOrDefault(kind.orderRank, NO_BAR)) {
                 passOver(kind);
             } else if (!withinLimits(kind, nowMillis)) {
                 passOver(kind);
                 liftToFloor(kind);
-            } else if (!withinQuota(kind, head.job.size())) {
+            } else if (!tenants.allows(kind.row.tenant(), head.job.size())) {
                 kind.refuse(head.owner);
             } else {
                 return Optional.of(head.job);
@@ -207,18 +221,47 @@
     }
 
     /**
-     * Records that a job cannot be placed now; its size is passed over for the rest of the round.
+     * Records that no worker has room for a job; its size is passed over for the rest of the round.
+     * If room for its size comes soon, kinds that are ahead of it do not take that room while it is
+     * behind its share, for a bounded time.
      *
      * @param job the job
+     * @param soon whether the size is small enough that room for it comes soon
      * @param nowMillis the time, in milliseconds
-     * @return whether the job has waited so long that room should be kept for it
+     * @return for how many jobs of the kind room should be kept, since the kind is behind its share
+     *     by about as many or the job has waited long; zero if for none
      */
-    public boolean refused(PendingJob job, long nowMillis) {
+    public int refusedForRoom(PendingJob job, boolean soon, long nowMillis) {
+        QueuedJob entry = waiting.get(job.id());
+        if (entry == null) {
+            return 0;
+        }
+        KindQueue kind = entry.owner.kind;
+        kind.refuse(entry.owner);
+        double behind = floors.getOrDefault(kind.orderRank, 0.0) - kind.virtualTime;
+        double one = Math.max(kind.lastCharge, SMALLEST_CHARGE);
+        int owed = (int) Math.min(MOST_OWED, behind / one);
+        if (soon && owed > LEAST_OWED && kind.mayBar(nowMillis)) {
+            bars.merge(kind.orderRank, kind.virtualTime + LEAST_OWED * one, Math::min);
+        }
+        if (nowMillis - job.submittedMillis() >= aging.waitMillis()) {
+            return Math.max(1, owed);
+        }
+        return owed > LEAST_OWED && !soon ? owed : 0;
+    }
+
+    /**
+     * Records that a job must not run on any worker that has room; its size is passed over for the
+     * rest of the round, and its kind gathers no credit for a share that it may not use.
+     *
+     * @param job the job
+     */
+    public void refusedForHarm(PendingJob job) {
         QueuedJob entry = waiting.get(job.id());
         if (entry != null) {
             entry.owner.kind.refuse(entry.owner);
+            liftToFloor(entry.owner.kind);
         }
-        return nowMillis - job.submittedMillis() >= aging.waitMillis();
     }
 
     /**
@@ -237,6 +280,7 @@
         KindQueue kind = entry.owner.kind;
         kind.remove(entry);
         kind.rate.take();
+        kind.barredMillis = 0;
         starts++;
         if (!ready.isEmpty() && ready.first() == kind) {
             floors.merge(kind.orderRank, kind.virtualTime, Math::max);
@@ -244,7 +288,9 @@
         running.put(id, new RunningJob(kind, reserved, expectedMillis, nowMillis));
         kind.running++;
         use(kind, kind.used.plus(reserved), reserved, Resources.NONE);
+        double before = kind.virtualTime;
         charge(kind, reserved, expectedMillis);
+        kind.lastCharge = kind.virtualTime - before;
         reorder(kind);
     }
 
@@ -269,6 +315,19 @@
         reorder(kind);
     }
 
+    /**
+     * Charges a running job for what it ran beyond the time that was charged ahead.
+     *
+     * @param id the job
+     * @param nowMillis the time, in milliseconds
+     */
+    public void chargeOverrun(JobId id, long nowMillis) {
+        RunningJob job = running.get(id);
+        if (job != null && nowMillis - job.sinceMillis() > job.chargedMillis()) {
+            resized(id, job.reserved(), nowMillis);
+        }
+    }
+
     /**
      * Records the end of a running job, whether finished, failed or evicted.
      *
@@ -303,34 +362,7 @@
      * @return the readings in order of the names
      */
     public List<ShareReading> shares(long nowMillis) {
-        Map<KindQueue, Double> consumed = new HashMap<>();
-        for (RunningJob job : running.values()) {
-            double share = DominantShare.of(job.reserved(), capacity);
-            consumed.merge(job.kind(), share * (nowMillis - job.sinceMillis()), Double::sum);
-        }
-        return kinds.values().stream()
-                .sorted(Comparator.comparing(kind -> kind.row.name()))
-                .map(kind -> reading(kind, consumed.getOrDefault(kind, 0.0), nowMillis))
-                .toList();
-    }
-
-    /**
-     * Builds the reading of one kind.
-     *
-     * @param kind the kind
-     * @param unsettled the share of its running jobs not yet added, in whole-fleet milliseconds
-     * @param nowMillis the time, in milliseconds
-     * @return the reading
-     */
-    private ShareReading reading(KindQueue kind, double unsettled, long nowMillis) {
-        return new ShareReading(
-                kind.row.name(),
-                kind.row.weight(),
-                kind.consumedMillis + unsettled,
-                DominantShare.of(kind.used, capacity),
-                kind.running,
-                kind.pending,
-                nowMillis - kind.oldestMillis(nowMillis));
+        return new ShareReader(capacity, nowMillis).read(kinds.values(), running.values());
     }
 
     /**
@@ -347,7 +379,9 @@
                 continue;
             }
             boolean older = oldest == null || head.sequence < oldest.sequence;
-            if (older && withinLimits(kind, nowMillis) && withinQuota(kind, head.job.size())) {
+            if (older
+                    && withinLimits(kind, nowMillis)
+                    && tenants.allows(kind.row.tenant(), head.job.size())) {
                 oldest = head;
             }
         }
@@ -367,22 +401,6 @@
                 && kind.rate.allows(kind.row.ratePerSecond(), nowMillis);
     }
 
-    /**
-     * Tells whether one more job fits within the quota of its tenant.
-     *
-     * @param kind the kind of the job
-     * @param size the size of the job
-     * @return whether it fits
-     */
-    private boolean withinQuota(KindQueue kind, Resources size) {
-        Resources quota = quotas.get(kind.row.tenant());
-        if (quota == null) {
-            return true;
-        }
-        Resources used = tenantUse.getOrDefault(kind.row.tenant(), Resources.NONE);
-        return used.plus(size).fitsWithin(quota);
-    }
-
     /**
      * Passes a kind over for the rest of the round, or until its next job if none waits.
      *
@@ -458,23 +476,6 @@
      */
     private void use(KindQueue kind, Resources used, Resources added, Resources removed) {
         kind.used = used;
-        TenantName tenant = kind.row.tenant();
-        Resources before = tenantUse.getOrDefault(tenant, Resources.NONE);
-        tenantUse.put(tenant, before.plus(added).minus(removed));
-    }
-
-    /**
-     * Moves the usage of a kind to another tenant.
-     *
-     * @param kind the kind
-     * @param tenant the tenant it belongs to from now on
-     */
-    private void moveTenantUse(KindQueue kind, TenantName tenant) {
-        TenantName before = kind.row.tenant();
-        if (before.equals(tenant)) {
-            return;
-        }
-        tenantUse.computeIfPresent(before, (name, used) -> used.minus(kind.used));
-        tenantUse.merge(tenant, kind.used, Resources::plus);
+        tenants.change(kind.row.tenant(), added, removed);
     }
 }
--- a/damasktiller-library/src/main/java/org/damasktiller/decision/fairshare/KindQueue.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/decision/fairshare/KindQueue.java
@@ -27,6 +27,12 @@
     /** The rank of all other kinds. */
     private static final int RANK_BATCH = 3;
 
+    /** How long a kind without a start may keep others from starting, in milliseconds. */
+    private static final long LONGEST_BAR_MILLIS = 30_000;
+
+    /** How long it may not do so again afterwards, in milliseconds. */
+    private static final long REST_MILLIS = 600_000;
+
     /** The percent of a whole. */
     private static final double PERCENT = 100;
 
@@ -57,9 +63,18 @@
     /** The number of waiting jobs. */
     int pending;
 
+    /** The virtual time charged for the last job started. */
+    double lastCharge;
+
+    /** Since when the kind has kept kinds ahead of it from starting, in milliseconds, or zero. */
+    long barredMillis;
+
     /** Whether the kind is passed over for the rest of the round. */
     boolean parked;
 
+    /** Until when the kind may not bar others again, in milliseconds. */
+    private long unbarredUntilMillis;
+
     /** The lists that may be tried, by the arrival of their first job. */
     private final TreeMap<Long, SizeQueue> open = new TreeMap<>();
 
@@ -97,6 +112,28 @@
         return row.workClass() == WorkClass.INTERACTIVE ? RANK_INTERACTIVE : RANK_BATCH;
     }
 
+    /**
+     * Tells whether the kind may keep kinds ahead of it from starting. If this has gone on for long
+     * without a start of its own, it may not do so for a while.
+     *
+     * @param nowMillis the time, in milliseconds
+     * @return whether it may
+     */
+    boolean mayBar(long nowMillis) {
+        if (nowMillis < unbarredUntilMillis) {
+            return false;
+        }
+        if (barredMillis == 0) {
+            barredMillis = nowMillis;
+        }
+        if (nowMillis - barredMillis < LONGEST_BAR_MILLIS) {
+            return true;
+        }
+        barredMillis = 0;
+        unbarredUntilMillis = nowMillis + REST_MILLIS;
+        return false;
+    }
+
     /**
      * Adds a waiting job.
      *
--- a/damasktiller-library/src/main/java/org/damasktiller/decision/placement/PlacementIndex.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/decision/placement/PlacementIndex.java
@@ -22,8 +22,8 @@
  */
 public final class PlacementIndex {
 
-    /** One worker in this many, at least one, may be kept for jobs that wait long. */
-    private static final int WORKERS_PER_HOLD = 20;
+    /** One worker in this many, at least one, may be kept for kinds that find no room. */
+    private static final int WORKERS_PER_HOLD = 4;
 
     /** How many workers are looked at when one is chosen to be kept. */
     private static final int HOLD_SAMPLES = 16;
@@ -49,8 +49,8 @@
     /** The reservations. */
     private final Map<JobId, Reservation> reservations = new HashMap<>();
 
-    /** The workers kept for a job. */
-    private final Map<JobId, WorkerState> holds = new HashMap<>();
+    /** The workers kept for a kind. */
+    private final WorkerHolds holds = new WorkerHolds();
 
     /** The workers gathered for a choice. */
     private final CandidateSet candidates = new CandidateSet();
@@ -107,7 +107,7 @@
         ZoneWorkers zone = zoneOf(worker);
         zone.unindex(worker);
         zone.all().remove(worker);
-        holds.values().removeIf(held -> held == worker);
+        holds.remove(worker);
         List<JobId> lost = new ArrayList<>();
         for (Reservation reservation : reservations.values()) {
             if (reservation.worker().equals(id)) {
@@ -135,29 +135,29 @@
     }
 
     /**
-     * Chooses the worker with the least cost among a sample of those that have room.
+     * Chooses the worker with the least cost among those kept for the kind, or else among a sample
+     * of those that have room.
      *
      * @param request the request
      * @param score the cost of each worker
-     * @return the worker, or empty if none has room or all costs are infinite
+     * @return the worker, or none if no worker has room or all costs are infinite
      */
-    public Optional<WorkerId> choose(PlacementRequest request, PlacementScore score) {
-        WorkerState kept = holds.get(request.job());
-        if (kept != null && kept.open() && request.size().fitsWithin(kept.free())) {
-            return Optional.of(kept.spec().id());
-        }
-        gather(request);
-        int kind = kinds.number(request.kind());
-        WorkerState best = null;
-        double bestCost = Double.POSITIVE_INFINITY;
-        for (WorkerState worker : candidates.workers()) {
-            double cost = score.cost(kind, request, worker);
-            if (cost < bestCost) {
-                best = worker;
-                bestCost = cost;
+    public PlacementChoice choose(PlacementRequest request, PlacementScore score) {
+        candidates.reset(request.size().plus(request.leaveFree()));
+        candidates.allow(samples);
+        for (WorkerState kept : holds.of(request.kind())) {
+            if (kept.open() && !candidates.full()) {
+                candidates.offer(kept);
             }
         }
-        return best == null ? Optional.empty() : Optional.of(best.spec().id());
+        Optional<WorkerId> best = leastCost(request, score);
+        if (best.isPresent()) {
+            return new PlacementChoice(best, true);
+        }
+        boolean keptHasRoom = !candidates.workers().isEmpty();
+        gather(request);
+        boolean roomFound = keptHasRoom || !candidates.workers().isEmpty();
+        return new PlacementChoice(leastCost(request, score), roomFound);
     }
 
     /**
@@ -187,7 +187,7 @@
     }
 
     /**
-     * Reserves room for a job and gives up the worker kept for it.
+     * Reserves room for a job.
      *
      * @param job the job, which has no reservation
      * @param kind its kind
@@ -201,7 +201,6 @@
         if (worker == null || !fits || reservations.containsKey(job)) {
             return false;
         }
-        releaseHold(job);
         int number = kinds.number(kind);
         change(worker, number, 1, size, Resources.NONE);
         reservations.put(job, new Reservation(job, number, id, size));
@@ -248,49 +247,46 @@
     }
 
     /**
-     * Keeps a worker for a job that has waited long and finds no room. It receives no other job
-     * until the job starts or the hold is released.
+     * Keeps workers for a kind whose jobs find no room, those with most free space first. They
+     * receive no other kind until the hold expires.
      *
-     * @param request the request
-     * @return whether a worker is kept for the job
+     * @param request the request of a job of the kind
+     * @param score the cost of each worker; one of infinite cost is not kept
+     * @param count how many workers to keep
+     * @param untilMillis until when to keep them, in milliseconds
      */
-    public boolean hold(PlacementRequest request) {
-        if (holds.containsKey(request.job())) {
-            return true;
-        }
-        if (holds.size() >= Math.max(1, workers.size() / WORKERS_PER_HOLD)) {
-            return false;
-        }
-        WorkerState best = null;
-        for (int sample = 0; sample < HOLD_SAMPLES; sample++) {
-            @Nullable WorkerState worker = anyWorker(request.places());
-            if (worker == null) {
-                continue;
+    public void hold(PlacementRequest request, PlacementScore score, int count, long untilMillis) {
+        int kind = kinds.number(request.kind());
+        int most = Math.max(1, workers.size() / WORKERS_PER_HOLD);
+        int missing = Math.min(count - holds.of(request.kind()).size(), most - holds.size());
+        for (int each = 0; each < missing; each++) {
+            WorkerState best = null;
+            for (int sample = 0; sample < HOLD_SAMPLES; sample++) {
+                WorkerState worker = anyWorker(request.places());
+                boolean better =
+                        best == null
+                                || worker == null
+                                || worker.reservedShare() < best.reservedShare();
+                if (better && worker != null && holdable(worker, kind, request, score)) {
+                    best = worker;
+                }
             }
-            boolean fits = request.size().fitsWithin(worker.spec().capacity());
-            boolean better = best == null || worker.reservedShare() < best.reservedShare();
-            if (worker.available() && fits && better) {
-                best = worker;
+            if (best != null) {
+                zoneOf(best).unindex(best);
+                holds.add(request.kind(), best);
             }
         }
-        if (best != null) {
-            zoneOf(best).unindex(best);
-            best.held(true);
-            holds.put(request.job(), best);
-        }
-        return best != null;
+        holds.extend(request.kind(), untilMillis);
     }
 
     /**
-     * Gives up the worker kept for a job, if there is one.
+     * Gives up the holds that have expired.
      *
-     * @param job the job
+     * @param nowMillis the time, in milliseconds
      */
-    public void releaseHold(JobId job) {
-        WorkerState worker = holds.remove(job);
-        if (worker != null) {
-            worker.held(false);
-            zoneOf(worker).index(worker);
+    public void expireHolds(long nowMillis) {
+        if (holds.size() > 0) {
+            holds.expire(nowMillis).forEach(worker -> zoneOf(worker).index(worker));
         }
     }
 
@@ -323,6 +319,43 @@
         return workers.size();
     }
 
+    /**
+     * Tells whether a worker can be kept for a kind.
+     *
+     * @param worker the worker
+     * @param kind the number of the kind
+     * @param request the request
+     * @param score the cost of each worker
+     * @return whether it can
+     */
+    private static boolean holdable(
+            WorkerState worker, int kind, PlacementRequest request, PlacementScore score) {
+        return worker.available()
+                && request.size().fitsWithin(worker.spec().capacity())
+                && score.cost(kind, request, worker) < Double.POSITIVE_INFINITY;
+    }
+
+    /**
+     * Returns the worker of least cost among those gathered.
+     *
+     * @param request the request
+     * @param score the cost of each worker
+     * @return the worker, or empty if all costs are infinite
+     */
+    private Optional<WorkerId> leastCost(PlacementRequest request, PlacementScore score) {
+        int kind = kinds.number(request.kind());
+        WorkerState best = null;
+        double bestCost = Double.POSITIVE_INFINITY;
+        for (WorkerState worker : candidates.workers()) {
+            double cost = score.cost(kind, request, worker);
+            if (cost < bestCost) {
+                best = worker;
+                bestCost = cost;
+            }
+        }
+        return best == null ? Optional.empty() : Optional.of(best.spec().id());
+    }
+
     /**
      * Gathers workers with room from the zones allowed, beginning at a random zone.
      *
