--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/claim/ClaimDriver.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/claim/ClaimDriver.java
@@ -3,6 +3,7 @@
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 import java.util.List;
+import java.util.Optional;
 import org.damasktiller.authority.call.StoreCalls;
 import org.damasktiller.authority.claim.AskClaim;
 import org.damasktiller.authority.claim.ClaimAction;
@@ -23,6 +24,7 @@
 import org.damasktiller.daemon.drive.OwnerEnvironment;
 import org.damasktiller.daemon.drive.OwnerLoop;
 import org.damasktiller.daemon.drive.PendingReplies;
+import org.damasktiller.identity.VmId;
 import org.damasktiller.store.KeyValueStore;
 
 /**
@@ -117,21 +119,16 @@
     }
 
     /**
-     * Tells whether the owner holds the shard.
+     * Tells the entry VM that was last seen to own the shard, if it is another one.
      *
-     * @return whether it grants claims
+     * @return the entry VM, or empty if the owner here is the one to ask
      */
-    boolean active() {
-        return active;
-    }
-
-    /**
-     * Tells who was last seen to own the shard.
-     *
-     * @return the entry VM and its process, or an empty text
-     */
-    String holder() {
-        return holder;
+    Optional<VmId> remoteOwner() {
+        if (active || holder.isEmpty()) {
+            return Optional.empty();
+        }
+        int end = holder.indexOf(' ');
+        return Optional.of(new VmId(end < 0 ? holder : holder.substring(0, end)));
     }
 
     /**
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/settings/EntrySettings.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/settings/EntrySettings.java
@@ -24,6 +24,9 @@
     /** The largest number of cells of one availability zone. */
     private static final long MAXIMUM_CELLS_PER_ZONE = 200;
 
+    /** The largest number of claim shards. */
+    private static final long MAXIMUM_CLAIM_SHARDS = 256;
+
     /** The largest number of threads. */
     private static final long MAXIMUM_THREADS = 64;
 
@@ -91,6 +94,12 @@
             description = "Number of cells of each availability zone, the same on every VM")
     private int cellsPerZone = 1;
 
+    /** The number of claim shards. */
+    @Parameter(
+            names = "--claim-shards",
+            description = "Number of claim shards, the same on every VM and never changed")
+    private int claimShards = 4;
+
     /** How long to wait for the key-value service. */
     @Parameter(
             names = "--store-timeout-millis",
@@ -166,6 +175,7 @@
             throw Settings.refused("--zone", zone().value(), "one of " + zones().keySet(), null);
         }
         Settings.inRange("--cells-per-zone", cellsPerZone, 1, MAXIMUM_CELLS_PER_ZONE);
+        Settings.inRange("--claim-shards", claimShards, 1, MAXIMUM_CLAIM_SHARDS);
         Settings.inRange("--store-timeout-millis", storeTimeoutMillis, 1, MAXIMUM_MILLIS);
         Settings.inRange("--vm-list-interval-millis", vmListIntervalMillis, 1, MAXIMUM_MILLIS);
         Settings.inRange("--cell-lease-millis", cellLeaseMillis, 100, MAXIMUM_MILLIS);
@@ -283,6 +293,15 @@
         return cellsPerZone;
     }
 
+    /**
+     * Returns the number of claim shards.
+     *
+     * @return the number of shards
+     */
+    public int claimShards() {
+        return claimShards;
+    }
+
     /**
      * Returns how long to wait for the key-value service.
      *
