--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/CallerDesk.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/CallerDesk.java
@@ -152,7 +152,15 @@
         JobId id = new JobId(cell + "-" + term.generation() + "-" + number);
         JobRecord record =
                 new JobRecord(
-                        id, submit.submission(), JobState.BOUND, place, null, 0, "", nowMillis);
+                        id,
+                        submit.submission(),
+                        JobState.BOUND,
+                        place,
+                        null,
+                        false,
+                        0,
+                        "",
+                        nowMillis);
         Job job = term.book().accept(record);
         job.await(submit.replyId());
         lane(job).ifPresent(lane -> lane.bind(job));
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/EncodedJob.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/EncodedJob.java
@@ -25,6 +25,7 @@
  * @param incarnation the worker's process
  * @param attempt the number of the attempt
  * @param checkpoint the checkpoint, or null
+ * @param begun whether an earlier attempt may have begun
  * @param failures the failed attempts
  * @param result the result
  * @param changedMillis when the record was made, in milliseconds
@@ -46,6 +47,7 @@
     "incarnation",
     "attempt",
     "checkpoint",
+    "begun",
     "failures",
     "result",
     "changedMillis"
@@ -66,6 +68,7 @@
         String incarnation,
         int attempt,
         @Nullable String checkpoint,
+        boolean begun,
         int failures,
         String result,
         long changedMillis) {}
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/JobCodec.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/JobCodec.java
@@ -57,6 +57,7 @@
                         job.binding().incarnation(),
                         job.binding().attempt(),
                         job.checkpoint() == null ? null : job.checkpoint().data(),
+                        job.begun(),
                         job.failures(),
                         job.result(),
                         job.changedMillis());
@@ -82,6 +83,7 @@
                 job.state(),
                 new Binding(new WorkerId(job.worker()), job.incarnation(), job.attempt()),
                 checkpoint == null ? null : new Checkpoint(checkpoint),
+                job.begun(),
                 job.failures(),
                 job.result(),
                 job.changedMillis());
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/JobRecord.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/JobRecord.java
@@ -14,6 +14,7 @@
  * @param state the state
  * @param binding where the present attempt may run
  * @param checkpoint where the present attempt continues, or null for the beginning
+ * @param begun whether an earlier attempt may have begun
  * @param failures how many attempts failed by themselves
  * @param result the result or the reason of the failure, empty until the job has ended
  * @param changedMillis when the record was made, in milliseconds
@@ -24,6 +25,7 @@
         JobState state,
         Binding binding,
         @Nullable Checkpoint checkpoint,
+        boolean begun,
         int failures,
         String result,
         long changedMillis) {
@@ -55,31 +57,33 @@
      * @return the record
      */
     JobRecord withState(JobState next, String text, long nowMillis) {
-        return new JobRecord(id, submission, next, binding, checkpoint, failures, text, nowMillis);
+        return new JobRecord(
+                id, submission, next, binding, checkpoint, begun, failures, text, nowMillis);
     }
 
     /**
      * Returns this record bound to another place under the next attempt.
      *
-     * @param worker the worker
-     * @param incarnation the worker's process
+     * @param place the place, whose attempt number is ignored
      * @param from where to continue, or null for the beginning
+     * @param presentBegun whether the present attempt may have begun
      * @param failed whether the present attempt failed by itself
      * @param nowMillis the time, in milliseconds
      * @return the record
      */
     JobRecord rebound(
-            WorkerId worker,
-            String incarnation,
+            Binding place,
             @Nullable Checkpoint from,
+            boolean presentBegun,
             boolean failed,
             long nowMillis) {
         return new JobRecord(
                 id,
                 submission,
                 state,
-                new Binding(worker, incarnation, binding.attempt() + 1),
+                new Binding(place.worker(), place.incarnation(), binding.attempt() + 1),
                 from,
+                begun || presentBegun,
                 failures + (failed ? 1 : 0),
                 result,
                 nowMillis);
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/JobRules.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/JobRules.java
@@ -108,8 +108,7 @@
         }
         JobRecord record = job.record();
         if (record.state() == JobState.CANCELLING) {
-            JobState end =
-                    job.begun() ? JobState.CANCELLED_AFTER_START : JobState.CANCELLED_BEFORE_START;
+            JobState end = cancelledState(job);
             book.propose(job, record.withState(end, "", nowMillis));
             return;
         }
@@ -129,7 +128,7 @@
     void cancel(Job job, long nowMillis) {
         JobRecord record = job.record();
         WorkerLane lane = lanes.get(record.worker());
-        JobState next = job.begun() ? JobState.CANCELLING : JobState.CANCELLED_BEFORE_START;
+        JobState next = job.begun() ? JobState.CANCELLING : cancelledState(job);
         if (lane != null && !job.begun()) {
             lane.waiting.remove(job);
         }
@@ -161,9 +160,7 @@
         if (target != null) {
             target.bind(job);
         }
-        book.propose(
-                job,
-                record.rebound(next.worker(), next.incarnation(), checkpoint, failed, nowMillis));
+        book.propose(job, record.rebound(next, checkpoint, job.begun(), failed, nowMillis));
         return true;
     }
 
@@ -186,6 +183,18 @@
         return chosen.flatMap(this::binding);
     }
 
+    /**
+     * Returns the end of a cancelled job whose present attempt is dead or has not begun.
+     *
+     * @param job the job
+     * @return the state
+     */
+    private static JobState cancelledState(Job job) {
+        return job.begun() || job.record().begun()
+                ? JobState.CANCELLED_AFTER_START
+                : JobState.CANCELLED_BEFORE_START;
+    }
+
     /**
      * Makes the binding to a worker.
      *
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/Reconciler.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/Reconciler.java
@@ -88,13 +88,16 @@
     }
 
     /**
-     * Makes a job ready that was just bound to the worker, if its attempt cannot have begun.
+     * Makes a job ready that is bound to the present process of the worker, if its attempt cannot
+     * have begun. The process may have changed while the binding was being committed.
      *
      * @param lane the worker
      * @param job the job
      */
     void ready(WorkerLane lane, Job job) {
-        if (!job.begun() && job.proposed() == null && job.record().state() == JobState.BOUND) {
+        if (lane.otherProcess(job)) {
+            lane.processChanged = true;
+        } else if (!job.begun() && job.settled()) {
             lane.waiting.add(job);
         }
     }
@@ -116,7 +119,7 @@
         int count = 0;
         boolean otherProcessSeen = false;
         for (Job job : List.copyOf(lane.bound.values())) {
-            otherProcessSeen |= otherProcess(lane, job);
+            otherProcessSeen |= lane.otherProcess(job);
             if (job.proposed() == null && mayLeave(lane, job, closed, lapsed)) {
                 rules.lost(job, nowMillis);
                 count++;
@@ -140,7 +143,7 @@
      * @return whether it may leave
      */
     private static boolean mayLeave(WorkerLane lane, Job job, boolean closed, boolean lapsed) {
-        if (lane.listed == VmState.GONE || otherProcess(lane, job)) {
+        if (lane.listed == VmState.GONE || lane.otherProcess(job)) {
             return true;
         }
         if (!job.begun()) {
@@ -196,7 +199,7 @@
      * @param nowMillis the time, in milliseconds
      */
     private void absent(WorkerLane lane, Job job, WorkerStamp stamp, long nowMillis) {
-        if (job.proposed() != null || otherProcess(lane, job)) {
+        if (job.proposed() != null || lane.otherProcess(job)) {
             return;
         }
         if (job.running()) {
@@ -229,6 +232,7 @@
                 .filter(job -> job.accepted())
                 .filter(job -> !job.record().state().ended())
                 .filter(job -> job.record().worker().equals(lane.worker))
+                .filter(job -> !lane.otherProcess(job))
                 .filter(job -> job.record().binding().attempt() == attempt.number());
     }
 
@@ -252,16 +256,4 @@
                 + settings.ownership().leaseOfTasksMillis()
                 + settings.ownership().clockMarginMillis();
     }
-
-    /**
-     * Tells whether a job is bound to an earlier process of the worker.
-     *
-     * @param lane the worker
-     * @param job the job
-     * @return whether the process of the job is gone
-     */
-    private static boolean otherProcess(WorkerLane lane, Job job) {
-        return lane.stamp != null
-                && !lane.stamp.incarnation().equals(job.record().binding().incarnation());
-    }
 }
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/WorkerLane.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/WorkerLane.java
@@ -142,6 +142,18 @@
         return listed == VmState.LIVE && fenced && !suspended;
     }
 
+    /**
+     * Tells whether a job is bound to another process of the worker than the present one.
+     *
+     * @param job the job
+     * @return whether the process of the job is gone
+     */
+    boolean otherProcess(Job job) {
+        WorkerStamp present = stamp;
+        return present != null
+                && !present.incarnation().equals(job.record().binding().incarnation());
+    }
+
     /**
      * Shows the worker to the choice of a place.
      *
@@ -248,6 +260,9 @@
             learnedMillis = nowMillis;
             fenced = false;
             processChanged = true;
+            waiting.clear();
+            holding.clear();
+            holdingSum = Resources.NONE;
             stops.clear();
             speeds.clear();
             acknowledgements.clear();
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/commit/LogIndex.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/commit/LogIndex.java
@@ -16,7 +16,7 @@
     private static final int MAXIMUM_OVERHEAD_FACTOR = 2;
 
     /** The sealed tails by which a small log may exceed that factor. */
-    private static final int SLACK_SEGMENTS = 4;
+    private static final int SLACK_SEGMENTS = 2;
 
     /** The sizes. */
     private final CommitSettings settings;
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/ownership/Ownership.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/ownership/Ownership.java
@@ -5,7 +5,6 @@
 import org.damasktiller.authority.call.GrantLeaseCall;
 import org.damasktiller.authority.call.LeaseGrantedAnswer;
 import org.damasktiller.authority.call.LeaseRenewedAnswer;
-import org.damasktiller.authority.call.LeaseRevokedAnswer;
 import org.damasktiller.authority.call.ReadAnswer;
 import org.damasktiller.authority.call.ReadCall;
 import org.damasktiller.authority.call.RenewLeaseCall;
@@ -61,6 +60,9 @@
     /** What the ownership is doing. */
     private OwnershipPhase phase = OwnershipPhase.WATCH;
 
+    /** The phase of the latest call; its answer is ignored once the phase was left. */
+    private OwnershipPhase sentPhase = OwnershipPhase.WATCH;
+
     /** Whether a call is in flight. */
     private boolean inFlight;
 
@@ -221,6 +223,7 @@
         Optional<StoreCall> call = nextCall();
         inFlight = call.isPresent();
         sentMillis = nowMillis;
+        sentPhase = phase;
         return call;
     }
 
@@ -233,6 +236,9 @@
     public void answered(StoreAnswer answer, long nowMillis) {
         inFlight = false;
         retry.succeeded();
+        if (sentPhase != phase) {
+            return;
+        }
         dueMillis = Long.MIN_VALUE;
         switch (phase) {
             case WATCH -> watched(((ReadAnswer) answer).value(), nowMillis);
@@ -248,7 +254,7 @@
             case SWAP_HEAD_READ_BACK -> headReadBack(((ReadAnswer) answer).value(), nowMillis);
             case VERIFY -> verified(((LeaseRenewedAnswer) answer).held(), nowMillis);
             case HOLD -> renewed(((LeaseRenewedAnswer) answer).held(), nowMillis);
-            default -> revoked(answer);
+            default -> phase = OwnershipPhase.RELEASED;
         }
     }
 
@@ -260,6 +266,9 @@
     public void failed(long nowMillis) {
         inFlight = false;
         retry.failed(nowMillis);
+        if (sentPhase != phase) {
+            return;
+        }
         if (phase == OwnershipPhase.CLAIM) {
             phase = OwnershipPhase.CLAIM_READ_BACK;
         } else if (phase == OwnershipPhase.SWAP_HEAD) {
@@ -472,17 +481,6 @@
         dueMillis = Math.max(sentMillis + settings.renewMillis(), nowMillis);
     }
 
-    /**
-     * Takes an answer that arrived after the release was asked for.
-     *
-     * @param answer the answer
-     */
-    private void revoked(StoreAnswer answer) {
-        if (answer instanceof LeaseRevokedAnswer) {
-            phase = OwnershipPhase.RELEASED;
-        }
-    }
-
     /**
      * Returns the bytes of the owner's record.
      *
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/cell/CellHarness.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/cell/CellHarness.java
@@ -12,6 +12,7 @@
 import org.damasktiller.authority.cell.CellEvent;
 import org.damasktiller.authority.cell.CellOwner;
 import org.damasktiller.authority.cell.CellSettings;
+import org.damasktiller.authority.cell.JobChanged;
 import org.damasktiller.authority.cell.JobReply;
 import org.damasktiller.authority.cell.Reply;
 import org.damasktiller.authority.cell.StoreFailed;
@@ -64,6 +65,9 @@
     /** Who waits for replies. */
     private final Map<Long, Consumer<JobReply>> replies = new HashMap<>();
 
+    /** The committed changes that the processes reported. */
+    private final List<ReportedChange> changes = new ArrayList<>();
+
     /** The latest number given to a reply. */
     private long lastReplyId;
 
@@ -180,6 +184,15 @@
         process.kill();
     }
 
+    /**
+     * Returns the committed changes that the processes reported.
+     *
+     * @return the changes, in the order of the reports
+     */
+    public List<ReportedChange> changes() {
+        return List.copyOf(changes);
+    }
+
     /**
      * Returns the stand-ins, to change their conditions.
      *
@@ -219,8 +232,8 @@
             clock.after(times.replaceMillis(), () -> addOwner(vm));
             return;
         }
-        if (clock.nowMillis() >= process.pausedUntilMillis()) {
-            while (!process.mailbox().isEmpty()) {
+        if (running(process)) {
+            while (running(process) && !process.mailbox().isEmpty()) {
                 deliver(process, process.mailbox().remove());
             }
             if (clock.nowMillis() % times.listMillis() == 0) {
@@ -231,6 +244,16 @@
         clock.after(times.tickMillis(), () -> tick(process, vm));
     }
 
+    /**
+     * Tells whether a process lives and is not paused.
+     *
+     * @param process the process
+     * @return whether it runs
+     */
+    private boolean running(OwnerProcess process) {
+        return process.alive() && clock.nowMillis() >= process.pausedUntilMillis();
+    }
+
     /**
      * Carries out one action.
      *
@@ -253,6 +276,8 @@
                 throw new IllegalStateException("answered twice: " + reply);
             }
             waiting.accept(reply.reply());
+        } else if (action instanceof JobChanged changed) {
+            changes.add(new ReportedChange(clock.nowMillis(), changed.status()));
         } else if (action instanceof StoreRequest || action instanceof WorkerRequest) {
             send(process, action, faults.faultAt(process.number(), action));
         }
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/worker/Run.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/worker/Run.java
@@ -14,6 +14,7 @@
  * @param startProgressMillis the run time that the checkpoint already held, in milliseconds
  * @param endProgressMillis the run time done at the end, in milliseconds
  * @param end how the run ended
+ * @param forgotten whether the worker lost its report of the end before it was acknowledged
  */
 public record Run(
         AttemptId attempt,
@@ -23,7 +24,8 @@
         long endMillis,
         long startProgressMillis,
         long endProgressMillis,
-        RunEnd end) {
+        RunEnd end,
+        boolean forgotten) {
 
     /**
      * Returns this run with its end.
@@ -42,6 +44,25 @@
                 millis,
                 startProgressMillis,
                 progressMillis,
-                reason);
+                reason,
+                false);
+    }
+
+    /**
+     * Returns this run with its report lost.
+     *
+     * @return the run
+     */
+    Run withoutReport() {
+        return new Run(
+                attempt,
+                payload,
+                worker,
+                startMillis,
+                endMillis,
+                startProgressMillis,
+                endProgressMillis,
+                end,
+                true);
     }
 }
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/worker/WorkerObserver.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/worker/WorkerObserver.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
 import org.damasktiller.identity.JobId;
 import org.damasktiller.identity.WorkerId;
 import org.damasktiller.resource.Resources;
@@ -40,6 +41,15 @@
         return starts;
     }
 
+    /**
+     * Returns all runs.
+     *
+     * @return the runs, by job
+     */
+    public List<Run> allRuns() {
+        return runs.values().stream().flatMap(List::stream).toList();
+    }
+
     /**
      * Returns the runs of a job.
      *
@@ -53,17 +63,18 @@
     /**
      * Checks the record.
      *
-     * @param repeatable tells which jobs may be repeated after a success or from an older part
+     * @param repeatable tells from the payload whether a job may be repeated after a success or
+     *     from an older part
      * @return the broken rules
      */
-    public List<Violation> violations(Predicate<JobId> repeatable) {
+    public List<Violation> violations(Predicate<String> repeatable) {
         List<Violation> found = new ArrayList<>(overcommitments);
-        for (Map.Entry<JobId, List<Run>> entry : runs.entrySet()) {
-            List<Run> ordered = new ArrayList<>(entry.getValue());
+        for (List<Run> ofJob : runs.values()) {
+            List<Run> ordered = new ArrayList<>(ofJob);
             ordered.sort(Comparator.comparingLong(Run::startMillis));
             checkAttempts(ordered, found);
             checkPlaces(ordered, found);
-            if (!repeatable.test(entry.getKey())) {
+            if (!repeatable.test(ordered.get(0).payload())) {
                 checkRepetition(ordered, found);
             }
         }
@@ -90,18 +101,17 @@
      * @param end how it ended
      */
     void ended(AttemptId attempt, WorkerId worker, long millis, long progressMillis, RunEnd end) {
-        List<Run> ofJob = runs.get(attempt.job());
-        if (ofJob == null) {
-            throw new IllegalStateException("end of a run that never started: " + attempt);
-        }
-        for (int index = ofJob.size() - 1; index >= 0; index--) {
-            Run run = ofJob.get(index);
-            if (run.attempt().equals(attempt) && run.worker().equals(worker)) {
-                ofJob.set(index, run.ended(millis, progressMillis, end));
-                return;
-            }
-        }
-        throw new IllegalStateException("end of a run that never started: " + attempt);
+        replaceLatest(attempt, worker, run -> run.ended(millis, progressMillis, end));
+    }
+
+    /**
+     * Records that a worker lost its report of the end of an attempt.
+     *
+     * @param attempt the attempt
+     * @param worker the worker
+     */
+    void forgotten(AttemptId attempt, WorkerId worker) {
+        replaceLatest(attempt, worker, Run::withoutReport);
     }
 
     /**
@@ -118,6 +128,25 @@
                         worker + " was given " + wanted + " and has " + capacity));
     }
 
+    /**
+     * Changes the record of the latest run of an attempt on a worker.
+     *
+     * @param attempt the attempt
+     * @param worker the worker
+     * @param change the change
+     */
+    private void replaceLatest(AttemptId attempt, WorkerId worker, UnaryOperator<Run> change) {
+        List<Run> ofJob = runs.getOrDefault(attempt.job(), List.of());
+        for (int index = ofJob.size() - 1; index >= 0; index--) {
+            Run run = ofJob.get(index);
+            if (run.attempt().equals(attempt) && run.worker().equals(worker)) {
+                ofJob.set(index, change.apply(run));
+                return;
+            }
+        }
+        throw new IllegalStateException("no run of " + attempt + " on " + worker);
+    }
+
     /**
      * Checks that no attempt was started twice.
      *
@@ -150,7 +179,8 @@
     }
 
     /**
-     * Checks that nothing ran again after a success or before the end of the previous part.
+     * Checks that nothing ran again after a success or before the end of the previous part, unless
+     * the worker lost its report of it.
      *
      * @param ordered the runs of one job by start
      * @param found where the broken rules go
@@ -159,6 +189,9 @@
         for (int index = 1; index < ordered.size(); index++) {
             Run earlier = ordered.get(index - 1);
             Run later = ordered.get(index);
+            if (earlier.forgotten()) {
+                continue;
+            }
             if (earlier.end() == RunEnd.SUCCEEDED) {
                 found.add(new Violation(ViolationKind.RUN_AGAIN, ordered.toString()));
             }
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/worker/WorkerState.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/worker/WorkerState.java
@@ -139,6 +139,8 @@
                     task.progressMillis(nowMillis),
                     RunEnd.LOST);
         }
+        stopped.keySet().forEach(attempt -> observer.forgotten(attempt, worker));
+        finished.keySet().forEach(attempt -> observer.forgotten(attempt, worker));
         running.clear();
         stopped.clear();
         finished.clear();
@@ -279,7 +281,8 @@
                         Long.MAX_VALUE,
                         progress,
                         progress,
-                        RunEnd.NONE));
+                        RunEnd.NONE,
+                        false));
         running.put(attempt, new SimulatedTask(start, leaseEndMillis, nowMillis));
     }
 
