Stream large bodies, follow callers that leave, and refuse malformed HTTP

Bodies were loaded whole, so that large ones took memory by the number of callers. Up to a bound they are read whole and checked before a byte goes to the caller; larger ones stream with backpressure, keep their slot until the end, and close the caller's connection if they break off. A listener ties each connection to its socket, so that a caller that is gone cancels what is not sent yet. A length stated twice, oversized bodies and headers, and malformed requests are refused.

A fault found on the way: a call was forgotten before its queued delivery had run, which left the caller without an answer; forgetting is now a step of its own after the delivery. The test with 200 concurrent calls had caught it.

--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/Answer.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/Answer.java
@@ -4,33 +4,19 @@
 import io.activej.http.HttpResponse;
 import org.jspecify.annotations.Nullable;
 
-/** Holds the whole answer of an endpoint. */
-final class Answer {
-
-    /** The status. */
-    private final int code;
-
-    /** The type of the body, or null. */
-    private final @Nullable String contentType;
-
-    /** The body. */
-    private final byte[] body;
+/**
+ * Holds the answer of an endpoint: whole, or with a large body that still streams. If a streamed
+ * body breaks off, the caller's connection is closed before the end of the body, so that the part
+ * cannot be taken for the whole.
+ *
+ * @param code the status
+ * @param contentType the type of the body, or null
+ * @param body the body
+ */
+record Answer(int code, @Nullable String contentType, Body body) {
 
     /**
-     * Creates an answer.
-     *
-     * @param code the status
-     * @param contentType the type of the body, or null
-     * @param body the body, which must not be changed afterwards
-     */
-    Answer(int code, @Nullable String contentType, byte[] body) {
-        this.code = code;
-        this.contentType = contentType;
-        this.body = body;
-    }
-
-    /**
-     * Makes the response to the caller.
+     * Makes the response to the caller. To be called once.
      *
      * @return the response
      */
@@ -39,6 +25,15 @@
         if (contentType != null) {
             builder.withHeader(HttpHeaders.CONTENT_TYPE, contentType);
         }
-        return builder.withBody(body).build();
+        return body.whole()
+                ? builder.withBody(body.head()).build()
+                : builder.withBodyStream(body.stream()).build();
+    }
+
+    /** Throws the answer away and so closes the connection on which it still streams. */
+    void discard() {
+        if (body.rest() != null) {
+            body.rest().close();
+        }
     }
 }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/AttemptResult.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/AttemptResult.java
@@ -1,5 +1,6 @@
 package org.damasktiller.daemon.gateway;
 
+import io.activej.promise.Promise;
 import org.damasktiller.routing.AttemptOutcome;
 import org.jspecify.annotations.Nullable;
 
@@ -7,9 +8,11 @@
  * Holds how an attempt ended.
  *
  * @param outcome how it ended
- * @param answer the whole answer, or null if there is none
+ * @param answer the answer, or null if there is none
+ * @param streamed completed with whether the body ended well, or null for a whole answer
  */
-record AttemptResult(AttemptOutcome outcome, @Nullable Answer answer) {
+record AttemptResult(
+        AttemptOutcome outcome, @Nullable Answer answer, @Nullable Promise<Boolean> streamed) {
 
     /**
      * Creates a result without an answer.
@@ -18,6 +21,6 @@
      * @return the result
      */
     static AttemptResult without(AttemptOutcome outcome) {
-        return new AttemptResult(outcome, null);
+        return new AttemptResult(outcome, null, null);
     }
 }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/Call.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/Call.java
@@ -17,7 +17,7 @@
     private final @Nullable String contentType;
 
     /** The body. */
-    private final byte[] body;
+    private final Body body;
 
     /** When the call arrived, in milliseconds. */
     private final long startedMillis;
@@ -28,6 +28,9 @@
     /** The connections of the attempts under way, by attempt. */
     private final Map<Long, EndpointConnection> attempts = new HashMap<>();
 
+    /** Whether the caller is gone. */
+    private boolean cancelled;
+
     /**
      * Creates a call.
      *
@@ -36,7 +39,7 @@
      * @param body the body
      * @param startedMillis when the call arrived, in milliseconds
      */
-    Call(RoutingRequest request, @Nullable String contentType, byte[] body, long startedMillis) {
+    Call(RoutingRequest request, @Nullable String contentType, Body body, long startedMillis) {
         this.request = request;
         this.contentType = contentType;
         this.body = body;
@@ -64,9 +67,9 @@
     /**
      * Returns the body.
      *
-     * @return the bytes, not to be changed
+     * @return the body
      */
-    byte[] body() {
+    Body body() {
         return body;
     }
 
@@ -88,6 +91,20 @@
         return response;
     }
 
+    /** Notes that the caller is gone. */
+    void cancel() {
+        cancelled = true;
+    }
+
+    /**
+     * Tells whether the caller is gone.
+     *
+     * @return whether it is
+     */
+    boolean cancelled() {
+        return cancelled;
+    }
+
     /**
      * Returns the connections of the attempts under way.
      *
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/CallDispatcher.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/CallDispatcher.java
@@ -1,6 +1,7 @@
 package org.damasktiller.daemon.gateway;
 
 import io.activej.common.time.CurrentTimeProvider;
+import io.activej.http.HttpException;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpRequest;
 import io.activej.reactor.nio.NioReactor;
@@ -9,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.function.Consumer;
 import org.damasktiller.daemon.http.ErrorBody;
 import org.damasktiller.daemon.metrics.WorkMetrics;
@@ -35,8 +37,8 @@
     /** The calls that are not answered, by number. */
     private final Map<Long, Call> calls = new HashMap<>();
 
-    /** The actions that are not carried out yet, in order. */
-    private final ArrayDeque<Step> actions = new ArrayDeque<>();
+    /** The steps that are not carried out yet, in order. */
+    private final ArrayDeque<Runnable> steps = new ArrayDeque<>();
 
     /** The reactor. */
     private final NioReactor reactor;
@@ -109,17 +111,19 @@
      */
     private void run(List<RoutingAction> added, @Nullable Answer answer) {
         for (RoutingAction action : added) {
-            actions.add(new Step(action, answer));
+            steps.add(() -> perform(action, answer));
         }
         if (running) {
             return;
         }
         running = true;
-        while (!actions.isEmpty()) {
-            Step step = actions.removeFirst();
-            perform(step.action, step.answer);
+        try {
+            while (!steps.isEmpty()) {
+                steps.removeFirst().run();
+            }
+        } finally {
+            running = false;
         }
-        running = false;
         setTimer();
     }
 
@@ -164,12 +168,85 @@
                 .send(request(call, send, attempt, now), attempt, now)
                 .whenResult(
                         result -> {
-                            call.attempts().remove(send.attempt());
-                            connections.giveBack(send.endpoint(), connection);
-                            completed(send, result);
+                            if (result.streamed() == null) {
+                                ended(call, send, connection, result);
+                            } else {
+                                stream(call, send, connection, result);
+                            }
                         });
     }
 
+    /**
+     * Hands on an answer whose body still streams; the attempt ends with the body.
+     *
+     * @param call the call
+     * @param send the attempt
+     * @param connection its connection
+     * @param result the answer
+     */
+    private void stream(
+            Call call,
+            RoutingAction.Send send,
+            EndpointConnection connection,
+            AttemptResult result) {
+        long now = clock.currentTimeMillis();
+        List<RoutingAction> next = router.answering(send.number(), send.attempt(), now);
+        Objects.requireNonNull(result.streamed())
+                .whenResult(
+                        whole -> {
+                            if (!whole) {
+                                connection.close();
+                            }
+                            ended(
+                                    call,
+                                    send,
+                                    connection,
+                                    AttemptResult.without(
+                                            whole
+                                                    ? AttemptOutcome.ANSWERED
+                                                    : AttemptOutcome.BROKEN));
+                        });
+        if (next.stream().noneMatch(RoutingAction.Deliver.class::isInstance)) {
+            Objects.requireNonNull(result.answer()).discard();
+        }
+        run(next, result.answer());
+    }
+
+    /**
+     * Gives back the connection of an attempt that ended, and tells the router.
+     *
+     * @param call the call
+     * @param send the attempt
+     * @param connection its connection
+     * @param result how it ended
+     */
+    private void ended(
+            Call call,
+            RoutingAction.Send send,
+            EndpointConnection connection,
+            AttemptResult result) {
+        call.attempts().remove(send.attempt());
+        connections.giveBack(send.endpoint(), connection);
+        completed(send, result);
+    }
+
+    /**
+     * Gives up a call whose caller is gone. What was sent is finished, for the work is done anyway.
+     *
+     * @param number the call
+     */
+    void cancel(long number) {
+        Call call = calls.get(number);
+        if (call == null) {
+            return;
+        }
+        call.cancel();
+        run(router.cancelled(number, clock.currentTimeMillis()));
+        steps.add(() -> forgetFinished(number));
+        run(List.of());
+        call.response().trySetException(new HttpException("the caller is gone"));
+    }
+
     /**
      * Builds the request to an endpoint.
      *
@@ -196,7 +273,9 @@
         if (call.contentType() != null) {
             builder.withHeader(HttpHeaders.CONTENT_TYPE, call.contentType());
         }
-        return builder.withBody(call.body()).build();
+        return call.body().whole()
+                ? builder.withBody(call.body().head()).build()
+                : builder.withBodyStream(call.body().stream()).build();
     }
 
     /**
@@ -210,6 +289,19 @@
                 router.completed(
                         send.number(), send.attempt(), result.outcome(), clock.currentTimeMillis());
         run(next, result.answer());
+        steps.add(() -> forgetFinished(send.number()));
+        run(List.of());
+    }
+
+    /**
+     * Forgets a call that is finished, after all that was to be done for it.
+     *
+     * @param number the call
+     */
+    private void forgetFinished(long number) {
+        if (!router.unfinished(number)) {
+            calls.remove(number);
+        }
     }
 
     /**
@@ -219,10 +311,14 @@
      * @param answer the whole answer
      */
     private void deliver(long number, Answer answer) {
-        Call call = calls.remove(number);
+        Call call = calls.get(number);
         if (call != null) {
             count(call, ANSWERED);
-            call.response().set(answer.response());
+            if (call.response().isComplete()) {
+                answer.discard();
+            } else {
+                call.response().set(answer.response());
+            }
         }
     }
 
@@ -249,7 +345,7 @@
         Call call = calls.remove(refuse.number());
         if (call != null) {
             count(call, refuse.error().code().name());
-            call.response().set(ErrorBody.response(refuse.error(), refuse.retryAfterMillis()));
+            call.response().trySet(ErrorBody.response(refuse.error(), refuse.retryAfterMillis()));
         }
     }
 
@@ -309,12 +405,4 @@
         timer = null;
         run(router.advance(clock.currentTimeMillis()));
     }
-
-    /**
-     * An action with the answer it may hand on.
-     *
-     * @param action the action
-     * @param answer the answer, or null
-     */
-    private record Step(RoutingAction action, @Nullable Answer answer) {}
 }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/CallParser.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/CallParser.java
@@ -1,6 +1,10 @@
 package org.damasktiller.daemon.gateway;
 
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaderValue;
+import io.activej.http.HttpHeaders;
 import io.activej.http.HttpRequest;
+import java.util.Map;
 import java.util.function.Function;
 import org.damasktiller.error.DamasktillerException;
 import org.damasktiller.error.ErrorCode;
@@ -63,6 +67,29 @@
                 replayable);
     }
 
+    /**
+     * Refuses a request whose length is stated twice or is too large, before its body is read.
+     *
+     * @param request the request
+     * @param maximumBytes the largest body, in bytes
+     * @throws DamasktillerException with code BAD_REQUEST or BODY_TOO_LARGE
+     */
+    void checkFraming(HttpRequest request, int maximumBytes) {
+        int lengths = 0;
+        boolean chunked = false;
+        for (Map.Entry<HttpHeader, HttpHeaderValue> header : request.getHeaders()) {
+            lengths += header.getKey().equals(HttpHeaders.CONTENT_LENGTH) ? 1 : 0;
+            chunked |= header.getKey().equals(HttpHeaders.TRANSFER_ENCODING);
+        }
+        if (lengths > 1 || (lengths == 1 && chunked)) {
+            throw refusal(ErrorCode.BAD_REQUEST, "the length of the body is stated twice");
+        }
+        String length = request.getHeader(HttpHeaders.CONTENT_LENGTH);
+        if (length != null && Long.parseLong(length.trim()) > maximumBytes) {
+            throw refusal(ErrorCode.BODY_TOO_LARGE, "the body may have " + maximumBytes + " bytes");
+        }
+    }
+
     /**
      * Finds the row of the table that a request names. A kind of another tenant is unknown.
      *
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/EndpointConnection.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/EndpointConnection.java
@@ -161,13 +161,32 @@
         }
         AttemptOutcome outcome = outcome(response);
         String contentType = response.getHeader(HttpHeaders.CONTENT_TYPE);
-        return response.loadBody(limits.answerBytes())
-                .map(
-                        body ->
-                                new AttemptResult(
-                                        outcome,
-                                        new Answer(
-                                                response.getCode(), contentType, body.getArray())));
+        return BodyReader.read(response, limits.bufferedBytes())
+                .map(body -> result(outcome, response.getCode(), contentType, body));
+    }
+
+    /**
+     * Makes the result of an answer. Only an answer that counts may be streamed.
+     *
+     * @param outcome what the answer says of the endpoint
+     * @param code the status
+     * @param contentType the type of the body, or null
+     * @param body the body
+     * @return the result
+     * @throws MalformedHttpException if the answer is a failure with a large body
+     */
+    private static AttemptResult result(
+            AttemptOutcome outcome, int code, @Nullable String contentType, Body body)
+            throws MalformedHttpException {
+        if (body.rest() == null) {
+            return new AttemptResult(outcome, new Answer(code, contentType, body), null);
+        }
+        if (outcome != AttemptOutcome.ANSWERED) {
+            throw new MalformedHttpException("failure with a large body");
+        }
+        WatchedStream stream = new WatchedStream(body.rest());
+        Answer answer = new Answer(code, contentType, body.withRest(stream));
+        return new AttemptResult(outcome, answer, stream.end());
     }
 
     /**
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/InteractiveGateway.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/InteractiveGateway.java
@@ -14,6 +14,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import org.damasktiller.daemon.http.CallerConnection;
 import org.damasktiller.daemon.http.ErrorBody;
 import org.damasktiller.error.DamasktillerException;
 import org.damasktiller.identity.EndpointId;
@@ -134,8 +135,13 @@
 
     @Override
     public Promise<HttpResponse> serve(HttpRequest request) {
-        return request.loadBody(limits.requestBytes())
-                .then(body -> acceptOrRefuse(request, body.getArray()));
+        try {
+            parser.checkFraming(request, limits.requestBytes());
+        } catch (DamasktillerException refused) {
+            return Promise.of(ErrorBody.response(refused, 0));
+        }
+        return BodyReader.read(request, limits.bufferedBytes())
+                .then(body -> acceptOrRefuse(request, body));
     }
 
     /**
@@ -145,7 +151,7 @@
      * @param body its body
      * @return the response
      */
-    private Promise<HttpResponse> acceptOrRefuse(HttpRequest request, byte[] body) {
+    private Promise<HttpResponse> acceptOrRefuse(HttpRequest request, Body body) {
         try {
             return accept(request, body);
         } catch (DamasktillerException refused) {
@@ -160,13 +166,19 @@
      * @param body its body
      * @return the response
      */
-    private Promise<HttpResponse> accept(HttpRequest request, byte[] body) {
+    private Promise<HttpResponse> accept(HttpRequest request, Body body) {
         long now = clock.currentTimeMillis();
         lastCall++;
-        RoutingRequest routing = parser.parse(request, lastCall, true, now);
+        RoutingRequest routing = parser.parse(request, lastCall, body.whole(), now);
         String contentType = request.getHeader(HttpHeaders.CONTENT_TYPE);
         Call call = new Call(routing, contentType, body, now);
         dispatcher.begin(call, now);
+        if (!call.response().isComplete()
+                && request.getConnection() != null
+                && request.getConnection().getUserData() instanceof CallerConnection caller) {
+            caller.onGone(() -> dispatcher.cancel(routing.number()));
+            return call.response().whenComplete(() -> caller.onGone(null));
+        }
         return call.response();
     }
 
--- a/damasktiller-daemon/src/test/java/org/damasktiller/daemon/gateway/GatewayFixture.java
+++ b/damasktiller-daemon/src/test/java/org/damasktiller/daemon/gateway/GatewayFixture.java
@@ -2,15 +2,19 @@
 
 import io.activej.eventloop.Eventloop;
 import io.activej.http.HttpMethod;
+import io.activej.http.HttpServer;
 import io.activej.http.RoutingServlet;
 import io.activej.promise.Promise;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -18,6 +22,9 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.damasktiller.daemon.http.HttpListener;
+import org.damasktiller.daemon.http.ListenerLimits;
 import org.damasktiller.identity.EndpointId;
 import org.damasktiller.identity.KindName;
 import org.damasktiller.identity.RegionName;
@@ -48,9 +55,11 @@
     final List<EndpointId> leaving = new CopyOnWriteArrayList<>();
     final Set<ClaimRequestKey> claims = new HashSet<>();
     final HttpClient caller = HttpClient.newHttpClient();
-    final StandInServer server;
-    @Nullable InteractiveGateway gateway;
-    RoutingSettings settings = RoutingSettings.DEFAULT;
+    final Eventloop eventloop = Eventloop.create();
+    final InteractiveGateway gateway;
+    final HttpServer server;
+    final Thread thread;
+    final AtomicInteger unfinished = new AtomicInteger();
 
     GatewayFixture(int endpointCount, EndpointBehaviour behaviour) {
         this(endpointCount, behaviour, RoutingSettings.DEFAULT, GatewayLimits.DEFAULT);
@@ -76,17 +85,49 @@
                             64,
                             false));
         }
+        eventloop.keepAlive(true);
+        gateway = build(eventloop, descriptions, settings, limits);
         server =
-                StandInServer.start(
-                        "gateway",
+                HttpListener.create(
+                        eventloop,
+                        RoutingServlet.builder(eventloop)
+                                .with(HttpMethod.POST, InteractiveGateway.PATH, gateway)
+                                .build(),
                         loopback(),
-                        loop -> {
-                            gateway = build(loop, descriptions, settings, limits);
-                            loop.execute(gateway::start);
-                            return RoutingServlet.builder(loop)
-                                    .with(HttpMethod.POST, InteractiveGateway.PATH, gateway)
-                                    .build();
-                        });
+                        new ListenerLimits(1 << 26, 60_000, 60_000, 1000));
+        thread = new Thread(eventloop, "gateway");
+        thread.setDaemon(true);
+        thread.start();
+        eventloop.submit(() -> listen()).join();
+    }
+
+    private void listen() {
+        try {
+            server.listen();
+            gateway.start();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    String address() {
+        InetSocketAddress bound = server.getBoundAddresses().get(0);
+        return bound.getAddress().getHostAddress() + ":" + bound.getPort();
+    }
+
+    int unfinishedCalls() {
+        return eventloop
+                .submit(() -> unfinished.set(gateway.unfinishedCalls()))
+                .thenApply(v -> unfinished.get())
+                .join();
+    }
+
+    Socket rawCall(String request) throws IOException {
+        Socket socket =
+                new Socket(loopback().getAddress(), server.getBoundAddresses().get(0).getPort());
+        socket.setSoTimeout(20_000);
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+        return socket;
     }
 
     HttpResponse<String> call(String kind, @Nullable String key, String body) {
@@ -96,8 +137,7 @@
     CompletableFuture<HttpResponse<String>> callLater(
             String kind, @Nullable String key, String body, long deadlineMillis) {
         HttpRequest.Builder request =
-                HttpRequest.newBuilder(
-                                URI.create("http://" + server.address() + "/v1/call/" + kind))
+                HttpRequest.newBuilder(URI.create("http://" + address() + "/v1/call/" + kind))
                         .header("Damasktiller-Tenant", "corrib")
                         .header("Damasktiller-Deadline-Millis", Long.toString(deadlineMillis))
                         .POST(HttpRequest.BodyPublishers.ofString(body));
@@ -109,8 +149,14 @@
 
     @Override
     public void close() {
-        server.close();
-        endpointServers.forEach(StandInServer::close);
+        eventloop.submit(gateway::stop).join();
+        eventloop.submit(server::close).join();
+        eventloop.execute(() -> eventloop.keepAlive(false));
+        eventloop.execute(eventloop::breakEventloop);
+        for (int index = 0; index < endpointServers.size(); index++) {
+            endpointServers.get(index).run(endpoints.get(index)::releaseSilent);
+            endpointServers.get(index).close();
+        }
     }
 
     static InetSocketAddress loopback() {
--- a/damasktiller-library/src/main/java/org/damasktiller/routing/RequestDispatcher.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/routing/RequestDispatcher.java
@@ -207,6 +207,36 @@
         actions.add(new RoutingAction.Abort(pending.request().number(), attempt.id()));
     }
 
+    /**
+     * Keeps the attempt whose answer is on its way to the caller, until the deadline, and aborts
+     * the others. Nothing else is handed to the caller any more.
+     *
+     * @param pending the request
+     * @param answering the attempt, already taken from those under way
+     * @param nowMillis the time, in milliseconds
+     * @param actions where to add what to do
+     */
+    void keepOnly(
+            PendingRequest pending,
+            Attempt answering,
+            long nowMillis,
+            List<RoutingAction> actions) {
+        for (Attempt other : List.copyOf(pending.attempts())) {
+            abort(pending, other, false, nowMillis, actions);
+        }
+        pending.attempts().clear();
+        pending.attempts()
+                .add(
+                        new Attempt(
+                                answering.id(),
+                                answering.endpoint(),
+                                answering.sentMillis(),
+                                pending.request().deadlineMillis()));
+        pending.abandoned = true;
+        pending.hedgeMillis = PendingRequest.NEVER;
+        timers.update(pending);
+    }
+
     /**
      * Forgets a request and aborts what is left of it.
      *
--- a/damasktiller-library/src/main/java/org/damasktiller/routing/RequestRouter.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/routing/RequestRouter.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.random.RandomGenerator;
-import org.damasktiller.error.Outcome;
 import org.damasktiller.identity.EndpointId;
 import org.damasktiller.identity.RegionName;
 import org.damasktiller.identity.ZoneName;
@@ -25,6 +24,9 @@
     /** Decides on second tries. */
     private final RetryPolicy retryPolicy;
 
+    /** Decides how requests go on after their attempts. */
+    private final RequestProgress progress;
+
     /** Whether new requests are refused because the VM is leaving. */
     private boolean draining;
 
@@ -43,6 +45,7 @@
                         builder.random);
         this.dispatcher = new RequestDispatcher(builder.settings, endpoints);
         this.retryPolicy = new RetryPolicy(builder.settings, builder.random);
+        this.progress = new RequestProgress(endpoints, dispatcher, retryPolicy);
     }
 
     /**
@@ -160,12 +163,45 @@
         if (pending == null || attempt == null) {
             return actions;
         }
-        noteEndpoint(attempt, outcome, nowMillis, actions);
-        noteRequest(pending, attempt, outcome, nowMillis, actions);
+        progress.noteEndpoint(attempt, outcome, nowMillis, actions);
+        progress.noteRequest(pending, attempt, outcome, nowMillis, actions);
         dispatcher.serveQueue(nowMillis, actions);
         return actions;
     }
 
+    /**
+     * Notes that an answer with a large body has begun to arrive. It goes to the caller as it
+     * comes, and {@link #completed} tells its end.
+     *
+     * @param number the request
+     * @param attemptId the attempt
+     * @param nowMillis the time, in milliseconds
+     * @return what to do, nothing if the answer counts no more
+     */
+    public List<RoutingAction> answering(long number, long attemptId, long nowMillis) {
+        List<RoutingAction> actions = new ArrayList<>();
+        PendingRequest pending = dispatcher.find(number);
+        Attempt attempt = pending == null ? null : pending.take(attemptId);
+        if (pending == null || attempt == null) {
+            return actions;
+        }
+        if (!pending.abandoned) {
+            actions.add(new RoutingAction.Deliver(number, attemptId));
+        }
+        dispatcher.keepOnly(pending, attempt, nowMillis, actions);
+        return actions;
+    }
+
+    /**
+     * Tells whether a request is not finished.
+     *
+     * @param number the request
+     * @return whether it is not
+     */
+    public boolean unfinished(long number) {
+        return dispatcher.find(number) != null;
+    }
+
     /**
      * Notes that the caller is gone: a request not yet sent never will be.
      *
@@ -198,7 +234,7 @@
         List<RoutingAction> actions = new ArrayList<>();
         PendingRequest due = dispatcher.timers().takeDue(nowMillis);
         while (due != null) {
-            handleDue(due, nowMillis, actions);
+            progress.handleDue(due, nowMillis, actions);
             due = dispatcher.timers().takeDue(nowMillis);
         }
         dispatcher.serveQueue(nowMillis, actions);
@@ -259,166 +295,6 @@
         return dispatcher.queuedRequests();
     }
 
-    /**
-     * Handles one request that is due.
-     *
-     * @param pending the request
-     * @param nowMillis the time, in milliseconds
-     * @param actions where to add what to do
-     */
-    private void handleDue(PendingRequest pending, long nowMillis, List<RoutingAction> actions) {
-        RoutingRequest request = pending.request();
-        if (request.deadlineMillis() <= nowMillis) {
-            passDeadline(pending, nowMillis, actions);
-        } else if (pending.queueUntilMillis <= nowMillis) {
-            long waited = request.deadlineMillis() - pending.queueUntilMillis;
-            Outcome outcome = pending.outcome();
-            dispatcher.finish(pending, nowMillis, actions);
-            actions.add(Refusals.overloaded(request.number(), outcome, waited));
-        } else if (pending.retryMillis <= nowMillis) {
-            dispatcher.dispatch(pending, nowMillis, actions);
-        } else if (pending.hedgeMillis <= nowMillis) {
-            dispatcher.hedge(pending, retryPolicy, nowMillis, actions);
-        } else {
-            giveUpAttempts(pending, nowMillis, actions);
-        }
-    }
-
-    /**
-     * Gives up a request whose deadline passed, blaming the endpoints that still had it.
-     *
-     * @param pending the request
-     * @param nowMillis the time, in milliseconds
-     * @param actions where to add what to do
-     */
-    private void passDeadline(PendingRequest pending, long nowMillis, List<RoutingAction> actions) {
-        String peer = "";
-        for (Attempt attempt : List.copyOf(pending.attempts())) {
-            peer = attempt.endpoint().description().id().value();
-            pending.take(attempt.id());
-            dispatcher.abort(pending, attempt, true, nowMillis, actions);
-        }
-        Outcome outcome = pending.outcome();
-        dispatcher.finish(pending, nowMillis, actions);
-        if (!pending.abandoned) {
-            actions.add(Refusals.deadline(pending.request().number(), outcome, peer));
-        }
-    }
-
-    /**
-     * Gives up the attempts of a request that timed out.
-     *
-     * @param pending the request
-     * @param nowMillis the time, in milliseconds
-     * @param actions where to add what to do
-     */
-    private void giveUpAttempts(
-            PendingRequest pending, long nowMillis, List<RoutingAction> actions) {
-        Attempt last = null;
-        for (Attempt attempt : List.copyOf(pending.attempts())) {
-            if (attempt.timeoutMillis() <= nowMillis) {
-                pending.take(attempt.id());
-                dispatcher.abort(pending, attempt, true, nowMillis, actions);
-                last = attempt;
-            }
-        }
-        if (last != null) {
-            noteRequest(pending, last, AttemptOutcome.BROKEN, nowMillis, actions);
-        }
-    }
-
-    /**
-     * Updates what is known of an endpoint.
-     *
-     * @param attempt the attempt that ended
-     * @param outcome how it ended
-     * @param nowMillis the time, in milliseconds
-     * @param actions where to add what to do
-     */
-    private void noteEndpoint(
-            Attempt attempt, AttemptOutcome outcome, long nowMillis, List<RoutingAction> actions) {
-        EndpointState endpoint = attempt.endpoint();
-        switch (outcome) {
-            case ANSWERED -> {
-                long latency = Math.max(0, nowMillis - attempt.sentMillis());
-                endpoint.answered(latency, endpoints.allowed(endpoint, nowMillis));
-                dispatcher.service().add((double) latency);
-            }
-            case DRAINING -> {
-                endpoint.released();
-                if (endpoint.noteLeaving()) {
-                    actions.add(new RoutingAction.ReportLeaving(endpoint.description().id()));
-                    dispatcher.refuseUnservable(nowMillis, actions);
-                }
-            }
-            case BUSY -> endpoint.busy();
-            default -> endpoint.failed();
-        }
-        endpoints.ejectIfOutlier(endpoint, nowMillis);
-    }
-
-    /**
-     * Decides how a request goes on after an attempt.
-     *
-     * @param pending the request
-     * @param attempt the attempt that ended
-     * @param outcome how it ended
-     * @param nowMillis the time, in milliseconds
-     * @param actions where to add what to do
-     */
-    private void noteRequest(
-            PendingRequest pending,
-            Attempt attempt,
-            AttemptOutcome outcome,
-            long nowMillis,
-            List<RoutingAction> actions) {
-        pending.maybeRun |= outcome == AttemptOutcome.BROKEN || outcome == AttemptOutcome.FAILED;
-        boolean answered = outcome == AttemptOutcome.ANSWERED;
-        if (!answered && !pending.attempts().isEmpty()) {
-            dispatcher.timers().update(pending);
-            return;
-        }
-        long delay =
-                answered || pending.abandoned
-                        ? RetryPolicy.NO_RETRY
-                        : retryPolicy.retryDelay(pending, outcome, nowMillis);
-        if (delay != RetryPolicy.NO_RETRY) {
-            retry(pending, delay, nowMillis, actions);
-            return;
-        }
-        Outcome last = pending.outcome();
-        dispatcher.finish(pending, nowMillis, actions);
-        if (pending.abandoned) {
-            return;
-        }
-        long number = pending.request().number();
-        if (answered || outcome == AttemptOutcome.FAILED) {
-            actions.add(new RoutingAction.Deliver(number, attempt.id()));
-            return;
-        }
-        String peer = attempt.endpoint().description().id().value();
-        actions.add(Refusals.endpointFailed(number, last, peer));
-    }
-
-    /**
-     * Tries a request again, at once or after a delay.
-     *
-     * @param pending the request
-     * @param delayMillis the delay, in milliseconds
-     * @param nowMillis the time, in milliseconds
-     * @param actions where to add what to do
-     */
-    private void retry(
-            PendingRequest pending, long delayMillis, long nowMillis, List<RoutingAction> actions) {
-        pending.hedgeMillis = PendingRequest.NEVER;
-        if (delayMillis == 0) {
-            dispatcher.dispatch(pending, nowMillis, actions);
-            return;
-        }
-        pending.retryMillis = nowMillis + delayMillis;
-        dispatcher.timers().update(pending);
-    }
-
     /** Builds a router; every setter returns the builder. */
     public static final class Builder {
 
--- a/damasktiller-library/src/main/java/org/damasktiller/routing/RetryPolicy.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/routing/RetryPolicy.java
@@ -82,7 +82,7 @@
     private static boolean allowed(PendingRequest pending, AttemptOutcome outcome) {
         return switch (outcome) {
             case ANSWERED -> false;
-            case NOT_SENT -> true;
+            case NOT_SENT -> pending.request().replayable();
             case DRAINING, BUSY -> pending.repeatable() || pending.sendableAfterRefusal();
             case FAILED, BROKEN -> pending.repeatable();
         };
--- a/damasktiller-library/src/test/java/org/damasktiller/routing/RequestRouterTest.java
+++ b/damasktiller-library/src/test/java/org/damasktiller/routing/RequestRouterTest.java
@@ -191,6 +191,45 @@
         assertThat(slowShare, lessThan(10));
     }
 
+    @Test
+    void testEjectedEndpointGetsNothingEvenWhenTheOthersAreFull() {
+        RouterWorld world = RouterWorld.withEndpoints(5, 1);
+        for (int round = 0; round < 12; round++) {
+            for (int index = 0; index < 5; index++) {
+                world.submit(Repeat.RESUMABLE, 10_000);
+            }
+            List<RoutingAction.Send> sends = world.takeSends();
+            world.advance(20);
+            sends.stream()
+                    .filter(send -> !send.endpoint().id().value().equals("e0"))
+                    .forEach(send -> world.complete(send, AttemptOutcome.ANSWERED));
+            world.advance(180);
+            sends.forEach(send -> world.complete(send, AttemptOutcome.ANSWERED));
+            world.takeSends().forEach(s -> world.complete(s, AttemptOutcome.ANSWERED));
+        }
+        for (int index = 0; index < 8; index++) {
+            world.submit(Repeat.RESUMABLE, 10_000);
+        }
+        Map<String, Integer> sent = perEndpoint(world.takeSends());
+        assertThat(sent.containsKey("e0"), is(false));
+        assertThat(sent.size(), is(4));
+    }
+
+    @Test
+    void testStreamedAnswerGoesToTheCallerOnceAndFreesItsSlotAtTheEnd() {
+        RouterWorld world = RouterWorld.withEndpoints(1, 1);
+        world.submit(Repeat.RESUMABLE, 60_000);
+        RoutingAction.Send send = world.takeSends().get(0);
+        world.actions.addAll(world.router.answering(send.number(), send.attempt(), 0));
+        assertThat(world.all(RoutingAction.Deliver.class), hasSize(1));
+        world.advance(SETTINGS.attemptTimeoutMillis() * 2);
+        assertThat(world.router.usedSlots(new EndpointId("e0"), world.now), is(1));
+        world.complete(send, AttemptOutcome.BROKEN);
+        assertThat(world.actions, hasSize(1));
+        assertThat(world.router.usedSlots(new EndpointId("e0"), world.now), is(0));
+        assertThat(world.router.unfinishedRequests(), is(0));
+    }
+
     @Test
     void testEjectionStopsAtTheCap() {
         RouterWorld world = RouterWorld.withEndpoints(10, 8);
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/endpoint/EndpointServlet.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/endpoint/EndpointServlet.java
@@ -15,8 +15,10 @@
 import io.activej.reactor.Reactor;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
+import java.util.List;
 import java.util.Set;
 import java.util.WeakHashMap;
 
@@ -59,6 +61,9 @@
     /** The connections that stay silent. */
     private final Set<Object> silentConnections = Collections.newSetFromMap(new WeakHashMap<>());
 
+    /** The requests that are never answered. */
+    private final List<SettablePromise<HttpResponse>> unanswered = new ArrayList<>();
+
     /** How the endpoint behaves. */
     private volatile EndpointBehaviour behaviour;
 
@@ -109,7 +114,7 @@
             silentConnections.add(request.getConnection());
         }
         if (silentConnections.contains(request.getConnection())) {
-            return new SettablePromise<>();
+            return silence();
         }
         if (now.draining()) {
             return refusal(request, DRAINING);
@@ -124,6 +129,24 @@
                 .whenComplete(() -> running--);
     }
 
+    /** Ends the requests that are never answered, so that the server can be closed. */
+    public void releaseSilent() {
+        List<SettablePromise<HttpResponse>> released = List.copyOf(unanswered);
+        unanswered.clear();
+        released.forEach(promise -> promise.setException(new IOException("never answered")));
+    }
+
+    /**
+     * Makes an answer that never comes.
+     *
+     * @return the promise
+     */
+    private Promise<HttpResponse> silence() {
+        SettablePromise<HttpResponse> never = new SettablePromise<>();
+        unanswered.add(never);
+        return never;
+    }
+
     /**
      * Answers a health check, unless the connection is silent.
      *
@@ -132,7 +155,7 @@
      */
     private Promise<HttpResponse> health(HttpRequest request) {
         if (silentConnections.contains(request.getConnection())) {
-            return new SettablePromise<>();
+            return silence();
         }
         return HttpResponse.ok200().withPlainText("ok").toPromise();
     }
