Measure claims: writes, time until the grant, owner time, violations

Cause: claims go through the same write budget as jobs, and the users pay for each call of the store. Change: ./measure claims loads one shard in virtual time (store 2 ms each way, ticks of 10 ms, the default share of 20 writes a second) and counts violations under seeded random faults; the scenario of the fault matrix moves to the stand-ins so that both use it. No target is stated for claims; that of jobs is 50 writes per 1,000 at 1,000 a second.

--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/Measure.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/Measure.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Supplier;
+import org.damasktiller.benchmark.authority.ClaimsMeasurement;
 import org.damasktiller.benchmark.decisions.DecisionsMeasurement;
 import org.damasktiller.benchmark.path.PathMeasurement;
 import org.jspecify.annotations.Nullable;
@@ -53,6 +54,7 @@
      */
     private static Map<String, Supplier<Measurement>> measurements() {
         Map<String, Supplier<Measurement>> measurements = new TreeMap<>();
+        measurements.put("claims", ClaimsMeasurement::new);
         measurements.put("decisions", DecisionsMeasurement::new);
         measurements.put("path", PathMeasurement::new);
         return measurements;
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/claim/ClaimScenario.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/claim/ClaimScenario.java
@@ -1,4 +1,4 @@
-package org.damasktiller.verification.claim;
+package org.damasktiller.standin.claim;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -14,13 +14,21 @@
 import org.damasktiller.identity.RequestKey;
 import org.damasktiller.identity.TenantName;
 import org.damasktiller.standin.cell.CallFault;
-import org.damasktiller.standin.claim.ClaimHarness;
-import org.damasktiller.standin.claim.ClaimStep;
-import org.damasktiller.standin.claim.ClaimTimes;
-import org.damasktiller.standin.claim.RequestTry;
 
 /** Runs callers that repeat requests through both forwarders, and judges what they were told. */
-final class ClaimScenario {
+public final class ClaimScenario {
+
+    /** When a key is tried, each time by the other forwarder, in milliseconds. */
+    private static final long[] SEQUENTIAL_MILLIS = {1_000, 5_000, 10_000, 20_000};
+
+    /** When a key is tried before the answer to an earlier try, in milliseconds. */
+    private static final long[] CONCURRENT_MILLIS = {1_000, 1_001, 1_400, 14_000};
+
+    /** When a key is tried that is never repeated, in milliseconds. */
+    private static final long[] SINGLE_MILLIS = {2_000};
+
+    /** How long the last try is waited for, in milliseconds. */
+    private static final long LAST_WAIT_MILLIS = 5_000;
 
     /** Until when faults begin, in milliseconds. */
     private static final long FAULTS_END_MILLIS = 35_000;
@@ -54,39 +62,69 @@
     /** Whether faults may begin. */
     private boolean faulty = true;
 
-    ClaimScenario(Map<Integer, CallFault> faults) {
+    /**
+     * Prepares a run.
+     *
+     * @param faults the faults by the number of the call at which they begin
+     */
+    public ClaimScenario(Map<Integer, CallFault> faults) {
         this.faults = faults;
         this.harness = new ClaimHarness(SETTINGS, ClaimTimes.DEFAULT, this::faultAt);
         this.startMillis = harness.clock().nowMillis();
         harness.clock().after(FAULTS_END_MILLIS, () -> faulty = false);
     }
 
-    /** Returns the step of each call so far. */
-    Map<Integer, ClaimStep> steps() {
+    /**
+     * Returns the step of each call at which a fault could have begun.
+     *
+     * @return the steps by the number of the call
+     */
+    public Map<Integer, ClaimStep> steps() {
         return steps;
     }
 
-    /** Returns the tries. */
-    List<RequestTry> tries() {
+    /**
+     * Returns the tries.
+     *
+     * @return the tries, in the order of their beginning
+     */
+    public List<RequestTry> tries() {
         return harness.tries();
     }
 
-    /** Runs the callers and returns the violations. */
-    List<String> run() {
-        at(1_000, "sequential", 0);
-        at(5_000, "sequential", 1);
-        at(10_000, "sequential", 0);
-        at(20_000, "sequential", 1);
-        at(1_000, "concurrent", 0);
-        at(1_001, "concurrent", 1);
-        at(1_400, "concurrent", 1);
-        at(14_000, "concurrent", 0);
-        at(2_000, "single", 1);
+    /**
+     * Runs the callers.
+     *
+     * @return the violations, none if all is well
+     */
+    public List<String> run() {
+        atEach("sequential", SEQUENTIAL_MILLIS);
+        atEach("concurrent", CONCURRENT_MILLIS);
+        atEach("single", SINGLE_MILLIS);
         at(LAST_TRY_MILLIS, "last", 0);
-        harness.clock().run(startMillis + LAST_TRY_MILLIS + 5_000, () -> false);
+        harness.clock().run(startMillis + LAST_TRY_MILLIS + LAST_WAIT_MILLIS, () -> false);
         return violations();
     }
 
+    /**
+     * Has callers try a request by each forwarder in turn.
+     *
+     * @param key the idempotency key
+     * @param millis after which times, in milliseconds
+     */
+    private void atEach(String key, long[] millis) {
+        for (int index = 0; index < millis.length; index++) {
+            at(millis[index], key, index % 2);
+        }
+    }
+
+    /**
+     * Has a caller try a request.
+     *
+     * @param millis after which time, in milliseconds
+     * @param key the idempotency key
+     * @param forwarder the number of the forwarder
+     */
     private void at(long millis, String key, int forwarder) {
         ClaimKey claimed =
                 new ClaimKey(
@@ -94,6 +132,13 @@
         harness.clock().after(millis, () -> harness.request(claimed, forwarder));
     }
 
+    /**
+     * Chooses the fault of one call.
+     *
+     * @param number the number of the call
+     * @param step the step
+     * @return the fault
+     */
     private CallFault faultAt(int number, ClaimStep step) {
         if (!faulty) {
             return CallFault.NONE;
@@ -102,6 +147,11 @@
         return faults.getOrDefault(number, CallFault.NONE);
     }
 
+    /**
+     * Judges the run.
+     *
+     * @return the violations
+     */
     private List<String> violations() {
         List<String> found = new ArrayList<>();
         Map<ClaimKey, Integer> executions = new HashMap<>();
@@ -120,6 +170,13 @@
         return found;
     }
 
+    /**
+     * Judges one try.
+     *
+     * @param each the try
+     * @param executionsOfKey how often the endpoint executed its key
+     * @param found where violations go
+     */
     private static void judge(RequestTry each, int executionsOfKey, List<String> found) {
         FinishRequest told = each.told();
         if (told == null) {
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/claim/ClaimFaultMatrixTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/claim/ClaimFaultMatrixTest.java
@@ -18,6 +18,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.damasktiller.standin.cell.CallFault;
+import org.damasktiller.standin.claim.ClaimScenario;
 import org.damasktiller.standin.claim.ClaimStep;
 import org.damasktiller.standin.claim.RequestTry;
 import org.junit.jupiter.api.Test;
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/claim/ClaimRandomFaultsTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/claim/ClaimRandomFaultsTest.java
@@ -11,6 +11,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import org.damasktiller.standin.cell.CallFault;
+import org.damasktiller.standin.claim.ClaimScenario;
 
 /** Runs random sequences of up to eight faults. */
 class ClaimRandomFaultsTest {
