--- a/damasktiller-library/src/main/java/org/damasktiller/membership/GossipCodec.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/membership/GossipCodec.java
@@ -10,6 +10,7 @@
 import org.damasktiller.error.ErrorCode;
 import org.damasktiller.error.Outcome;
 import org.damasktiller.error.Step;
+import org.damasktiller.identity.EndpointId;
 import org.damasktiller.identity.VmId;
 import org.damasktiller.identity.ZoneName;
 import org.jspecify.annotations.Nullable;
@@ -141,10 +142,11 @@
     private static GossipMessage toMessage(WireMessage wire) {
         List<Rumor> rumors = new ArrayList<>();
         for (WireRumor rumor : wire.rumors()) {
+            RumorSubject subject = SUBJECTS.get(rumor.subject());
             rumors.add(
                     new Rumor(
-                            SUBJECTS.get(rumor.subject()),
-                            rumor.id(),
+                            subject,
+                            checkedName(subject, rumor.id()),
                             rumor.incarnation(),
                             STATUSES.get(rumor.status())));
         }
@@ -161,6 +163,18 @@
                 rumors);
     }
 
+    /**
+     * Checks the name of a subject.
+     *
+     * @param subject what it names
+     * @param id the name
+     * @return the name
+     * @throws IllegalArgumentException if it cannot be a name
+     */
+    private static String checkedName(RumorSubject subject, String id) {
+        return subject == RumorSubject.MEMBER ? new VmId(id).value() : new EndpointId(id).value();
+    }
+
     /**
      * Makes the error for a refused datagram.
      *
--- a/damasktiller-library/src/main/java/org/damasktiller/peer/PeerCore.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/peer/PeerCore.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.damasktiller.identity.EndpointId;
 import org.damasktiller.identity.VmId;
+import org.damasktiller.identity.ZoneName;
 import org.damasktiller.membership.GossipMessage;
 import org.damasktiller.membership.MemberRecord;
 import org.damasktiller.membership.Membership;
@@ -81,6 +82,16 @@
                 .toList();
     }
 
+    /**
+     * Adds an address that may be of another zone.
+     *
+     * @param zone the zone
+     * @param id the address
+     */
+    public void hint(ZoneName zone, VmId id) {
+        spread.onHint(zone, id, true);
+    }
+
     /**
      * Does what is due; to be called about ten times a second.
      *
--- a/damasktiller-library/src/test/java/org/damasktiller/membership/GossipCodecTest.java
+++ b/damasktiller-library/src/test/java/org/damasktiller/membership/GossipCodecTest.java
@@ -52,6 +52,23 @@
         }
     }
 
+    @Test
+    void testRumorWithoutNameIsRefused() {
+        GossipMessage nameless =
+                new GossipMessage(
+                        GossipType.RUMOR,
+                        SENDER,
+                        1,
+                        false,
+                        0,
+                        null,
+                        null,
+                        0,
+                        0,
+                        List.of(new Rumor(RumorSubject.MEMBER, " ", 1, MemberStatus.DEAD)));
+        refused(codec.encode(nameless));
+    }
+
     private void refused(byte[] bytes) {
         DamasktillerException error =
                 assertThrows(DamasktillerException.class, () -> codec.decode(bytes, "10.0.0.9:1"));
