--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/http/package-info.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/http/package-info.java
@@ -1,4 +1,4 @@
-/** Parts that the HTTP interfaces of the daemon share. */
+/** HTTP listeners with limits, for callers and operators. */
 @NullMarked
 package org.damasktiller.daemon.http;
 
