--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/InteractiveGateway.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/InteractiveGateway.java
@@ -138,10 +138,12 @@
         try {
             parser.checkFraming(request, limits.requestBytes());
         } catch (DamasktillerException refused) {
-            return Promise.of(JsonResponses.error(refused, 0));
+            return Promise.of(JsonResponses.error(refused));
         }
         return BodyReader.read(request, limits.bufferedBytes())
-                .then(body -> acceptOrRefuse(request, body));
+                .then(
+                        body -> acceptOrRefuse(request, body),
+                        exception -> Promise.of(JsonResponses.error(exception)));
     }
 
     /**
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/http/CallerInspector.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/http/CallerInspector.java
@@ -22,6 +22,9 @@
     /** The connection of the socket opened last, until its connection is accepted. */
     private @Nullable CallerConnection opened;
 
+    /** The number of open connections. */
+    private int connections;
+
     /** Creates an inspector. */
     CallerInspector() {}
 
@@ -34,8 +37,18 @@
         return new Sockets();
     }
 
+    /**
+     * Returns the number of open connections.
+     *
+     * @return the number
+     */
+    int connections() {
+        return connections;
+    }
+
     @Override
     public void onAccept(HttpServerConnection connection) {
+        connections++;
         connection.setUserData(opened);
         opened = null;
     }
@@ -60,7 +73,9 @@
             HttpServerConnection connection, MalformedHttpException error, byte[] bytes) {}
 
     @Override
-    public void onDisconnect(HttpServerConnection connection) {}
+    public void onDisconnect(HttpServerConnection connection) {
+        connections--;
+    }
 
     /** Follows the sockets. */
     private final class Sockets extends AbstractInspector<TcpSocket.Inspector>
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/http/HttpListener.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/http/HttpListener.java
@@ -16,8 +16,8 @@
 import org.damasktiller.platform.http.JsonResponses;
 
 /**
- * Builds HTTP servers with limits of size, time and number, with errors as JSON, and with a {@link
- * CallerConnection} for each connection.
+ * Builds HTTP servers with limits of size, time and number, with errors rendered as JSON, and with
+ * a {@link CallerConnection} for each connection.
  */
 public final class HttpListener {
 
@@ -28,35 +28,31 @@
     private HttpListener() {}
 
     /**
-     * Builds a server, which is not listening yet.
+     * Starts to build a server; further settings may be added.
      *
      * @param reactor the reactor
      * @param servlet the servlet
      * @param address where to listen
      * @param limits the limits
-     * @return the server
+     * @return a builder
      */
-    public static HttpServer create(
+    public static HttpServer.Builder builder(
             NioReactor reactor,
             AsyncServlet servlet,
             InetSocketAddress address,
             ListenerLimits limits) {
         CallerInspector inspector = new CallerInspector();
-        HttpServer[] server = new HttpServer[1];
-        server[0] =
-                HttpServer.builder(reactor, servlet)
-                        .withListenAddress(address)
-                        .withMaxBodySize(MemSize.of(limits.bodyBytes()))
-                        .withReadWriteTimeout(Duration.ofMillis(limits.messageMillis()))
-                        .withKeepAliveTimeout(Duration.ofMillis(limits.idleMillis()))
-                        .withHttpErrorFormatter(HttpListener::format)
-                        .withInspector(inspector)
-                        .withSocketInspector(inspector.sockets())
-                        .withAcceptFilter(
-                                (channel, local, remote, ssl) ->
-                                        server[0].getConnectionsCount() >= limits.connections())
-                        .build();
-        return server[0];
+        return HttpServer.builder(reactor, servlet)
+                .withListenAddress(address)
+                .withMaxBodySize(MemSize.of(limits.bodyBytes()))
+                .withReadWriteTimeout(Duration.ofMillis(limits.messageMillis()))
+                .withKeepAliveTimeout(Duration.ofMillis(limits.idleMillis()))
+                .withHttpErrorFormatter(HttpListener::format)
+                .withInspector(inspector)
+                .withSocketInspector(inspector.sockets())
+                .withAcceptFilter(
+                        (channel, local, remote, ssl) ->
+                                inspector.connections() >= limits.connections());
     }
 
     /**
@@ -67,7 +63,7 @@
      */
     private static Promise<HttpResponse> format(Exception error) {
         if (error instanceof DamasktillerException known) {
-            return Promise.of(JsonResponses.error(known, 0));
+            return Promise.of(JsonResponses.error(known));
         }
         boolean large = error instanceof HttpError http && http.getCode() == TOO_LARGE_STATUS;
         return Promise.of(
@@ -78,7 +74,6 @@
                                 "",
                                 Outcome.NOT_RUN,
                                 "the request is malformed or exceeds a limit",
-                                error),
-                        0));
+                                error)));
     }
 }
--- a/damasktiller-daemon/src/test/java/org/damasktiller/daemon/gateway/GatewayFixture.java
+++ b/damasktiller-daemon/src/test/java/org/damasktiller/daemon/gateway/GatewayFixture.java
@@ -88,13 +88,14 @@
         eventloop.keepAlive(true);
         gateway = build(eventloop, descriptions, settings, limits);
         server =
-                HttpListener.create(
-                        eventloop,
-                        RoutingServlet.builder(eventloop)
-                                .with(HttpMethod.POST, InteractiveGateway.PATH, gateway)
-                                .build(),
-                        loopback(),
-                        new ListenerLimits(1 << 26, 60_000, 60_000, 1000));
+                HttpListener.builder(
+                                eventloop,
+                                RoutingServlet.builder(eventloop)
+                                        .with(HttpMethod.POST, InteractiveGateway.PATH, gateway)
+                                        .build(),
+                                loopback(),
+                                new ListenerLimits(1 << 26, 60_000, 60_000, 1000))
+                        .build();
         thread = new Thread(eventloop, "gateway");
         thread.setDaemon(true);
         thread.start();
