Wire membership, the spread of the table and claims into the entry VM

Cause: at-most-once calls were refused on every VM, each VM read the table from the store once a second, and every VM of a zone stood by for each of its cells. Change: the peer node runs on the entry VM: the table spreads between members, status tells each zone's version in force, endpoints seen to be leaving are marked everywhere; cells follow the members (each is acquired by the VM that the membership assigns it to and given back by any other); claim shards are asked on whichever VM owns them, by calls between peers in MessagePack.

--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/CellHost.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/CellHost.java
@@ -25,15 +25,17 @@
 import org.damasktiller.error.Step;
 import org.damasktiller.identity.CellId;
 import org.damasktiller.identity.JobId;
+import org.damasktiller.identity.VmId;
 import org.damasktiller.identity.WorkerId;
 import org.damasktiller.identity.ZoneName;
+import org.damasktiller.membership.Assignment;
 import org.damasktiller.vm.FleetView;
 import org.damasktiller.vm.VmRecord;
 import org.damasktiller.vm.VmRole;
 
 /**
- * Hosts the owners of the cells of one availability zone, active or standing by. Used on its
- * reactor's thread only.
+ * Hosts the owners of those cells of one availability zone that the membership assigns to this VM.
+ * Used on its reactor's thread only.
  */
 public final class CellHost {
 
@@ -46,11 +48,26 @@
     /** The availability zone. */
     private final ZoneName zone;
 
-    /** The drivers by cell. */
+    /** Makes the driver of a cell. */
+    private final Function<CellId, CellDriver> factory;
+
+    /** The drivers of the cells that this VM owns or is to own, by cell. */
     private final Map<CellId, CellDriver> drivers = new TreeMap<>();
 
+    /** This process's entry VM. */
+    private final VmId self;
+
+    /** The members of the zone that are to own its cells. */
+    private Assignment<CellId> assignment;
+
+    /** The workers of each cell, as last listed. */
+    private Map<CellId, List<CellWorker>> workers = Map.of();
+
+    /** Whether the cells are being given back for good. */
+    private boolean draining;
+
     /**
-     * Creates a host that stands by for every cell of its zone.
+     * Creates a host that is to own every cell of its zone until it knows other members.
      *
      * @param layout the division into cells
      * @param zone the availability zone
@@ -66,15 +83,30 @@
             OwnerEnvironment environment) {
         this.layout = layout;
         this.zone = zone;
-        for (CellId cell : layout.cellsOf(zone)) {
-            CellOwner owner = new CellOwner(settings, cell, self, new BestFitPlacement());
-            drivers.put(cell, new CellDriver(owner, environment, CellHost::log));
-        }
+        this.self = self.vm();
+        this.assignment = Assignment.of(layout.cellsOf(zone), List.of(self.vm()));
+        this.factory =
+                cell ->
+                        new CellDriver(
+                                new CellOwner(settings, cell, self, new BestFitPlacement()),
+                                environment,
+                                CellHost::log);
     }
 
-    /** Starts to stand by. */
+    /** Starts to acquire the cells that are assigned to this VM. */
     public void start() {
-        drivers.values().forEach(CellDriver::start);
+        follow();
+    }
+
+    /**
+     * Takes in the members of the zone: cells that are assigned to this VM are acquired, and those
+     * that are not are given back.
+     *
+     * @param members the members that take new work
+     */
+    public void onMembers(List<VmId> members) {
+        assignment = Assignment.of(layout.cellsOf(zone), members);
+        follow();
     }
 
     /** Stops without giving cells back. */
@@ -83,12 +115,13 @@
     }
 
     /**
-     * Gives all cells back.
+     * Gives all cells back and acquires none any more.
      *
      * @return completed once they are given back
      */
     public Promise<Void> drain() {
-        return Promises.all(drivers.values().stream().map(CellDriver::drain));
+        draining = true;
+        return Promises.all(List.copyOf(drivers.values()).stream().map(CellDriver::drain));
     }
 
     /**
@@ -97,15 +130,15 @@
      * @param fleet the reading
      */
     public void acceptFleet(FleetView fleet) {
-        Map<CellId, List<CellWorker>> workers = new TreeMap<>();
+        Map<CellId, List<CellWorker>> listed = new TreeMap<>();
         for (VmRecord vm : fleet.all()) {
             if (vm.role() == VmRole.WORKER && vm.zone().equals(zone)) {
-                workers.computeIfAbsent(layout.cellOf(zone, vm.rack()), cell -> new ArrayList<>())
+                listed.computeIfAbsent(layout.cellOf(zone, vm.rack()), cell -> new ArrayList<>())
                         .add(new CellWorker(new WorkerId(vm.name()), vm.state()));
             }
         }
-        drivers.forEach(
-                (cell, driver) -> driver.listWorkers(workers.getOrDefault(cell, List.of())));
+        workers = listed;
+        drivers.forEach(this::listWorkers);
     }
 
     /**
@@ -120,19 +153,13 @@
     }
 
     /**
-     * Tells the entry VM last seen to own a cell.
+     * Tells the entry VM that is to own a cell of this zone.
      *
      * @param cell the cell
-     * @return the name of the VM, or an empty text if none was seen
+     * @return the name of the VM, or an empty text for a cell of another zone
      */
-    public String holder(CellId cell) {
-        CellDriver driver = drivers.get(cell);
-        if (driver == null) {
-            return "";
-        }
-        String identity = driver.holder();
-        int end = identity.indexOf(' ');
-        return end < 0 ? identity : identity.substring(0, end);
+    public String expectedOwner(CellId cell) {
+        return assignment.owner(cell).map(VmId::value).orElse("");
     }
 
     /**
@@ -174,16 +201,66 @@
      * @return the cells
      */
     public List<StatusBody.CellBody> status() {
-        return drivers.entrySet().stream()
-                .map(
-                        entry ->
-                                new StatusBody.CellBody(
-                                        entry.getKey().value(),
-                                        entry.getValue().holder(),
-                                        entry.getValue().active()))
+        return layout.cellsOf(zone).stream()
+                .map(cell -> new StatusBody.CellBody(cell.value(), expectedOwner(cell), owns(cell)))
                 .toList();
     }
 
+    /** Acquires the cells that are assigned to this VM and gives the others back. */
+    private void follow() {
+        if (draining) {
+            return;
+        }
+        for (CellId cell : layout.cellsOf(zone)) {
+            boolean assigned = assignment.owner(cell).filter(self::equals).isPresent();
+            CellDriver driver = drivers.get(cell);
+            if (assigned && driver == null) {
+                acquire(cell);
+            } else if (!assigned && driver != null) {
+                giveBack(cell, driver);
+            }
+        }
+    }
+
+    /**
+     * Starts to acquire a cell.
+     *
+     * @param cell the cell
+     */
+    private void acquire(CellId cell) {
+        CellDriver driver = factory.apply(cell);
+        drivers.put(cell, driver);
+        driver.start();
+        listWorkers(cell, driver);
+    }
+
+    /**
+     * Gives a cell back, and acquires it again if it was assigned to this VM meanwhile.
+     *
+     * @param cell the cell
+     * @param driver its driver
+     */
+    private void giveBack(CellId cell, CellDriver driver) {
+        driver.drain()
+                .whenResult(
+                        () -> {
+                            driver.stop();
+                            if (drivers.remove(cell, driver)) {
+                                follow();
+                            }
+                        });
+    }
+
+    /**
+     * Passes the workers of a cell to its driver.
+     *
+     * @param cell the cell
+     * @param driver its driver
+     */
+    private void listWorkers(CellId cell, CellDriver driver) {
+        driver.listWorkers(workers.getOrDefault(cell, List.of()));
+    }
+
     /**
      * Passes a call to the driver of a cell.
      *
@@ -200,7 +277,7 @@
                             Step.ROUTE,
                             "",
                             Outcome.NOT_RUN,
-                            "cell " + cell + " is of another availability zone"));
+                            "cell " + cell + " is not owned here"));
         }
         return call.apply(driver);
     }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/ForwardingJobRouter.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/ForwardingJobRouter.java
@@ -23,14 +23,13 @@
 
 /**
  * Passes calls on jobs to the owner of their cell: on this VM, or to the entry VMs of the cell's
- * zone one after the other, its last known owner first. A peer that does not own the cell is
- * followed by the next; any other error goes back to the caller, who may repeat the call with the
- * same key.
+ * zone one after the other, its expected owner first. A peer that does not own the cell is followed
+ * by the next; any other error goes back to the caller, who may repeat the call with the same key.
  */
 public final class ForwardingJobRouter implements JobRouter {
 
     /** How many entry VMs are asked at most. */
-    private static final int MAXIMUM_PEERS = 3;
+    private static final int MAXIMUM_PEERS = 8;
 
     /** The cells of this VM. */
     private final CellHost host;
@@ -71,7 +70,7 @@
 
     @Override
     public Promise<JobReply> submit(CellId cell, JobSubmission submission, boolean forwarded) {
-        if (host.owns(cell) || forwarded) {
+        if (forwarded || host.owns(cell)) {
             return host.submit(cell, submission);
         }
         return ask(
@@ -81,7 +80,7 @@
     @Override
     public Promise<JobReply> query(JobId job, boolean forwarded) {
         CellId cell = cellOf(job);
-        if (host.owns(cell) || forwarded) {
+        if (forwarded || host.owns(cell)) {
             return host.query(cell, job);
         }
         return ask(
@@ -91,7 +90,7 @@
     @Override
     public Promise<JobReply> cancel(JobId job, boolean forwarded) {
         CellId cell = cellOf(job);
-        if (host.owns(cell) || forwarded) {
+        if (forwarded || host.owns(cell)) {
             return host.cancel(cell, job);
         }
         return ask(
@@ -147,7 +146,7 @@
     private List<VmRecord> candidates(CellId cell) {
         FleetView view = fleet.get();
         List<VmRecord> candidates = new ArrayList<>();
-        Optional<VmRecord> holder = view.find(host.holder(cell));
+        Optional<VmRecord> holder = view.find(host.expectedOwner(cell));
         holder.ifPresent(candidates::add);
         for (VmRecord vm : view.present(VmRole.ENTRY, layout.zoneOf(cell))) {
             if (vm.state() == VmState.LIVE && !candidates.contains(vm)) {
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/StatusCommand.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/StatusCommand.java
@@ -61,12 +61,8 @@
                     zone.reachable() ? "reachable" : "cut off",
                     zone.liveMembers());
         }
-        output.println("MEMBER                   ZONE             STATE      INCARNATION");
-        for (StatusBody.MemberBody member : status.members()) {
-            output.printf(
-                    "%-24s %-16s %-10s %d%n",
-                    member.vm(), member.zone(), member.state(), member.incarnation());
-        }
+        output.println("MEMBERS OF THE ZONE");
+        status.members().forEach(output::println);
         output.println("CELL                 OWNER                    HERE");
         for (StatusBody.CellBody cell : status.cells()) {
             output.printf(
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EndpointSource.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EndpointSource.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.damasktiller.identity.EndpointId;
 import org.damasktiller.identity.RegionName;
@@ -24,6 +25,9 @@
     /** Gives the last reading of the list. */
     private final Supplier<FleetView> fleet;
 
+    /** Tells whether an endpoint is known to be leaving before the list says so. */
+    private final Predicate<EndpointId> leaving;
+
     /** The region of each availability zone. */
     private final Map<ZoneName, RegionName> regions;
 
@@ -32,8 +36,13 @@
      *
      * @param fleet gives the last reading of the list
      * @param regions the region of each availability zone
+     * @param leaving tells whether an endpoint is known to be leaving before the list says so
      */
-    EndpointSource(Supplier<FleetView> fleet, Map<ZoneName, RegionName> regions) {
+    EndpointSource(
+            Supplier<FleetView> fleet,
+            Map<ZoneName, RegionName> regions,
+            Predicate<EndpointId> leaving) {
+        this.leaving = leaving;
         this.fleet = fleet;
         this.regions = Map.copyOf(regions);
     }
@@ -53,13 +62,14 @@
      * @return the description
      */
     private EndpointDescription describe(VmRecord vm) {
+        EndpointId endpoint = new EndpointId(vm.name());
         return new EndpointDescription(
-                new EndpointId(vm.name()),
+                endpoint,
                 vm.address(),
                 vm.zone(),
                 regions.getOrDefault(vm.zone(), new RegionName(vm.zone().value())),
                 SLOTS,
                 CONNECTIONS,
-                vm.state() == VmState.LEAVING);
+                vm.state() == VmState.LEAVING || leaving.test(endpoint));
     }
 }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryNode.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryNode.java
@@ -82,8 +82,7 @@
                 .submit(
                         () -> {
                             EntryNode node = new EntryNode(settings, eventloop);
-                            node.listen();
-                            return Promise.of(node);
+                            return node.listen().map(ignored -> node);
                         })
                 .join();
     }
@@ -114,7 +113,7 @@
      * @return the IP number and port for other entry VMs
      */
     public String name() {
-        return Addresses.text(settings.peerAddress());
+        return parts.self().value();
     }
 
     /**
@@ -135,21 +134,25 @@
         return Addresses.text(operatorServer.getBoundAddresses().get(0));
     }
 
-    /** Opens the listeners and starts the parts. */
-    private void listen() {
+    /**
+     * Opens the listeners and starts the parts.
+     *
+     * @return completed when the VM takes work
+     */
+    private Promise<Void> listen() {
         try {
             callerServer.listen();
             operatorServer.listen();
         } catch (IOException exception) {
             throw new UncheckedIOException(exception);
         }
-        parts.start();
         LOGGER.log(
                 Logger.Level.INFO,
                 "entry VM of zone {0} serves callers on {1} and operators on {2}",
                 settings.zone(),
                 callerAddress(),
                 operatorAddress());
+        return parts.start();
     }
 
     /** Stops taking new work, hands over, and ends once no request is in flight. */
@@ -197,6 +200,6 @@
                         MESSAGE_MILLIS,
                         IDLE_MILLIS,
                         MAXIMUM_CONNECTIONS);
-        return HttpListener.create(eventloop, servlet, address, limits);
+        return HttpListener.builder(eventloop, servlet, address, limits).build();
     }
 }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryParts.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryParts.java
@@ -4,6 +4,7 @@
 import io.activej.common.time.CurrentTimeProvider;
 import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
+import io.activej.promise.Promises;
 import java.lang.System.Logger;
 import java.time.Duration;
 import java.util.List;
@@ -12,11 +13,16 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.function.IntSupplier;
+import java.util.stream.Collectors;
+import org.damasktiller.authority.claim.ClaimSettings;
+import org.damasktiller.authority.claim.ClaimShards;
 import org.damasktiller.authority.layout.CellLayout;
 import org.damasktiller.authority.ownership.OwnerIdentity;
 import org.damasktiller.daemon.cell.CellHost;
 import org.damasktiller.daemon.cell.ForwardingJobRouter;
 import org.damasktiller.daemon.cell.PeerJobClient;
+import org.damasktiller.daemon.claim.ClaimHost;
+import org.damasktiller.daemon.claim.RemoteClaims;
 import org.damasktiller.daemon.drive.OwnerEnvironment;
 import org.damasktiller.daemon.gateway.GatewayLimits;
 import org.damasktiller.daemon.gateway.InteractiveGateway;
@@ -24,8 +30,11 @@
 import org.damasktiller.daemon.job.JobServlets;
 import org.damasktiller.daemon.metrics.WorkMetrics;
 import org.damasktiller.daemon.operator.StatusBody;
+import org.damasktiller.daemon.peer.PeerNode;
 import org.damasktiller.daemon.settings.EntrySettings;
 import org.damasktiller.identity.VmId;
+import org.damasktiller.peer.ZoneMap;
+import org.damasktiller.peer.ZoneStatus;
 import org.damasktiller.platform.http.JsonClient;
 import org.damasktiller.platform.store.HttpKeyValueStore;
 import org.damasktiller.platform.vm.HttpVmDirectory;
@@ -33,7 +42,9 @@
 import org.damasktiller.routing.RequestRouter;
 import org.damasktiller.store.KeyValueStore;
 import org.damasktiller.table.TableRepository;
+import org.damasktiller.vm.FleetView;
 import org.damasktiller.vm.VmRecord;
+import org.damasktiller.vm.VmRole;
 
 /** The parts of an entry VM behind its listeners. Used on the event loop's thread only. */
 final class EntryParts {
@@ -44,8 +55,8 @@
     /** How long to wait for a connection to the platform. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
 
-    /** The time between two readings of the table, in milliseconds. */
-    private static final long TABLE_INTERVAL_MILLIS = 1_000;
+    /** The age from which on the news of a zone counts as lost, in milliseconds. */
+    private static final long CUT_OFF_MILLIS = 5_000;
 
     /** The settings. */
     private final EntrySettings settings;
@@ -83,15 +94,21 @@
     /** Owns cells of the availability zone, or stands by to. */
     private final CellHost cellHost;
 
+    /** Owns claim shards, or stands by to, and claims requests. */
+    private final ClaimHost claimHost;
+
+    /** The membership and the spread of the table. */
+    private final PeerNode peerNode;
+
+    /** The name of this VM, its address for other entry VMs. */
+    private final VmId self;
+
     /** Tells the number of requests in flight. */
     private IntSupplier inFlight = () -> 0;
 
     /** Whether the VM takes new work. */
     private Readiness readiness = Readiness.STARTING;
 
-    /** Whether the parts run. */
-    private boolean running;
-
     /**
      * Creates the parts.
      *
@@ -120,20 +137,43 @@
                                 Addresses.text(settings.vmList()),
                                 settings.storeTimeoutMillis()),
                         settings.vmListIntervalMillis());
-        gateway = createGateway();
+        self = new VmId(Addresses.text(Addresses.withPort(settings.peerAddress())));
         decisionPool = Executors.newFixedThreadPool(settings.decisionThreads());
-        cellHost = createCellHost();
+        OwnerEnvironment environment = createEnvironment();
+        OwnerIdentity identity = new OwnerIdentity(self, UUID.randomUUID().toString());
+        cellHost =
+                new CellHost(
+                        layout, settings.zone(), identity, settings.cellSettings(), environment);
+        peerNode = createPeerNode();
+        claimHost =
+                new ClaimHost(
+                        new ClaimShards(settings.claimShards()),
+                        identity,
+                        ClaimSettings.DEFAULT,
+                        environment,
+                        new RemoteClaims(peerNode::call));
+        peerNode.serve((from, body) -> RemoteClaims.serve(claimHost, from, body));
+        gateway = createGateway();
         fleetReader.addListener(cellHost::acceptFleet);
+        fleetReader.addListener(fleet -> peerNode.onVmList(peerList(fleet)));
     }
 
-    /** Starts the parts. */
-    void start() {
-        running = true;
-        fleetReader.start();
-        gateway.start();
-        cellHost.start();
-        followTable();
-        readiness = Readiness.READY;
+    /**
+     * Starts the parts.
+     *
+     * @return completed when they run; fails if the address for other entry VMs is taken
+     */
+    Promise<Void> start() {
+        return peerNode.start()
+                .whenResult(
+                        () -> {
+                            fleetReader.start();
+                            gateway.start();
+                            cellHost.start();
+                            claimHost.start();
+                            readTable();
+                            readiness = Readiness.READY;
+                        });
     }
 
     /**
@@ -143,7 +183,8 @@
      */
     Promise<Void> startDraining() {
         readiness = Readiness.DRAINING;
-        return cellHost.drain();
+        peerNode.startLeaving();
+        return Promises.all(cellHost.drain(), claimHost.drain());
     }
 
     /**
@@ -152,32 +193,26 @@
      * @return completed when they have stopped
      */
     Promise<?> stop() {
-        running = false;
         fleetReader.stop();
         gateway.stop();
         cellHost.stop();
+        claimHost.stop();
         decisionPool.shutdown();
-        return client.stop();
+        return Promises.all(peerNode.stop(), client.stop());
     }
 
-    /**
-     * Reads the table from the store.
-     *
-     * @return completed when it was read or could not be
-     */
-    Promise<Void> readTable() {
-        return repository
+    /** Reads the table from the store, so that it spreads from this VM at once. */
+    void readTable() {
+        repository
                 .read()
-                .whenResult(tableInForce::accept)
+                .whenResult(peerNode::onLocalTable)
                 .whenException(
                         exception ->
                                 LOGGER.log(
                                         Logger.Level.WARNING,
                                         "table can not be read; version {0} stays in force: {1}",
                                         tableInForce.get().version(),
-                                        exception.getMessage()))
-                .toVoid()
-                .map(ignored -> null, exception -> null);
+                                        exception.getMessage()));
     }
 
     /**
@@ -191,49 +226,67 @@
                         .build();
         return InteractiveGateway.builder(eventloop, router)
                 .kinds(name -> tableInForce.get().row(name).orElse(null))
-                .endpoints(new EndpointSource(fleetReader::view, settings.zones()))
+                .endpoints(
+                        new EndpointSource(
+                                fleetReader::view, settings.zones(), peerNode::endpointLeaving))
                 .registry(metrics.registry())
+                .claimGate(claimHost)
+                .leavingListener(endpoint -> peerNode.markEndpoint(endpoint, true))
                 .limits(GatewayLimits.DEFAULT.withRequestBytes(settings.maximumBodyBytes()))
                 .build();
     }
 
     /**
-     * Makes the host of the zone's cells.
+     * Makes what the owners of cells and claim shards need.
      *
-     * @return the host, not yet started
+     * @return the environment
      */
-    private CellHost createCellHost() {
-        OwnerEnvironment environment =
-                new OwnerEnvironment(
-                        eventloop,
-                        decisionPool,
-                        CurrentTimeProvider.ofSystem(),
-                        store,
-                        new HttpWorkerClient(
-                                client,
-                                worker ->
-                                        fleetReader
-                                                .view()
-                                                .find(worker.value())
-                                                .map(VmRecord::address),
-                                settings.workerTimeoutMillis()));
-        VmId self = new VmId(Addresses.text(settings.peerAddress()));
-        return new CellHost(
-                layout,
-                settings.zone(),
-                new OwnerIdentity(self, UUID.randomUUID().toString()),
-                settings.cellSettings(),
-                environment);
+    private OwnerEnvironment createEnvironment() {
+        HttpWorkerClient workers =
+                new HttpWorkerClient(
+                        client,
+                        worker -> fleetReader.view().find(worker.value()).map(VmRecord::address),
+                        settings.workerTimeoutMillis());
+        return new OwnerEnvironment(
+                eventloop, decisionPool, CurrentTimeProvider.ofSystem(), store, workers);
+    }
+
+    /**
+     * Makes the membership and the spread of the table.
+     *
+     * @return the node, not yet started
+     */
+    private PeerNode createPeerNode() {
+        return PeerNode.builder(
+                        eventloop, self, settings.zone(), new ZoneMap(settings.zones()), store)
+                .seeds(
+                        settings.seeds().stream()
+                                .map(seed -> new VmId(Addresses.text(seed)))
+                                .collect(Collectors.toSet()))
+                .tableListener(tableInForce::accept)
+                .memberListener(cellHost::onMembers)
+                .build();
     }
 
-    /** Reads the table now and again after the interval. */
-    private void followTable() {
-        if (!running) {
-            return;
-        }
-        readTable()
-                .whenComplete(
-                        () -> eventloop.delayBackground(TABLE_INTERVAL_MILLIS, this::followTable));
+    /**
+     * Lists the entry VMs by their addresses for other entry VMs, which are their names.
+     *
+     * @param fleet the platform's list
+     * @return the entry VMs
+     */
+    private static List<VmRecord> peerList(FleetView fleet) {
+        return fleet.all().stream()
+                .filter(vm -> vm.role() == VmRole.ENTRY)
+                .map(
+                        vm ->
+                                new VmRecord(
+                                        vm.name(),
+                                        vm.name(),
+                                        vm.zone(),
+                                        vm.rack(),
+                                        vm.role(),
+                                        vm.state()))
+                .toList();
     }
 
     /**
@@ -241,15 +294,52 @@
      *
      * @return the status
      */
-    StatusBody status() {
-        return new StatusBody(
-                Addresses.text(settings.peerAddress()),
-                settings.zone().value(),
-                readiness.name(),
-                tableInForce.get().version(),
-                List.of(),
-                List.of(),
-                cellHost.status());
+    Promise<StatusBody> status() {
+        return peerNode.statuses()
+                .map(
+                        statuses ->
+                                new StatusBody(
+                                        self.value(),
+                                        settings.zone().value(),
+                                        readiness.name(),
+                                        tableInForce.get().version(),
+                                        statuses.stream().map(this::zoneBody).toList(),
+                                        members(),
+                                        cellHost.status()));
+    }
+
+    /**
+     * Tells the state of an availability zone.
+     *
+     * @param status what is known of the zone
+     * @return the state
+     */
+    private StatusBody.ZoneBody zoneBody(ZoneStatus status) {
+        return new StatusBody.ZoneBody(
+                status.zone().value(),
+                status.region().value(),
+                status.inForceVersion(),
+                eventloop.currentTimeMillis() - status.inForceForMillis(),
+                status.ageMillis() < CUT_OFF_MILLIS,
+                status.members());
+    }
+
+    /**
+     * Tells the live entry VMs of this zone.
+     *
+     * @return the names of the VMs
+     */
+    private List<String> members() {
+        return peerNode.liveMembers().stream().map(VmId::value).toList();
+    }
+
+    /**
+     * Returns the name of this VM, its address for other entry VMs.
+     *
+     * @return the name
+     */
+    VmId self() {
+        return self;
     }
 
     /**
@@ -326,7 +416,7 @@
                         cellHost,
                         layout,
                         fleetReader::view,
-                        Addresses.text(settings.peerAddress()),
+                        self.value(),
                         new PeerJobClient(client, settings.peerTimeoutMillis()));
         return new JobServlets(tableInForce::get, layout, router, settings.maximumBodyBytes());
     }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryRoutes.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryRoutes.java
@@ -58,7 +58,7 @@
                 .with(
                         HttpMethod.GET,
                         OperatorPaths.STATUS,
-                        JsonServlets.get(request -> Promise.of(parts.status())))
+                        JsonServlets.get(request -> parts.status()))
                 .with(
                         HttpMethod.POST,
                         OperatorPaths.DRAIN,
@@ -75,6 +75,6 @@
      */
     private DrainBody startDraining() {
         drain.run();
-        return new DrainBody(parts.status().vm(), parts.readiness().name(), parts.inFlight());
+        return new DrainBody(parts.self().value(), parts.readiness().name(), parts.inFlight());
     }
 }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/local/LocalCluster.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/local/LocalCluster.java
@@ -1,16 +1,10 @@
 package org.damasktiller.daemon.local;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
-import org.damasktiller.daemon.entry.Addresses;
 import org.damasktiller.daemon.entry.EntryNode;
 import org.damasktiller.daemon.settings.EntrySettings;
 import org.damasktiller.daemon.settings.Settings;
@@ -130,25 +124,10 @@
                         .collect(Collectors.joining(","));
         List<String> flags =
                 new ArrayList<>(List.of("--address", FREE_PORT, "--operator-address", FREE_PORT));
-        flags.addAll(List.of("--peer-address", freeAddress(), "--zone", zone.value()));
+        flags.addAll(List.of("--peer-address", FREE_PORT, "--zone", zone.value()));
         flags.addAll(List.of("--zones", allZones, "--store", platform.storeAddress()));
         flags.addAll(List.of("--vm-list", platform.vmListAddress()));
         flags.addAll(List.of("--drain-notice-millis", Long.toString(DRAIN_NOTICE_MILLIS)));
         return flags.toArray(String[]::new);
     }
-
-    /**
-     * Finds an address of loopback whose port is free.
-     *
-     * @return the IP number and port
-     */
-    private static String freeAddress() {
-        try (ServerSocket socket = new ServerSocket()) {
-            socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-            return Addresses.text(
-                    new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort()));
-        } catch (IOException exception) {
-            throw new UncheckedIOException(exception);
-        }
-    }
 }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/operator/StatusBody.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/operator/StatusBody.java
@@ -10,7 +10,7 @@
  * @param readiness whether it takes new work
  * @param tableVersion the version of the table in force on it
  * @param zones the availability zones
- * @param members the entry VMs it knows
+ * @param members the live entry VMs of its zone
  * @param cells the cells and their owners
  */
 public record StatusBody(
@@ -19,7 +19,7 @@
         String readiness,
         long tableVersion,
         List<ZoneBody> zones,
-        List<MemberBody> members,
+        List<String> members,
         List<CellBody> cells) {
 
     /**
@@ -40,16 +40,6 @@
             boolean reachable,
             int liveMembers) {}
 
-    /**
-     * Tells the state of an entry VM.
-     *
-     * @param vm the entry VM
-     * @param zone its availability zone
-     * @param state what is known of it
-     * @param incarnation the number by which it refutes a suspicion
-     */
-    public record MemberBody(String vm, String zone, String state, long incarnation) {}
-
     /**
      * Tells the owner of a cell.
      *
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/peer/PeerNode.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/peer/PeerNode.java
@@ -87,6 +87,9 @@
     /** Sends and receives messages. */
     private final PeerTransport transport;
 
+    /** Makes and serves calls. */
+    private final PeerCalls calls;
+
     /** Watches the store. */
     private final StoreWatch watch;
 
@@ -138,6 +141,7 @@
                 new GossipSocket(reactor, PeerAddresses.address(self), codec, this::onDatagram);
         this.transport =
                 new PeerTransport(reactor, PeerAddresses.address(self), identity, this::onMessage);
+        this.calls = new PeerCalls(reactor, transport::send);
         this.watch =
                 new StoreWatch(
                         store,
@@ -178,6 +182,26 @@
                         });
     }
 
+    /**
+     * Sets what serves the calls of other entry VMs.
+     *
+     * @param service the service
+     */
+    public void serve(PeerService service) {
+        calls.serve(service);
+    }
+
+    /**
+     * Calls another entry VM.
+     *
+     * @param to the entry VM
+     * @param body the encoded call
+     * @return the encoded answer; fails if none came in time
+     */
+    public Promise<byte[]> call(VmId to, byte[] body) {
+        return calls.call(to, body);
+    }
+
     /** Marks this node as leaving, so that it owns nothing new and receives no new work. */
     public void startLeaving() {
         carryOut(core.startLeaving(now()));
@@ -334,6 +358,9 @@
      */
     private void onMessage(VmId from, PeerMessage message) {
         try {
+            if (calls.onMessage(from, message)) {
+                return;
+            }
             carryOut(core.onMessage(from, message, now()));
         } catch (DamasktillerException e) {
             LOGGER.log(Level.WARNING, "refused a message of {0}: {1}", from, e.getMessage());
--- a/damasktiller-daemon/src/test/java/org/damasktiller/daemon/entry/EntryNodeTest.java
+++ b/damasktiller-daemon/src/test/java/org/damasktiller/daemon/entry/EntryNodeTest.java
@@ -67,6 +67,29 @@
         assertThat(cancelled.status(), is(200));
     }
 
+    @Test
+    void testAtMostOnceCallRunsOnceForOneKey() {
+        Answer first = invoice("invoice-1");
+        while (first.body().contains("NOT_RUN")) {
+            first = invoice("invoice-1");
+        }
+        assertThat(first.body(), is("17 euros"));
+        Answer second = invoice("invoice-1");
+        assertThat(second.status(), is(409));
+        assertThat(second.body(), containsString("ALREADY_CLAIMED"));
+        assertThat(fixture.endpointCounters().executions("invoice-1"), is(1));
+    }
+
+    @Test
+    void testAtMostOnceCallIsNotRunWithoutTheStore() {
+        fixture.setStoreFaults(StoreFaults.DOWN);
+        Answer answer = invoice("invoice-2");
+        assertThat(answer.status(), is(503));
+        assertThat(answer.body(), containsString("NOT_RUN"));
+        assertThat(fixture.endpointCounters().executions("invoice-2"), is(0));
+        fixture.setStoreFaults(StoreFaults.NONE);
+    }
+
     @Test
     void testUnknownKindIsRefused() {
         assertRefused(call("nonsense", ""), 404, "UNKNOWN_KIND");
@@ -164,6 +187,15 @@
         assertThat(fixture.node().drain().join(), is(true));
     }
 
+    private Answer invoice(String key) {
+        return fixture.send(
+                HttpRequest.post(fixture.callerUrl("/v1/call/invoice"))
+                        .withHeader(CallHeaders.TENANT, "office")
+                        .withHeader(CallHeaders.KEY, key)
+                        .withHeader(CallHeaders.DEADLINE_MILLIS, "2000")
+                        .withBody("17 euros".getBytes(StandardCharsets.UTF_8)));
+    }
+
     private Answer answeredCall(String body) {
         Answer answer = call("lookup", body);
         while (answer.body().contains("NO_ENDPOINT")) {
--- a/damasktiller-library/src/main/java/org/damasktiller/peer/PeerCodec.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/peer/PeerCodec.java
@@ -36,7 +36,9 @@
                     PeerMessage.ZoneReport.class,
                     PeerMessage.StatusRequest.class,
                     PeerMessage.StatusReply.class,
-                    PeerMessage.EndpointMarks.class);
+                    PeerMessage.EndpointMarks.class,
+                    PeerMessage.Call.class,
+                    PeerMessage.CallReply.class);
 
     /** Converts records to MessagePack arrays. */
     private static final ObjectMapper MAPPER = mapper();
--- a/damasktiller-library/src/main/java/org/damasktiller/peer/PeerMessage.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/peer/PeerMessage.java
@@ -79,4 +79,22 @@
      * @param marks the marks
      */
     record EndpointMarks(List<EndpointMark> marks) implements PeerMessage {}
+
+    /**
+     * Calls a service of the receiver, answered by a {@link CallReply}.
+     *
+     * @param number the number of the call, never used twice by the same sender
+     * @param body the encoded call
+     */
+    @SuppressWarnings("ArrayRecordComponent")
+    record Call(long number, byte[] body) implements PeerMessage {}
+
+    /**
+     * Answers a call.
+     *
+     * @param number the number of the call
+     * @param body the encoded answer
+     */
+    @SuppressWarnings("ArrayRecordComponent")
+    record CallReply(long number, byte[] body) implements PeerMessage {}
 }
