--- /dev/null
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/authority/package-info.java
@@ -0,0 +1,5 @@
+/** Measures the authority over work: writes, latency of acceptance, takeover, faults. */
+@NullMarked
+package org.damasktiller.benchmark.authority;
+
+import org.jspecify.annotations.NullMarked;
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/LaneCommands.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/LaneCommands.java
@@ -31,7 +31,7 @@
     private static final int MAXIMUM_ATTEMPTS = 32;
 
     /** The waiting jobs that are looked at for one command at most. */
-    private static final int MAXIMUM_CANDIDATES = 128;
+    private static final int MAXIMUM_CANDIDATES = 4_096;
 
     /** The shortest time between two inventories, in milliseconds. */
     private static final long MINIMUM_INVENTORY_MILLIS = 50;
@@ -195,7 +195,7 @@
                 starts.add(start(lane, job, permit));
             }
         }
-        if (lane.listed != VmState.LIVE) {
+        if (lane.listed != VmState.LIVE || !lane.startsPossible) {
             return starts;
         }
         Resources reserved = lane.reserved();
@@ -213,6 +213,7 @@
                 chosen.add(job);
             }
         }
+        lane.startsPossible = !chosen.isEmpty();
         for (Job job : chosen) {
             lane.hold(job);
             starts.add(start(lane, job, permit));
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/Reconciler.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/Reconciler.java
@@ -99,6 +99,7 @@
             lane.processChanged = true;
         } else if (!job.begun() && job.settled()) {
             lane.waiting.add(job);
+            lane.startsPossible = true;
         }
     }
 
@@ -246,14 +247,13 @@
      * @return the time, in milliseconds, or the largest one while leases are granted
      */
     private long leaseEndMillis(WorkerLane lane, long acquiredMillis, long graceMillis) {
+        long ownEnd =
+                lane.grantedMillis
+                        + settings.ownership().leaseOfTasksMillis()
+                        + settings.ownership().clockMarginMillis();
         if (!lane.fenced) {
-            return acquiredMillis + graceMillis;
+            return Math.max(ownEnd, acquiredMillis + graceMillis);
         }
-        if (!lane.suspended) {
-            return Long.MAX_VALUE;
-        }
-        return lane.grantedMillis
-                + settings.ownership().leaseOfTasksMillis()
-                + settings.ownership().clockMarginMillis();
+        return lane.suspended ? ownEnd : Long.MAX_VALUE;
     }
 }
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/WorkerLane.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/WorkerLane.java
@@ -72,6 +72,9 @@
     /** Whether the worker's present process was fenced with the owner's generation. */
     boolean fenced;
 
+    /** Whether a waiting job may fit since the waiting jobs were last looked at. */
+    boolean startsPossible = true;
+
     /** Whether jobs may be bound to an earlier process of the worker. */
     boolean processChanged;
 
@@ -206,6 +209,7 @@
      */
     void release(Job job) {
         if (holding.remove(job.record().id()) != null) {
+            startsPossible = true;
             holdingSum = holdingSum.minus(job.resources());
         }
     }
@@ -254,12 +258,14 @@
      */
     void heard(WorkerStamp next, long nowMillis) {
         answeredMillis = nowMillis;
+        startsPossible = startsPossible || !strays.isEmpty();
         WorkerStamp last = stamp;
         boolean same = last != null && last.incarnation().equals(next.incarnation());
         if (!same) {
             learnedMillis = nowMillis;
             fenced = false;
             processChanged = true;
+            startsPossible = true;
             waiting.clear();
             holding.clear();
             holdingSum = Resources.NONE;
