--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/authority/package-info.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/authority/package-info.java
@@ -1,4 +1,4 @@
-/** Measures the authority over work: writes, latency of acceptance, takeover, faults. */
+/** Measures the authority over work: commits, acceptance, takeover, claims and faults. */
 @NullMarked
 package org.damasktiller.benchmark.authority;
 
