--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/claim/ClaimFaultMatrixTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/claim/ClaimFaultMatrixTest.java
@@ -25,7 +25,7 @@
 
 /**
  * Brings about every fault at every call of a run. A case is run alone by {@code mvn -pl
- * damasktiller-verification -am test -Dtest=ClaimFaultMatrixTest
+ * damasktiller-verification -am test -Dtest=ClaimFaultMatrixTest#testNamedCase
  * -Dsurefire.failIfNoSpecifiedTests=false -Ddamasktiller.claim.case=12:CRASH_BEFORE,40:STORE_DOWN},
  * where the numbers are those of calls.
  */
--- a/specification/claim.pml
+++ b/specification/claim.pml
@@ -4,7 +4,9 @@
  *
  * Each protective rule is removed by one preprocessor symbol, named at the place of the rule.
  */
+#ifndef GENERATIONS
 #define GENERATIONS 3
+#endif
 #define TRIES 3 /* of the same request, over both forwarders */
 #define CALLER 2 /* ticks within which the caller repeats the request */
 #define DEADLINE 1 /* ticks after the request arrived within which a forwarder may send */
@@ -14,8 +16,10 @@
 #define RETENTION 3 /* ticks for which a claim is kept: the two above together */
 #endif
 
-/* Changes of a head: a nonce for a claim, or its expiry. */
+/* Changes of a head: a nonce for a claim, its release by that nonce, or its expiry. */
 #define NO_CHANGE 0
+#define RELEASE(n) ((n) + TRIES)
+#define IS_RELEASE(change) ((change) > TRIES && (change) <= 2 * TRIES)
 #define EXPIRY 9
 
 /* States of a request at a forwarder. */
@@ -25,7 +29,7 @@
 #define TOLD_NOT_RUN 3
 #define TOLD_OTHER 4 /* the answer, or that the outcome is unknown */
 
-/* The head record: the nonce of the claim, or zero, and for how long it must be kept. */
+/* The head record: the nonce of the claim, its release, or zero, and for how long it must be kept. */
 byte headGeneration = 1;
 byte headClaim;
 byte headRetention;
@@ -60,6 +64,9 @@
  */
 bit granted[TRIES + 1];
 
+/* A forwarder that told its caller "not run" gives its claim back; it may arrive at any time. */
+bit givenBack[TRIES + 1];
+
 inline forget(o) {
     generation[o] = 0;
     viewClaim[o] = 0;
@@ -89,7 +96,7 @@
     :: writeMatches[o] ->
 #endif
         headClaim = (write[o] == EXPIRY -> 0 : write[o]);
-        headRetention = (write[o] == EXPIRY -> 0 : RETENTION);
+        headRetention = (write[o] == EXPIRY -> 0 : (IS_RELEASE(write[o]) -> headRetention : RETENTION));
         writeApplied[o] = (open[o] != NO_CHANGE);
         writeMatches[1 - o] = 0;
     :: else
@@ -122,7 +129,7 @@
 /* The owner takes the question of the forwarder with nonce n. */
 inline take(o, n) {
     if
-    :: viewClaim[o] == 0 ->
+    :: viewClaim[o] == 0 || (IS_RELEASE(viewClaim[o]) && viewClaim[o] != RELEASE(n)) ->
         if
         :: open[o] == NO_CHANGE && write[o] == NO_CHANGE ->
 #ifdef NO_CLAIM_COMMIT
@@ -160,6 +167,13 @@
 #endif
 #endif
 
+inline tellNotRun(f) {
+    state[f] = TOLD_NOT_RUN;
+#ifdef GIVE_BACK
+    givenBack[nonce[f]] = 1;
+#endif
+}
+
 /* The check of the deadline and the send are one step. */
 inline receive(f) {
     if
@@ -169,7 +183,7 @@
         :: state[f] == ASKING -> state[f] = SENT
         :: else
         fi
-    :: state[f] == ASKING && !IN_TIME(f) -> state[f] = TOLD_NOT_RUN
+    :: state[f] == ASKING && !IN_TIME(f) -> tellNotRun(f)
     :: else
     fi;
 }
@@ -183,6 +197,9 @@
 #ifdef REACH_ANSWER
     assert(!(f == 1 && state[f] == SENT));
 #endif
+#ifdef REACH_RUN_AFTER_RELEASE
+    assert(!(nonce[f] == 2 && givenBack[1] && granted[1]));
+#endif
 }
 
 inline executeLeft(f) {
@@ -215,15 +232,33 @@
     deadline[1] = (deadline[1] > 0 -> deadline[1] - 1 : 0);
 }
 
+/* Giving back and expiry are explored apart: together they are too many states. */
+#ifdef GIVE_BACK
+#define EXPIRES false
+#else
+#define EXPIRES true
+#endif
 #ifdef NO_RETENTION
 #define RETAINED false
 #else
 #define RETAINED (headRetention > 0)
 #endif
 
+#ifdef GIVE_BACK_EARLY
+#define GIVE_BACK_STEP(f) :: d_step { state[f] == ASKING -> givenBack[nonce[f]] = 1; }
+#else
+#define GIVE_BACK_STEP(f)
+#endif
+#ifdef RELEASE_BY_ANY
+#define MAY_RELEASE(o, n) (viewClaim[o] > 0 && viewClaim[o] <= TRIES)
+#else
+#define MAY_RELEASE(o, n) (viewClaim[o] == (n))
+#endif
+
 #define FORWARDER_STEPS(f) \
     :: d_step { tries < TRIES && callerWindow > 0 -> begin(f); } \
-    :: d_step { state[f] == ASKING -> state[f] = TOLD_NOT_RUN; } \
+    :: d_step { state[f] == ASKING -> tellNotRun(f); } \
+    GIVE_BACK_STEP(f) \
     :: d_step { state[f] == ASKING || state[f] == SENT -> state[f] = TOLD_OTHER; } \
     :: d_step { granted[nonce[f]] -> receive(f); } \
     :: d_step { inFlight[f] -> execute(f); } \
@@ -232,7 +267,9 @@
     :: d_step { leftInFlight[f] -> leftInFlight[f] = 0; }
 
 #define TAKE_STEP(o, n) \
-    :: d_step { generation[o] > 0 && tries >= n -> take(o, n); }
+    :: d_step { generation[o] > 0 && tries >= n -> take(o, n); } \
+    :: d_step { generation[o] > 0 && givenBack[n] && MAY_RELEASE(o, n) && open[o] == NO_CHANGE \
+            && write[o] == NO_CHANGE -> open[o] = RELEASE(viewClaim[o]); sendWrite(o); }
 
 #define OWNER_STEPS(o) \
     :: d_step { generation[o] == 0 && headGeneration < GENERATIONS -> takeOver(o); } \
@@ -241,7 +278,7 @@
     :: d_step { write[o] != NO_CHANGE -> applyWrite(o); } \
     :: d_step { write[o] != NO_CHANGE -> write[o] = NO_CHANGE; writeMatches[o] = 0; } \
     :: d_step { generation[o] > 0 && viewClaim[o] != 0 && !RETAINED && open[o] == NO_CHANGE \
-            && write[o] == NO_CHANGE -> open[o] = EXPIRY; sendWrite(o); } \
+            && write[o] == NO_CHANGE && EXPIRES -> open[o] = EXPIRY; sendWrite(o); } \
     TAKE_STEP(o, 1) \
     TAKE_STEP(o, 2) \
     TAKE_STEP(o, 3)
