--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryNode.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryNode.java
@@ -9,11 +9,11 @@
 import java.io.UncheckedIOException;
 import java.lang.System.Logger;
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import org.damasktiller.daemon.http.HttpListener;
+import org.damasktiller.daemon.http.ListenerLimits;
 import org.damasktiller.daemon.settings.EntrySettings;
 import org.damasktiller.platform.http.EventLoops;
-import org.damasktiller.platform.http.JsonResponses;
 
 /** One entry VM as it runs: its event loop, its listeners and its shutdown. */
 public final class EntryNode {
@@ -21,8 +21,14 @@
     /** The log. */
     private static final Logger LOGGER = System.getLogger(EntryNode.class.getName());
 
-    /** How long a connection is kept for the caller's next request. */
-    private static final Duration KEEP_ALIVE = Duration.ofSeconds(30);
+    /** How long a caller may take to send a request or to read a response, in milliseconds. */
+    private static final long MESSAGE_MILLIS = 60_000;
+
+    /** How long a connection is kept for the caller's next request, in milliseconds. */
+    private static final long IDLE_MILLIS = 30_000;
+
+    /** The largest number of connections of a listener. */
+    private static final int MAXIMUM_CONNECTIONS = 20_000;
 
     /** The settings. */
     private final EntrySettings settings;
@@ -185,12 +191,12 @@
      * @return the listener, not yet open
      */
     private HttpServer server(InetSocketAddress address, AsyncServlet servlet) {
-        return HttpServer.builder(eventloop, servlet)
-                .withListenAddress(address)
-                .withKeepAliveTimeout(KEEP_ALIVE)
-                .withServeTimeoutShutdown(Duration.ofMillis(settings.drainTimeoutMillis()))
-                .withMaxBodySize(settings.maximumBodyBytes())
-                .withHttpErrorFormatter(exception -> Promise.of(JsonResponses.error(exception)))
-                .build();
+        ListenerLimits limits =
+                new ListenerLimits(
+                        settings.maximumBodyBytes(),
+                        MESSAGE_MILLIS,
+                        IDLE_MILLIS,
+                        MAXIMUM_CONNECTIONS);
+        return HttpListener.create(eventloop, servlet, address, limits);
     }
 }
