--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/Measure.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/Measure.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Supplier;
+import org.damasktiller.benchmark.authority.AuthorityMeasurement;
 import org.damasktiller.benchmark.authority.ClaimsMeasurement;
 import org.damasktiller.benchmark.decisions.DecisionsMeasurement;
 import org.damasktiller.benchmark.path.PathMeasurement;
@@ -54,6 +55,7 @@
      */
     private static Map<String, Supplier<Measurement>> measurements() {
         Map<String, Supplier<Measurement>> measurements = new TreeMap<>();
+        measurements.put("authority", AuthorityMeasurement::new);
         measurements.put("claims", ClaimsMeasurement::new);
         measurements.put("decisions", DecisionsMeasurement::new);
         measurements.put("path", PathMeasurement::new);
--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/authority/package-info.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/authority/package-info.java
@@ -1,4 +1,4 @@
-/** Measures the authority over work: commits, claims and their cost. */
+/** Measures the authority over work: commits, acceptance, takeover, claims and faults. */
 @NullMarked
 package org.damasktiller.benchmark.authority;
 
