Start harmful jobs that wait long at half speed

Change: a batch job refused for harm that has waited 15 minutes starts at half of its processors where that is harmless; the guard speeds it up when there is room. JobPlacer takes the choice of workers out of Dispatcher.

--- a/damasktiller-library/src/main/java/org/damasktiller/decision/dispatch/Dispatcher.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/decision/dispatch/Dispatcher.java
@@ -19,7 +19,6 @@
 import org.damasktiller.decision.health.WorkerStanding;
 import org.damasktiller.decision.interference.HarmScore;
 import org.damasktiller.decision.interference.InterferenceEstimator;
-import org.damasktiller.decision.placement.PlacementChoice;
 import org.damasktiller.decision.placement.PlacementIndex;
 import org.damasktiller.decision.placement.PlacementRequest;
 import org.damasktiller.decision.placement.PlacementScore;
@@ -40,9 +39,6 @@
  */
 public final class Dispatcher {
 
-    /** How long workers are kept for a kind that finds no room, in milliseconds. */
-    private static final long HOLD_MILLIS = 5000;
-
     /** The settings. */
     private final DispatchSettings settings;
 
@@ -91,6 +87,9 @@
     /** Makes room. */
     private final RoomMaker rooms;
 
+    /** Chooses workers. */
+    private final JobPlacer placer;
+
     /** Protects services. */
     private final ServiceProtection protection;
 
@@ -116,6 +115,7 @@
         poisoned = new PoisonedJobs(settings.workersToPoison(), access.health());
         sizeControl = new SizeControl(tasks, sizes, limits);
         rooms = new RoomMaker(tasks);
+        placer = new JobPlacer(index, queue, rooms, limits, this::start);
         protection = new ServiceProtection(tasks, rooms, kinds, interference, settings);
     }
 
@@ -209,7 +209,7 @@
      */
     public boolean adopt(PendingJob job, WorkerId worker, Resources size, long nowMillis) {
         queue.submit(job);
-        return start(job, worker, size, nowMillis);
+        return start(job, worker, size, RunningTask.FULL_SPEED, nowMillis);
     }
 
     /**
@@ -266,7 +266,9 @@
         Optional<PendingJob> next = queue.next(nowMillis);
         while (next.isPresent()) {
             PendingJob job = next.get();
-            place(job, actions, nowMillis);
+            boolean urgent = row(job.kind()).workClass() == WorkClass.URGENT;
+            PlacementRequest request = request(job, nowMillis);
+            actions.addAll(placer.place(job, request, score(), urgent, nowMillis));
             next = queue.next(nowMillis);
         }
         return actions;
@@ -365,55 +367,6 @@
         return access.health().standing(worker);
     }
 
-    /**
-     * Starts a job, or passes it over for the rest of the round.
-     *
-     * @param job the job
-     * @param actions where the actions go
-     * @param nowMillis the time, in milliseconds
-     */
-    private void place(PendingJob job, List<DispatchAction> actions, long nowMillis) {
-        PlacementRequest request = request(job, nowMillis);
-        PlacementChoice choice = index.choose(request, score());
-        Optional<WorkerId> worker = choice.worker();
-        if (worker.isEmpty() && row(job.kind()).workClass() == WorkClass.URGENT) {
-            worker = makeRoom(request, actions, nowMillis);
-        }
-        if (worker.isPresent() && start(job, worker.get(), request.size(), nowMillis)) {
-            actions.add(new StartTask(job.id(), worker.get(), request.size()));
-        } else if (choice.roomFound()) {
-            queue.refusedForHarm(job);
-        } else {
-            Resources twice = request.size().plus(request.size());
-            boolean soon = twice.fitsWithin(limits.largest());
-            int owed = queue.refusedForRoom(job, soon, nowMillis);
-            if (owed > 0) {
-                index.hold(request, score(), owed, nowMillis + HOLD_MILLIS);
-            }
-        }
-    }
-
-    /**
-     * Makes room for an urgent job by throttling batch tasks.
-     *
-     * @param request the request
-     * @param actions where the actions go
-     * @param nowMillis the time, in milliseconds
-     * @return the worker, or empty if no room can be made
-     */
-    private Optional<WorkerId> makeRoom(
-            PlacementRequest request, List<DispatchAction> actions, long nowMillis) {
-        PlacementScore room =
-                (kind, asked, candidate) ->
-                        rooms.canFree(candidate.spec().id(), asked.size())
-                                ? candidate.reservedShare()
-                                : Double.POSITIVE_INFINITY;
-        Optional<WorkerId> worker = index.chooseAny(request, room);
-        long processors = request.size().milliProcessors();
-        worker.ifPresent(id -> actions.addAll(rooms.free(id, processors, nowMillis)));
-        return worker;
-    }
-
     /**
      * Builds the request for a worker.
      *
@@ -450,18 +403,21 @@
      *
      * @param job the job
      * @param worker the worker
-     * @param size what to reserve
+     * @param size what to reserve at full speed
+     * @param percent the speed, in percent
      * @param nowMillis the time, in milliseconds
      * @return whether it was started
      */
-    private boolean start(PendingJob job, WorkerId worker, Resources size, long nowMillis) {
+    private boolean start(
+            PendingJob job, WorkerId worker, Resources size, int percent, long nowMillis) {
         KindOfWork row = row(job.kind());
         RunningTask task = new RunningTask(job, worker, size, row, nowMillis);
+        task.startAt(percent);
         if (!tasks.add(task, nowMillis)) {
             return false;
         }
         long expected = runTimes.expectedMillis(job.kind(), row.runTimeMillis(), nowMillis);
-        queue.started(job.id(), size, expected, nowMillis);
+        queue.started(job.id(), task.reserved, expected, nowMillis);
         access.onStart(worker);
         return true;
     }
--- a/damasktiller-library/src/main/java/org/damasktiller/decision/dispatch/RunningTask.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/decision/dispatch/RunningTask.java
@@ -74,6 +74,16 @@
         this.startedMillis = nowMillis;
     }
 
+    /**
+     * Sets the speed at which the task starts.
+     *
+     * @param percent the speed that the guard allows, in percent
+     */
+    void startAt(int percent) {
+        guardPercent = percent;
+        reserved = at(percent);
+    }
+
     /**
      * Returns the speed that both the guard and the room allow.
      *
--- a/damasktiller-library/src/main/java/org/damasktiller/decision/placement/PlacementRequest.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/decision/placement/PlacementRequest.java
@@ -18,8 +18,23 @@
 public record PlacementRequest(
         JobId job, KindName kind, Resources size, Resources leaveFree, List<ZoneName> places) {
 
+    /** The percent of a whole. */
+    private static final int PERCENT = 100;
+
     /** Copies the list of places. */
     public PlacementRequest {
         places = List.copyOf(places);
     }
+
+    /**
+     * Returns the request at a lower speed.
+     *
+     * @param speedPercent the part of the processors, in percent
+     * @return the request with less processors
+     */
+    public PlacementRequest throttled(int speedPercent) {
+        long processors = Math.max(1, size.milliProcessors() * speedPercent / PERCENT);
+        Resources slower = new Resources(processors, size.memoryMegabytes(), size.accelerators());
+        return new PlacementRequest(job, kind, slower, leaveFree, places);
+    }
 }
--- a/damasktiller-library/src/test/java/org/damasktiller/decision/dispatch/DispatcherTest.java
+++ b/damasktiller-library/src/test/java/org/damasktiller/decision/dispatch/DispatcherTest.java
@@ -9,8 +9,12 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.SplittableRandom;
+import org.damasktiller.decision.fairshare.AgingRule;
 import org.damasktiller.decision.fairshare.PendingJob;
+import org.damasktiller.decision.guard.GuardSettings;
+import org.damasktiller.decision.health.HealthSettings;
 import org.damasktiller.decision.health.WorkerStanding;
+import org.damasktiller.decision.interference.HarmSettings;
 import org.damasktiller.decision.placement.WorkerSpec;
 import org.damasktiller.identity.JobId;
 import org.damasktiller.identity.KindName;
@@ -37,8 +41,19 @@
 
     private static final KindName SERVICE = new KindName("service");
 
+    private static final DispatchSettings WITHOUT_EXPLORATION =
+            new DispatchSettings(
+                    true,
+                    new HarmSettings(0.15, 0, 0.02, 0.1),
+                    GuardSettings.ORDINARY,
+                    HealthSettings.ORDINARY,
+                    AgingRule.ORDINARY,
+                    1.15,
+                    24,
+                    3);
+
     private final Dispatcher dispatcher =
-            new Dispatcher(DispatchSettings.ORDINARY, new SplittableRandom(9));
+            new Dispatcher(WITHOUT_EXPLORATION, new SplittableRandom(9));
 
     private int jobs;
 
@@ -133,8 +148,9 @@
         Resources declared = new Resources(8000, 1000, 0);
         PendingJob service = new PendingJob(new JobId("s"), SERVICE, declared, 0);
         dispatcher.adopt(service, worker(0), new Resources(2000, 1000, 0), 0);
-        JobId bulk = submit(BULK, new Resources(14_000, 1000, 0));
-        assertThat(dispatcher.round(0).size(), is(1));
+        JobId bulk = new JobId("bulk");
+        Resources size = new Resources(14_000, 1000, 0);
+        dispatcher.adopt(new PendingJob(bulk, BULK, size, 0), worker(0), size, 0);
         List<DispatchAction> actions =
                 dispatcher.onService(
                         new ServiceReport(new JobId("s"), 5000, 10, 0, 10_000), 10_000);
@@ -146,6 +162,19 @@
                         new ResizeTask(new JobId("s"), worker(0), grown)));
     }
 
+    @Test
+    void testHarmfulJobThatHasWaitedLongStartsAtALowerSpeed() {
+        addWorker(0);
+        PendingJob service = new PendingJob(new JobId("s"), SERVICE, new Resources(4000, 1, 0), 0);
+        dispatcher.adopt(service, worker(0), new Resources(2000, 1, 0), 0);
+        Resources size = new Resources(14_000, 1000, 0);
+        JobId harmful = submit(BULK, size);
+        assertThat(dispatcher.round(0), is(empty()));
+        assertThat(dispatcher.round(899_999), is(empty()));
+        Resources slower = new Resources(7000, 1000, 0);
+        assertThat(dispatcher.round(900_000), contains(new StartTask(harmful, worker(0), slower)));
+    }
+
     @Test
     void testCancelledRunningJobIsStoppedAndNotRunAgain() {
         addWorker(0);
