Measure the interactive path under load and faults

./measure interactive runs gateway, endpoints and load as threads with event loops of their own in one process, since a process starts no other; the machine was shared, so that times are noisy.

Bytes across the paid link are not measured, only that no request crosses. The same faults without timing are a test: 1000 requests through 5 failing endpoints.

--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/Measure.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/Measure.java
@@ -6,6 +6,7 @@
 import java.util.TreeMap;
 import java.util.function.Supplier;
 import org.damasktiller.benchmark.decisions.DecisionsMeasurement;
+import org.damasktiller.benchmark.interactive.InteractiveMeasurement;
 import org.damasktiller.benchmark.path.PathMeasurement;
 import org.jspecify.annotations.Nullable;
 
@@ -54,6 +55,7 @@
     private static Map<String, Supplier<Measurement>> measurements() {
         Map<String, Supplier<Measurement>> measurements = new TreeMap<>();
         measurements.put("decisions", DecisionsMeasurement::new);
+        measurements.put("interactive", InteractiveMeasurement::new);
         measurements.put("path", PathMeasurement::new);
         return measurements;
     }
--- a/damasktiller-daemon/src/test/java/org/damasktiller/daemon/gateway/InteractiveGatewayTest.java
+++ b/damasktiller-daemon/src/test/java/org/damasktiller/daemon/gateway/InteractiveGatewayTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.startsWith;
@@ -13,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -206,4 +208,44 @@
             assertThat(fixture.claims.size(), is(8));
         }
     }
+
+    @Test
+    void testRandomFaultsNeitherDoubleNorCrossRequestsNorBelieThem() {
+        SplittableRandom random = new SplittableRandom(20261203);
+        List<EndpointFault> faults =
+                List.of(EndpointFault.TRUNCATED, EndpointFault.CLOSED, EndpointFault.ERROR);
+        EndpointBehaviour faulty =
+                EndpointBehaviour.healthy(0)
+                        .failing(
+                                () -> {
+                                    synchronized (random) {
+                                        int draw = random.nextInt(30);
+                                        return draw < faults.size()
+                                                ? faults.get(draw)
+                                                : EndpointFault.NONE;
+                                    }
+                                },
+                                0);
+        try (GatewayFixture fixture = new GatewayFixture(5, faulty)) {
+            List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+            for (int index = 0; index < 1000; index++) {
+                String kind = index % 2 == 0 ? "billing" : "route";
+                answers.add(fixture.callLater(kind, "key-" + index, "body-" + index, 20_000));
+            }
+            for (int index = 0; index < 1000; index++) {
+                HttpResponse<String> answer = answers.get(index).join();
+                int executions = fixture.counters.executions("key-" + index);
+                if (answer.statusCode() == 200) {
+                    assertThat(answer.body(), is("body-" + index));
+                    assertThat(executions, greaterThan(0));
+                }
+                if (answer.body().contains("NOT_RUN")) {
+                    assertThat(executions, is(0));
+                }
+                if (index % 2 == 0) {
+                    assertThat(executions, lessThanOrEqualTo(1));
+                }
+            }
+        }
+    }
 }
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/endpoint/EndpointServlet.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/endpoint/EndpointServlet.java
@@ -3,6 +3,7 @@
 import io.activej.bytebuf.ByteBuf;
 import io.activej.csp.supplier.ChannelSuppliers;
 import io.activej.http.AsyncServlet;
+import io.activej.http.HttpError;
 import io.activej.http.HttpHeader;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
@@ -61,6 +62,9 @@
     /** The connections that stay silent. */
     private final Set<Object> silentConnections = Collections.newSetFromMap(new WeakHashMap<>());
 
+    /** The connections on which a request arrived. */
+    private final Set<Object> knownConnections = Collections.newSetFromMap(new WeakHashMap<>());
+
     /** The requests that are never answered. */
     private final List<SettablePromise<HttpResponse>> unanswered = new ArrayList<>();
 
@@ -108,6 +112,7 @@
     @Override
     public Promise<HttpResponse> serve(HttpRequest request) {
         counters.countReceived();
+        knownConnections.add(request.getConnection());
         EndpointBehaviour now = behaviour;
         EndpointFault fault = now.faults().next();
         if (fault == EndpointFault.SILENT) {
@@ -129,11 +134,29 @@
                 .whenComplete(() -> running--);
     }
 
+    /**
+     * Silences some of the connections seen so far for good. To be called on the reactor's thread.
+     *
+     * @param every which of them: each one whose place is a multiple of this number
+     * @param firstPlace the place of the first connection
+     * @return the place after the last connection
+     */
+    public int silenceConnections(int every, int firstPlace) {
+        int place = firstPlace;
+        for (Object connection : knownConnections) {
+            if (place % every == 0) {
+                silentConnections.add(connection);
+            }
+            place++;
+        }
+        return place;
+    }
+
     /** Ends the requests that are never answered, so that the server can be closed. */
     public void releaseSilent() {
         List<SettablePromise<HttpResponse>> released = List.copyOf(unanswered);
         unanswered.clear();
-        released.forEach(promise -> promise.setException(new IOException("never answered")));
+        released.forEach(promise -> promise.setException(HttpError.ofCode(UNAVAILABLE)));
     }
 
     /**
