--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/http/package-info.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/http/package-info.java
@@ -1,4 +1,4 @@
-/** HTTP listeners with limits, for callers and operators. */
+/** Listeners for HTTP with limits of size and time. */
 @NullMarked
 package org.damasktiller.daemon.http;
 
