--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/Measure.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/Measure.java
@@ -8,6 +8,7 @@
 import org.damasktiller.benchmark.authority.AuthorityMeasurement;
 import org.damasktiller.benchmark.authority.ClaimsMeasurement;
 import org.damasktiller.benchmark.decisions.DecisionsMeasurement;
+import org.damasktiller.benchmark.interactive.InteractiveMeasurement;
 import org.damasktiller.benchmark.path.PathMeasurement;
 import org.jspecify.annotations.Nullable;
 
@@ -58,6 +59,7 @@
         measurements.put("authority", AuthorityMeasurement::new);
         measurements.put("claims", ClaimsMeasurement::new);
         measurements.put("decisions", DecisionsMeasurement::new);
+        measurements.put("interactive", InteractiveMeasurement::new);
         measurements.put("path", PathMeasurement::new);
         return measurements;
     }
