Close stand-in servers without waiting for idle peers

Cause: a stand-in server waited 30 s at its close for a connection whose other end had stopped reading, since its shutdown times were those of the library. Change: its requests in flight get 50 ms when it is closed; a drain that is not finished in time says what it waited for. Measured: EntryNodeTest#testCallGetsItsWholeAnswer 31.05 s before, 1.14 s after. Conclusion: tests of a whole entry VM are quick again.

--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryNode.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryNode.java
@@ -166,6 +166,13 @@
                 Promises.delay(eventloop, settings.drainNoticeMillis())
                         .then(callerServlet::whenIdle);
         Promises.timeout(eventloop, settings.drainTimeoutMillis(), Promises.all(handedOver, idle))
+                .whenException(
+                        exception ->
+                                LOGGER.log(
+                                        Logger.Level.WARNING,
+                                        "drain not finished in time: handed over {0}, idle {1}",
+                                        handedOver.isComplete(),
+                                        idle.isComplete()))
                 .whenComplete(() -> end(callerServlet.inFlight() == 0));
     }
 
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/platform/StandInServer.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/platform/StandInServer.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.damasktiller.platform.http.EventLoops;
@@ -15,6 +16,12 @@
 /** Runs one stand-in HTTP server on an event loop and thread of its own. */
 public final class StandInServer implements AutoCloseable {
 
+    /** How long a peer may take to send a request or to read an answer. */
+    private static final Duration READ_WRITE_TIMEOUT = Duration.ofSeconds(30);
+
+    /** How long the requests in flight may take when the server is closed. */
+    private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(50);
+
     /** The event loop. */
     private final Eventloop eventloop;
 
@@ -52,6 +59,8 @@
         HttpServer server =
                 HttpServer.builder(eventloop, servlet.apply(eventloop))
                         .withListenAddress(address)
+                        .withReadWriteTimeout(READ_WRITE_TIMEOUT, CLOSE_TIMEOUT)
+                        .withServeTimeoutShutdown(CLOSE_TIMEOUT)
                         .withHttpErrorFormatter(
                                 exception -> Promise.of(JsonResponses.error(exception)))
                         .build();
