--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/http/HttpListener.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/http/HttpListener.java
@@ -27,6 +27,23 @@
     /** Prevents instantiation. */
     private HttpListener() {}
 
+    /**
+     * Builds a server, which is not listening yet.
+     *
+     * @param reactor the reactor
+     * @param servlet the servlet
+     * @param address where to listen
+     * @param limits the limits
+     * @return the server
+     */
+    public static HttpServer create(
+            NioReactor reactor,
+            AsyncServlet servlet,
+            InetSocketAddress address,
+            ListenerLimits limits) {
+        return builder(reactor, servlet, address, limits).build();
+    }
+
     /**
      * Starts to build a server; further settings may be added.
      *
