--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/Measure.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/Measure.java
@@ -10,6 +10,7 @@
 import org.damasktiller.benchmark.decisions.DecisionsMeasurement;
 import org.damasktiller.benchmark.interactive.InteractiveMeasurement;
 import org.damasktiller.benchmark.path.PathMeasurement;
+import org.damasktiller.benchmark.table.TableMeasurement;
 import org.jspecify.annotations.Nullable;
 
 /** Runs the measurement named on the command line. */
@@ -61,6 +62,7 @@
         measurements.put("decisions", DecisionsMeasurement::new);
         measurements.put("interactive", InteractiveMeasurement::new);
         measurements.put("path", PathMeasurement::new);
+        measurements.put("table", TableMeasurement::new);
         return measurements;
     }
 }
