--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/Measure.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/Measure.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import org.damasktiller.benchmark.authority.AuthorityMeasurement;
 import org.damasktiller.benchmark.authority.ClaimsMeasurement;
+import org.damasktiller.benchmark.capacity.CapacityMeasurement;
 import org.damasktiller.benchmark.decisions.DecisionsMeasurement;
 import org.damasktiller.benchmark.interactive.InteractiveMeasurement;
 import org.damasktiller.benchmark.path.PathMeasurement;
@@ -58,6 +59,7 @@
     private static Map<String, Supplier<Measurement>> measurements() {
         Map<String, Supplier<Measurement>> measurements = new TreeMap<>();
         measurements.put("authority", AuthorityMeasurement::new);
+        measurements.put("capacity", CapacityMeasurement::new);
         measurements.put("claims", ClaimsMeasurement::new);
         measurements.put("decisions", DecisionsMeasurement::new);
         measurements.put("interactive", InteractiveMeasurement::new);
--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/authority/CellLoad.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/authority/CellLoad.java
@@ -16,7 +16,7 @@
 import org.damasktiller.worker.TaskSpec;
 
 /** Loads one cell in virtual time. */
-final class CellLoad {
+public final class CellLoad {
 
     /** Milliseconds in a second. */
     static final int MILLIS_PER_SECOND = 1_000;
@@ -62,7 +62,7 @@
      *
      * @param workers the number of workers
      */
-    CellLoad(int workers) {
+    public CellLoad(int workers) {
         HarnessTimes usual = HarnessTimes.DEFAULT;
         HarnessTimes times =
                 new HarnessTimes(
@@ -89,7 +89,7 @@
      *
      * @return the cell
      */
-    CellHarness harness() {
+    public CellHarness harness() {
         return harness;
     }
 
@@ -116,7 +116,7 @@
      *
      * @return the number of jobs
      */
-    long accepted() {
+    public long accepted() {
         return accepted;
     }
 
@@ -125,7 +125,7 @@
      *
      * @param millis how long, in milliseconds
      */
-    void pass(long millis) {
+    public void pass(long millis) {
         harness.clock().run(harness.clock().nowMillis() + millis, () -> false);
     }
 
@@ -136,7 +136,7 @@
      * @param perSecond the rate, in jobs a second
      * @param runTimeMillis the run time of a job, in milliseconds
      */
-    void submit(long jobs, long perSecond, long runTimeMillis) {
+    public void submit(long jobs, long perSecond, long runTimeMillis) {
         long target = submitted + jobs;
         for (long index = 0; index < jobs; index++) {
             harness.clock()
--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/authority/ClaimLoad.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/authority/ClaimLoad.java
@@ -30,7 +30,7 @@
  * Asks one claim shard for new claims at a steady rate, in virtual time. The store takes two
  * milliseconds each way; the owner gets a tick every ten milliseconds.
  */
-final class ClaimLoad {
+public final class ClaimLoad {
 
     /** How long the store takes each way, in milliseconds. */
     private static final long STORE_MILLIS = 2;
@@ -79,7 +79,7 @@
      *
      * @param settings the settings of the shard
      */
-    ClaimLoad(ClaimSettings settings) {
+    public ClaimLoad(ClaimSettings settings) {
         this.owner = new ClaimShardOwner(settings, 0, new OwnerIdentity(new VmId("vm"), "load"));
     }
 
@@ -89,7 +89,7 @@
      * @param claimsPerSecond the rate
      * @param seconds how long it lasts, in seconds
      */
-    void run(int claimsPerSecond, int seconds) {
+    public void run(int claimsPerSecond, int seconds) {
         clock.after(0, this::tick);
         clock.run(BEGIN_MILLIS, () -> false);
         swaps = 0;
