Read the changes of the list of VMs in place of the whole list

Cause: at 10,000 VMs the whole list is 1.38 MB, read by each entry VM once a second: 690 times the bytes that a node may spend on control. Change: the list is read since a revision; the whole of it comes only where the platform does not know the revision. Nobody is told of a reading without changes. That the platform's list offers this is assumed and said so.

--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/capacity/CapacityMeasurement.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/capacity/CapacityMeasurement.java
@@ -22,6 +22,7 @@
 import org.damasktiller.table.OperatorTable;
 import org.damasktiller.table.TableWriter;
 import org.damasktiller.vm.FleetView;
+import org.damasktiller.vm.VmChanges;
 import org.damasktiller.vm.VmRecord;
 import org.damasktiller.vm.VmRole;
 import org.damasktiller.vm.VmState;
@@ -247,15 +248,18 @@
                         .report(report, "vm_list_read", "ns/vm");
         Slope.of(VMS, count -> Resource.heapOf(() -> readList(listText(count))))
                 .report(report, "vm_list_heap", "bytes/vm");
+        double changesPerSecond = DesignSize.LIST_CHANGES_PER_DAY / SECONDS_PER_DAY;
         report.add(
                 "vm_list_bytes_at_design_size",
-                bytes.at(DesignSize.WORKERS) * LIST_READS_PER_SECOND,
+                Json.write(new VmChanges(VMS[2], false, List.of())).length() * LIST_READS_PER_SECOND
+                        + bytes.perUnit() * changesPerSecond,
                 "bytes/s",
                 DesignSize.BYTES_PER_SECOND,
                 Bound.AT_MOST);
+        report.add("vm_list_bytes_of_one_whole_reading", bytes.at(DesignSize.WORKERS), "bytes");
         report.add(
                 "vm_list_cores_at_design_size",
-                nanos.at(DesignSize.WORKERS) * LIST_READS_PER_SECOND / DesignSize.NANOS_PER_SECOND,
+                nanos.at(DesignSize.WORKERS) * changesPerSecond / DesignSize.NANOS_PER_SECOND,
                 "cores",
                 DesignSize.CORE_SHARE,
                 Bound.AT_MOST);
@@ -268,7 +272,7 @@
      * @return the view
      */
     private static FleetView readList(byte[] text) {
-        return new FleetView(List.of(Json.read(text, VmRecord[].class, Step.READ, "")));
+        return FleetView.EMPTY.with(Json.read(text, VmChanges.class, Step.READ, ""));
     }
 
     /**
@@ -289,7 +293,7 @@
                             VmRole.WORKER,
                             VmState.LIVE));
         }
-        return Json.write(records).getBytes(StandardCharsets.UTF_8);
+        return Json.write(new VmChanges(count, true, records)).getBytes(StandardCharsets.UTF_8);
     }
 
     /**
--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/capacity/DesignSize.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/capacity/DesignSize.java
@@ -27,6 +27,9 @@
     /** Jobs a day. */
     static final double JOBS_PER_DAY = 160_000;
 
+    /** Changes of the list of VMs a day: failures and restarts, each leaving and coming. */
+    static final double LIST_CHANGES_PER_DAY = 2 * (59 + 1_300);
+
     /** The part of a core that a node may spend on control. */
     static final double CORE_SHARE = 0.042;
 
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/FleetReader.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/FleetReader.java
@@ -6,12 +6,12 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.damasktiller.vm.FleetView;
+import org.damasktiller.vm.VmChanges;
 import org.damasktiller.vm.VmDirectory;
-import org.damasktiller.vm.VmRecord;
 
 /**
- * Reads the platform's list of VMs again and again. While the platform does not answer, the last
- * reading stays in use. Used on its reactor's thread only.
+ * Reads the changes of the platform's list of VMs again and again. While the platform does not
+ * answer, the last reading stays in use. Used on its reactor's thread only.
  */
 public final class FleetReader {
 
@@ -27,12 +27,15 @@
     /** The time between two readings, in milliseconds. */
     private final long intervalMillis;
 
-    /** Those who are told of each reading. */
+    /** Those who are told of each reading with changes. */
     private final List<Consumer<FleetView>> listeners = new ArrayList<>();
 
     /** The last reading. */
     private FleetView view = FleetView.EMPTY;
 
+    /** The revision of the last reading. */
+    private long revision = VmDirectory.NO_REVISION;
+
     /** Whether reading goes on. */
     private boolean running;
 
@@ -50,7 +53,7 @@
     }
 
     /**
-     * Adds one who is told of each reading.
+     * Adds one who is told of each reading with changes.
      *
      * @param listener the listener
      */
@@ -84,7 +87,7 @@
             return;
         }
         directory
-                .list()
+                .changesSince(revision)
                 .whenResult(this::accept)
                 .whenException(
                         exception ->
@@ -97,12 +100,16 @@
     }
 
     /**
-     * Takes a reading into use.
+     * Takes a reading into use. Nobody is told of a reading without changes.
      *
-     * @param records the VMs
+     * @param changes the changes since the reading before
      */
-    private void accept(List<VmRecord> records) {
-        view = new FleetView(records);
+    private void accept(VmChanges changes) {
+        revision = changes.revision();
+        if (!changes.whole() && changes.records().isEmpty()) {
+            return;
+        }
+        view = view.with(changes);
         listeners.forEach(listener -> listener.accept(view));
     }
 }
--- a/damasktiller-library/src/main/java/org/damasktiller/vm/FleetView.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/vm/FleetView.java
@@ -1,5 +1,6 @@
 package org.damasktiller.vm;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +33,21 @@
                                         (first, second) -> second));
     }
 
+    /**
+     * Applies changes to this view.
+     *
+     * @param changes the changes
+     * @return the view after them
+     */
+    public FleetView with(VmChanges changes) {
+        if (changes.whole()) {
+            return new FleetView(changes.records());
+        }
+        List<VmRecord> records = new ArrayList<>(byName.values());
+        records.addAll(changes.records());
+        return new FleetView(records);
+    }
+
     /**
      * Finds a VM.
      *
--- a/damasktiller-library/src/main/java/org/damasktiller/vm/VmDirectory.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/vm/VmDirectory.java
@@ -1,15 +1,18 @@
 package org.damasktiller.vm;
 
 import io.activej.promise.Promise;
-import java.util.List;
 
 /** Reads the platform's lagging list of VMs. */
 public interface VmDirectory {
 
+    /** The revision before the first reading. */
+    long NO_REVISION = 0;
+
     /**
-     * Reads the whole list.
+     * Reads what changed since an earlier reading.
      *
-     * @return the VMs, in no particular order
+     * @param revision the revision of the earlier reading, or {@link #NO_REVISION}
+     * @return the changes, or the whole list where the platform does not know the revision
      */
-    Promise<List<VmRecord>> list();
+    Promise<VmChanges> changesSince(long revision);
 }
--- a/damasktiller-platform/src/main/java/org/damasktiller/platform/vm/HttpVmDirectory.java
+++ b/damasktiller-platform/src/main/java/org/damasktiller/platform/vm/HttpVmDirectory.java
@@ -1,13 +1,12 @@
 package org.damasktiller.platform.vm;
 
 import io.activej.promise.Promise;
-import java.util.List;
 import org.damasktiller.error.ErrorCode;
 import org.damasktiller.error.Step;
 import org.damasktiller.platform.http.CallContext;
 import org.damasktiller.platform.http.JsonClient;
+import org.damasktiller.vm.VmChanges;
 import org.damasktiller.vm.VmDirectory;
-import org.damasktiller.vm.VmRecord;
 
 /** Reads the platform's list of VMs over HTTP and JSON. */
 public final class HttpVmDirectory implements VmDirectory {
@@ -15,6 +14,9 @@
     /** The path of the list. */
     public static final String PATH = "/vms";
 
+    /** The parameter with the revision of the earlier reading. */
+    public static final String AFTER_PARAMETER = "after";
+
     /** The client. */
     private final JsonClient client;
 
@@ -38,9 +40,10 @@
     }
 
     @Override
-    public Promise<List<VmRecord>> list() {
+    public Promise<VmChanges> changesSince(long revision) {
         CallContext context =
                 new CallContext(Step.READ, "vm list", ErrorCode.STORE_UNAVAILABLE, timeoutMillis);
-        return client.get(url, VmRecord[].class, context).map(records -> List.of(records));
+        String query = "?" + AFTER_PARAMETER + "=" + revision;
+        return client.get(url + query, VmChanges.class, context);
     }
 }
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/platform/VmListState.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/platform/VmListState.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.damasktiller.vm.VmChanges;
+import org.damasktiller.vm.VmDirectory;
 import org.damasktiller.vm.VmRecord;
 
 /** Keeps the stand-in list of VMs, whose readers see each change only after a lag. */
@@ -17,7 +19,10 @@
     private final Deque<Change> pending = new ArrayDeque<>();
 
     /** The list that readers see, by name. */
-    private final Map<String, VmRecord> visible = new TreeMap<>();
+    private final Map<String, Line> visible = new TreeMap<>();
+
+    /** The revision of the list that readers see. */
+    private long lastRevision;
 
     /**
      * Creates an empty list.
@@ -39,19 +44,45 @@
     }
 
     /**
-     * Reads the list as it is seen now.
+     * Reads what changed since an earlier reading, as it is seen now.
+     *
+     * @param revision the revision of the earlier reading, or zero
+     * @param nowMillis the time, in milliseconds
+     * @return the changes; the whole list if the revision is zero or was never given
+     */
+    public VmChanges changesSince(long revision, long nowMillis) {
+        show(nowMillis);
+        boolean whole = revision == VmDirectory.NO_REVISION || revision > lastRevision;
+        long after = whole ? VmDirectory.NO_REVISION : revision;
+        List<VmRecord> records =
+                visible.values().stream()
+                        .filter(line -> line.revision() > after)
+                        .map(Line::vm)
+                        .toList();
+        return new VmChanges(lastRevision, whole, records);
+    }
+
+    /**
+     * Shows the changes whose lag has passed.
      *
      * @param nowMillis the time, in milliseconds
-     * @return the VMs, by name
      */
-    public List<VmRecord> list(long nowMillis) {
+    private void show(long nowMillis) {
         while (!pending.isEmpty() && pending.getFirst().visibleAtMillis() <= nowMillis) {
             VmRecord vm = pending.removeFirst().vm();
-            visible.put(vm.name(), vm);
+            lastRevision++;
+            visible.put(vm.name(), new Line(vm, lastRevision));
         }
-        return List.copyOf(visible.values());
     }
 
+    /**
+     * A line that is seen.
+     *
+     * @param vm the VM
+     * @param revision the revision of the list that brought it
+     */
+    private record Line(VmRecord vm, long revision) {}
+
     /**
      * A change that is not yet seen.
      *
