Start jobs by the weights, limits and quotas of the table

Cause: the owner of a cell started waiting jobs by class and age only, so that weight, limit_running and tenant_limit_running of the table did nothing in the running system. Change: StartOrder chooses by class, then by what a kind holds of the cell for its weight, then by age; a kind or tenant at its limit holds nobody else up. Of a worker that the owner has not fenced yet, every bound job counts as running. Overflow goes to the less loaded of two workers picked by the job's key. Conclusion: the table acts on jobs; a limit split for good can't be lent between cells.

--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/CellHost.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/CellHost.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.damasktiller.authority.cell.BestFitPlacement;
 import org.damasktiller.authority.cell.CellOwner;
 import org.damasktiller.authority.cell.CellSettings;
@@ -29,6 +30,7 @@
 import org.damasktiller.identity.WorkerId;
 import org.damasktiller.identity.ZoneName;
 import org.damasktiller.membership.Assignment;
+import org.damasktiller.table.OperatorTable;
 import org.damasktiller.vm.FleetView;
 import org.damasktiller.vm.VmRecord;
 import org.damasktiller.vm.VmRole;
@@ -72,6 +74,7 @@
      * @param layout the division into cells
      * @param zone the availability zone
      * @param self the identity of this process
+     * @param table gives the table in force
      * @param settings the times and bounds of owners
      * @param environment what the owners need from their entry VM
      */
@@ -79,6 +82,7 @@
             CellLayout layout,
             ZoneName zone,
             OwnerIdentity self,
+            Supplier<OperatorTable> table,
             CellSettings settings,
             OwnerEnvironment environment) {
         this.layout = layout;
@@ -88,7 +92,12 @@
         this.factory =
                 cell ->
                         new CellDriver(
-                                new CellOwner(settings, cell, self, new BestFitPlacement()),
+                                new CellOwner(
+                                        settings,
+                                        cell,
+                                        self,
+                                        new BestFitPlacement(),
+                                        new TableStartPolicy(table, layout, cell)),
                                 environment,
                                 CellHost::log);
     }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryParts.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryParts.java
@@ -143,7 +143,12 @@
         OwnerIdentity identity = new OwnerIdentity(self, UUID.randomUUID().toString());
         cellHost =
                 new CellHost(
-                        layout, settings.zone(), identity, settings.cellSettings(), environment);
+                        layout,
+                        settings.zone(),
+                        identity,
+                        tableInForce::get,
+                        settings.cellSettings(),
+                        environment);
         peerNode = createPeerNode();
         claimHost =
                 new ClaimHost(
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/BestFitPlacement.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/BestFitPlacement.java
@@ -1,5 +1,8 @@
 package org.damasktiller.authority.cell;
 
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -12,6 +15,9 @@
  */
 public final class BestFitPlacement implements Placement {
 
+    /** The hash by which the key of a job picks workers. */
+    private static final HashFunction HASH = Hashing.murmur3_128();
+
     /** Creates the placement. */
     public BestFitPlacement() {}
 
@@ -24,9 +30,29 @@
                 able.stream()
                         .filter(view -> view.bound().plus(wanted).fitsWithin(view.capacity()))
                         .max(Comparator.comparingDouble(BestFitPlacement::load));
-        return fitting.or(
-                        () -> able.stream().min(Comparator.comparingDouble(BestFitPlacement::load)))
-                .map(WorkerView::worker);
+        return fitting.or(() -> lessLoadedOfTwo(submission, able)).map(WorkerView::worker);
+    }
+
+    /**
+     * Chooses the less loaded of two workers that the key of the job picks. Taking always the least
+     * loaded of all would deal jobs that come in a fixed order out by kind, so that a worker had
+     * jobs of one kind only and the weights of the kinds could not act on it.
+     *
+     * @param submission the job
+     * @param able the workers whose capacity fits the job
+     * @return the worker, or empty if there is none
+     */
+    private static Optional<WorkerView> lessLoadedOfTwo(
+            JobSubmission submission, List<WorkerView> able) {
+        if (able.isEmpty()) {
+            return Optional.empty();
+        }
+        String key = submission.tenant().value() + '\n' + submission.key().value();
+        long hash = HASH.hashString(key, StandardCharsets.UTF_8).asLong();
+        WorkerView first = able.get((int) Math.floorMod(hash, (long) able.size()));
+        WorkerView second =
+                able.get((int) Math.floorMod(hash >>> Integer.SIZE, (long) able.size()));
+        return Optional.of(load(first) <= load(second) ? first : second);
     }
 
     /**
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/CellOwner.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/CellOwner.java
@@ -102,13 +102,36 @@
      * @param placement the choice of a worker
      */
     public CellOwner(CellSettings settings, CellId cell, OwnerIdentity self, Placement placement) {
+        this(settings, cell, self, placement, StartPolicy.EVEN);
+    }
+
+    /**
+     * Creates an owner that stands by and starts jobs by the rules of their kinds.
+     *
+     * @param settings the times and bounds
+     * @param cell the cell
+     * @param self the identity of this process
+     * @param placement the choice of a worker
+     * @param policy the rules of the kinds
+     */
+    public CellOwner(
+            CellSettings settings,
+            CellId cell,
+            OwnerIdentity self,
+            Placement placement,
+            StartPolicy policy) {
         this.settings = settings;
         this.cell = cell;
         this.keys = new LogKeys("cell/" + cell + "/");
         this.ownership = new Ownership(settings.ownership(), self, keys, codec);
         this.placement = placement;
         this.store = new StoreDesk(ownership, settings.callTimeoutMillis(), this::nextCallId);
-        this.workers = new LaneDesk(settings, ownership, this::nextCallId);
+        this.workers =
+                new LaneDesk(
+                        settings,
+                        ownership,
+                        new StartOrder(policy, lanes.values()),
+                        this::nextCallId);
     }
 
     /**
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/LaneCommands.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/LaneCommands.java
@@ -1,12 +1,10 @@
 package org.damasktiller.authority.cell;
 
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.damasktiller.authority.ownership.Ownership;
-import org.damasktiller.resource.Resources;
 import org.damasktiller.vm.VmState;
 import org.damasktiller.worker.AcknowledgeCommand;
 import org.damasktiller.worker.AttemptId;
@@ -30,9 +28,6 @@
     /** The attempts that one command starts, stops or acknowledges at most. */
     private static final int MAXIMUM_ATTEMPTS = 32;
 
-    /** The waiting jobs that are looked at for one command at most. */
-    private static final int MAXIMUM_CANDIDATES = 4_096;
-
     /** The shortest time between two inventories, in milliseconds. */
     private static final long MINIMUM_INVENTORY_MILLIS = 50;
 
@@ -42,15 +37,20 @@
     /** The ownership that gives the right to act. */
     private final Ownership ownership;
 
+    /** The order in which waiting jobs are started. */
+    private final StartOrder order;
+
     /**
      * Creates the choice.
      *
      * @param settings the times
      * @param ownership the ownership that gives the right to act
+     * @param order the order in which waiting jobs are started
      */
-    LaneCommands(CellSettings settings, Ownership ownership) {
+    LaneCommands(CellSettings settings, Ownership ownership, StartOrder order) {
         this.settings = settings;
         this.ownership = ownership;
+        this.order = order;
     }
 
     /**
@@ -111,7 +111,7 @@
         if (!lane.speeds.isEmpty()) {
             return Optional.of(throttle(lane, permit));
         }
-        List<TaskStart> starts = starts(lane, permit);
+        List<TaskStart> starts = starts(lane, permit, nowMillis);
         if (!starts.isEmpty()) {
             lane.grantedMillis = nowMillis;
             return Optional.of(new StartCommand(permit, starts));
@@ -186,34 +186,20 @@
      *
      * @param lane the worker
      * @param permit the permit
+     * @param nowMillis the time, in milliseconds
      * @return the attempts to start
      */
-    private static List<TaskStart> starts(WorkerLane lane, Permit permit) {
+    private List<TaskStart> starts(WorkerLane lane, Permit permit, long nowMillis) {
         List<TaskStart> starts = new ArrayList<>();
         for (Job job : lane.holding.values()) {
             if (job.startWanted() && starts.size() < MAXIMUM_ATTEMPTS) {
                 starts.add(start(lane, job, permit));
             }
         }
-        if (lane.listed != VmState.LIVE || !lane.startsPossible) {
+        if (lane.listed != VmState.LIVE) {
             return starts;
         }
-        Resources reserved = lane.reserved();
-        List<Job> chosen = new ArrayList<>();
-        int candidates = 0;
-        Iterator<Job> waiting = lane.waiting.iterator();
-        while (waiting.hasNext()
-                && candidates < MAXIMUM_CANDIDATES
-                && starts.size() + chosen.size() < MAXIMUM_ATTEMPTS) {
-            Job job = waiting.next();
-            candidates++;
-            Resources wanted = reserved.plus(job.resources());
-            if (wanted.fitsWithin(lane.capacity)) {
-                reserved = wanted;
-                chosen.add(job);
-            }
-        }
-        lane.startsPossible = !chosen.isEmpty();
+        List<Job> chosen = order.choose(lane, MAXIMUM_ATTEMPTS - starts.size(), nowMillis);
         for (Job job : chosen) {
             lane.hold(job);
             starts.add(start(lane, job, permit));
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/LaneDesk.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/LaneDesk.java
@@ -46,12 +46,13 @@
      *
      * @param settings the times
      * @param ownership the ownership
+     * @param order the order in which waiting jobs are started
      * @param callIds the source of call numbers
      */
-    LaneDesk(CellSettings settings, Ownership ownership, LongSupplier callIds) {
+    LaneDesk(CellSettings settings, Ownership ownership, StartOrder order, LongSupplier callIds) {
         this.settings = settings;
         this.ownership = ownership;
-        this.commands = new LaneCommands(settings, ownership);
+        this.commands = new LaneCommands(settings, ownership, order);
         this.callIds = callIds;
     }
 
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/WorkerLane.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/WorkerLane.java
@@ -75,6 +75,9 @@
     /** Whether a waiting job may fit since the waiting jobs were last looked at. */
     boolean startsPossible = true;
 
+    /** When waiting jobs that a limit held back are looked at again, in milliseconds. */
+    long limitedMillis = Long.MAX_VALUE;
+
     /** Whether jobs may be bound to an earlier process of the worker. */
     boolean processChanged;
 
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/layout/CellLayout.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/layout/CellLayout.java
@@ -99,13 +99,7 @@
      * @return the cell
      */
     public CellId cellOf(TenantName tenant, RequestKey key, List<ZoneName> places) {
-        List<CellId> cells = new ArrayList<>();
-        for (ZoneName zone : zones) {
-            if (places.isEmpty() || places.contains(zone)) {
-                cells.addAll(cellsOf(zone));
-            }
-        }
-        return highest(cells, tenant.value() + '\n' + key.value());
+        return highest(cellsOf(places), tenant.value() + '\n' + key.value());
     }
 
     /**
@@ -126,6 +120,40 @@
                 : Optional.empty();
     }
 
+    /**
+     * Returns a cell's part of a limit that is split evenly among the cells of some zones. The
+     * parts add up to the limit exactly; the first cells get what does not divide.
+     *
+     * @param limit the limit, zero for none
+     * @param places the availability zones, empty for all
+     * @param cell the cell
+     * @return the part; zero for a cell of another zone, the largest number if there is no limit
+     */
+    public int share(int limit, List<ZoneName> places, CellId cell) {
+        if (limit == 0) {
+            return Integer.MAX_VALUE;
+        }
+        List<CellId> cells = cellsOf(places);
+        int position = cells.indexOf(cell);
+        if (position < 0) {
+            return 0;
+        }
+        return limit / cells.size() + (position < limit % cells.size() ? 1 : 0);
+    }
+
+    /**
+     * Lists the cells of some zones in the order of the zones.
+     *
+     * @param places the availability zones, empty for all
+     * @return the cells
+     */
+    private List<CellId> cellsOf(List<ZoneName> places) {
+        return zones.stream()
+                .filter(zone -> places.isEmpty() || places.contains(zone))
+                .flatMap(zone -> cellsOf(zone).stream())
+                .toList();
+    }
+
     /**
      * Returns the cell with the highest hash together with a text.
      *
--- a/damasktiller-library/src/test/java/org/damasktiller/authority/layout/CellLayoutTest.java
+++ b/damasktiller-library/src/test/java/org/damasktiller/authority/layout/CellLayoutTest.java
@@ -58,6 +58,22 @@
         assertThat(layout.cellOf(new JobId("nonsense")).isPresent(), is(false));
     }
 
+    @Test
+    void testSharesOfALimitAddUpToIt() {
+        for (int limit = 1; limit < 20; limit++) {
+            int sum = 0;
+            for (ZoneName zone : List.of(LEINSTER, CONNACHT)) {
+                for (CellId cell : layout.cellsOf(zone)) {
+                    sum += layout.share(limit, List.of(), cell);
+                }
+            }
+            assertThat(sum, is(limit));
+        }
+        CellId elsewhere = layout.cellsOf(CONNACHT).get(0);
+        assertThat(layout.share(10, List.of(LEINSTER), elsewhere), is(0));
+        assertThat(layout.share(0, List.of(), elsewhere), is(Integer.MAX_VALUE));
+    }
+
     @Test
     void testSameKeyOfAnotherTenantIsAnotherKey() {
         long differing = 0;
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/cell/CellHarness.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/cell/CellHarness.java
@@ -15,6 +15,7 @@
 import org.damasktiller.authority.cell.JobChanged;
 import org.damasktiller.authority.cell.JobReply;
 import org.damasktiller.authority.cell.Reply;
+import org.damasktiller.authority.cell.StartPolicy;
 import org.damasktiller.authority.cell.StoreFailed;
 import org.damasktiller.authority.cell.StoreRequest;
 import org.damasktiller.authority.cell.Tick;
@@ -71,6 +72,9 @@
     /** The latest number given to a reply. */
     private long lastReplyId;
 
+    /** The rules by which owners added from now on start jobs. */
+    private StartPolicy startPolicy = StartPolicy.EVEN;
+
     /**
      * Creates a harness without workers and owners.
      *
@@ -133,13 +137,24 @@
         OwnerIdentity identity = new OwnerIdentity(new VmId(vm), "p" + number);
         OwnerProcess process =
                 new OwnerProcess(
-                        number, new CellOwner(settings, CELL, identity, new BestFitPlacement()));
+                        number,
+                        new CellOwner(
+                                settings, CELL, identity, new BestFitPlacement(), startPolicy));
         processes.add(process);
         deliver(process, peers.listed(clock.nowMillis()));
         tick(process, vm);
         return process;
     }
 
+    /**
+     * Sets the rules by which owners added from now on start jobs.
+     *
+     * @param value the rules
+     */
+    public void setStartPolicy(StartPolicy value) {
+        startPolicy = value;
+    }
+
     /**
      * Returns the process that owns the cell and has recovered it.
      *
