--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/Measure.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/Measure.java
@@ -6,7 +6,6 @@
 import java.util.TreeMap;
 import java.util.function.Supplier;
 import org.damasktiller.benchmark.authority.AuthorityMeasurement;
-import org.damasktiller.benchmark.authority.ClaimsMeasurement;
 import org.damasktiller.benchmark.capacity.CapacityMeasurement;
 import org.damasktiller.benchmark.decisions.DecisionsMeasurement;
 import org.damasktiller.benchmark.interactive.InteractiveMeasurement;
@@ -60,7 +59,6 @@
         Map<String, Supplier<Measurement>> measurements = new TreeMap<>();
         measurements.put("authority", AuthorityMeasurement::new);
         measurements.put("capacity", CapacityMeasurement::new);
-        measurements.put("claims", ClaimsMeasurement::new);
         measurements.put("decisions", DecisionsMeasurement::new);
         measurements.put("interactive", InteractiveMeasurement::new);
         measurements.put("path", PathMeasurement::new);
--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/authority/AuthorityMeasurement.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/authority/AuthorityMeasurement.java
@@ -73,6 +73,7 @@
         measureStarts(report);
         for (long rate : RATES) {
             measureLatency(rate, report);
+            new ClaimsMeasurement().run(quick, report);
         }
         for (int jobs : LIVE_JOBS) {
             measureTakeover(jobs, CELL_WORKERS, report);
--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/authority/ClaimLoad.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/authority/ClaimLoad.java
@@ -22,9 +22,9 @@
 import org.damasktiller.identity.RequestKey;
 import org.damasktiller.identity.TenantName;
 import org.damasktiller.identity.VmId;
-import org.damasktiller.standin.cell.VirtualTime;
 import org.damasktiller.standin.store.StoreCallHandler;
 import org.damasktiller.standin.store.StoreState;
+import org.damasktiller.standin.time.VirtualTime;
 
 /**
  * Asks one claim shard for new claims at a steady rate, in virtual time. The store takes two
--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/capacity/MemberCapacity.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/capacity/MemberCapacity.java
@@ -8,7 +8,7 @@
 import org.damasktiller.identity.ZoneName;
 import org.damasktiller.standin.network.GossipFleet;
 import org.damasktiller.standin.network.VirtualNetwork;
-import org.damasktiller.standin.network.VirtualTime;
+import org.damasktiller.standin.time.VirtualTime;
 
 /** Measures what a member of a zone takes, in virtual time. */
 final class MemberCapacity {
@@ -65,7 +65,7 @@
         VirtualTime time = new VirtualTime(MILLIS);
         GossipFleet fleet = startFleet(time, members);
         long before = fleetBytes(fleet);
-        time.run((long) IDLE_SECONDS * MILLIS);
+        time.pass((long) IDLE_SECONDS * MILLIS);
         return (double) (fleetBytes(fleet) - before) / members / IDLE_SECONDS;
     }
 
@@ -78,7 +78,7 @@
     private static double gossipCores(int members) {
         VirtualTime time = new VirtualTime(MILLIS);
         GossipFleet fleet = startFleet(time, members);
-        double nanos = Resource.processorNanosOf(() -> time.run((long) IDLE_SECONDS * MILLIS));
+        double nanos = Resource.processorNanosOf(() -> time.pass((long) IDLE_SECONDS * MILLIS));
         return nanos / fleet.running().size() / IDLE_SECONDS / DesignSize.NANOS_PER_SECOND;
     }
 
@@ -97,7 +97,7 @@
             fleet.start(id, Set.copyOf(seeds));
             seeds.add(id);
         }
-        time.run((long) IDLE_SECONDS * MILLIS);
+        time.pass((long) IDLE_SECONDS * MILLIS);
         return fleet;
     }
 
--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/table/SpreadScenario.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/table/SpreadScenario.java
@@ -15,7 +15,7 @@
 import org.damasktiller.standin.network.PeerFleet;
 import org.damasktiller.standin.network.VirtualNetwork;
 import org.damasktiller.standin.network.VirtualStore;
-import org.damasktiller.standin.network.VirtualTime;
+import org.damasktiller.standin.time.VirtualTime;
 import org.damasktiller.table.EditId;
 import org.damasktiller.table.KindOfWork;
 import org.damasktiller.table.OperatorTable;
@@ -85,9 +85,9 @@
         for (int index = 0; index < members; index++) {
             fleet.start(id(index), zone(index % (THREE * THREE)), seeds);
         }
-        time.run(SETTLE_MILLIS);
+        time.pass(SETTLE_MILLIS);
         change();
-        time.run(SETTLE_MILLIS);
+        time.pass(SETTLE_MILLIS);
     }
 
     /**
@@ -103,10 +103,10 @@
         }
         while (fleet.lowestVersion(fleet.running()) < version
                 && time.nowMillis() - acceptedAtMillis < LONGEST_MILLIS) {
-            time.run(STEP_MILLIS);
+            time.pass(STEP_MILLIS);
         }
         delays.recordValue(time.nowMillis() - acceptedAtMillis);
-        time.run(PAUSE_MILLIS);
+        time.pass(PAUSE_MILLIS);
     }
 
     /**
@@ -155,7 +155,7 @@
      * @param millis for how long, in milliseconds
      */
     void idle(long millis) {
-        time.run(millis);
+        time.pass(millis);
     }
 
     /**
@@ -176,7 +176,7 @@
                                                 new EditId("e" + edits), "ana", base, next(base))))
                 .whenResult(result -> version[0] = result.version());
         while (version[0] == 0) {
-            time.run(1);
+            time.pass(1);
         }
         return version[0];
     }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryParts.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryParts.java
@@ -34,7 +34,6 @@
 import org.damasktiller.daemon.settings.EntrySettings;
 import org.damasktiller.identity.VmId;
 import org.damasktiller.peer.ZoneMap;
-import org.damasktiller.peer.ZoneStatus;
 import org.damasktiller.platform.http.JsonClient;
 import org.damasktiller.platform.store.HttpKeyValueStore;
 import org.damasktiller.platform.vm.HttpVmDirectory;
@@ -55,9 +54,6 @@
     /** How long to wait for a connection to the platform. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
 
-    /** The age from which on the news of a zone counts as lost, in milliseconds. */
-    private static final long CUT_OFF_MILLIS = 5_000;
-
     /** The settings. */
     private final EntrySettings settings;
 
@@ -103,6 +99,9 @@
     /** The name of this VM, its address for other entry VMs. */
     private final VmId self;
 
+    /** Tells what this VM knows of the system. */
+    private final StatusReport statusReport;
+
     /** Tells the number of requests in flight. */
     private IntSupplier inFlight = () -> 0;
 
@@ -158,6 +157,7 @@
                         environment,
                         new RemoteClaims(peerNode::call));
         peerNode.serve((from, body) -> RemoteClaims.serve(claimHost, from, body));
+        statusReport = new StatusReport(self, settings.zone(), eventloop, peerNode, cellHost);
         gateway = createGateway();
         fleetReader.addListener(cellHost::acceptFleet);
         fleetReader.addListener(fleet -> peerNode.onVmList(peerList(fleet)));
@@ -300,42 +300,7 @@
      * @return the status
      */
     Promise<StatusBody> status() {
-        return peerNode.statuses()
-                .map(
-                        statuses ->
-                                new StatusBody(
-                                        self.value(),
-                                        settings.zone().value(),
-                                        readiness.name(),
-                                        tableInForce.get().version(),
-                                        statuses.stream().map(this::zoneBody).toList(),
-                                        members(),
-                                        cellHost.status()));
-    }
-
-    /**
-     * Tells the state of an availability zone.
-     *
-     * @param status what is known of the zone
-     * @return the state
-     */
-    private StatusBody.ZoneBody zoneBody(ZoneStatus status) {
-        return new StatusBody.ZoneBody(
-                status.zone().value(),
-                status.region().value(),
-                status.inForceVersion(),
-                eventloop.currentTimeMillis() - status.inForceForMillis(),
-                status.ageMillis() < CUT_OFF_MILLIS,
-                status.members());
-    }
-
-    /**
-     * Tells the live entry VMs of this zone.
-     *
-     * @return the names of the VMs
-     */
-    private List<String> members() {
-        return peerNode.liveMembers().stream().map(VmId::value).toList();
+        return statusReport.read(readiness, tableInForce.get().version());
     }
 
     /**
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/cell/CellHarness.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/cell/CellHarness.java
@@ -27,6 +27,7 @@
 import org.damasktiller.identity.WorkerId;
 import org.damasktiller.resource.Resources;
 import org.damasktiller.standin.store.StoreState;
+import org.damasktiller.standin.time.VirtualTime;
 import org.damasktiller.standin.worker.WorkerObserver;
 
 /**
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/claim/ClaimHarness.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/claim/ClaimHarness.java
@@ -28,9 +28,9 @@
 import org.damasktiller.authority.ownership.OwnerIdentity;
 import org.damasktiller.error.DamasktillerException;
 import org.damasktiller.identity.VmId;
-import org.damasktiller.standin.cell.VirtualTime;
 import org.damasktiller.standin.store.StoreCallHandler;
 import org.damasktiller.standin.store.StoreState;
+import org.damasktiller.standin.time.VirtualTime;
 
 /**
  * Drives two owners of one claim shard and two forwarders against a stand-in store and endpoint in
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/claim/FaultyNetwork.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/claim/FaultyNetwork.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import org.damasktiller.authority.call.StoreCall;
 import org.damasktiller.standin.cell.CallFault;
-import org.damasktiller.standin.cell.VirtualTime;
+import org.damasktiller.standin.time.VirtualTime;
 
 /** Carries the calls of processes, each with the fault that was chosen for it. */
 final class FaultyNetwork {
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/network/GossipFleet.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/network/GossipFleet.java
@@ -19,6 +19,7 @@
 import org.damasktiller.membership.MembershipAction.MemberChanged;
 import org.damasktiller.membership.MembershipAction.Send;
 import org.damasktiller.membership.MembershipSettings;
+import org.damasktiller.standin.time.VirtualTime;
 
 /** Drives the members of one zone over a virtual network. Not safe for use by several threads. */
 public final class GossipFleet {
@@ -93,7 +94,7 @@
                         message -> codec.encode(message).length,
                         new Random(random.nextLong()));
         members.put(id, member);
-        time.schedule(random.nextInt((int) TICK_MILLIS), () -> tick(id, member));
+        time.after(random.nextInt((int) TICK_MILLIS), () -> tick(id, member));
     }
 
     /**
@@ -113,7 +114,7 @@
      */
     public void pause(VmId id, long millis) {
         paused.add(id);
-        time.schedule(millis, () -> resume(id));
+        time.after(millis, () -> resume(id));
     }
 
     /**
@@ -183,7 +184,7 @@
             return;
         }
         carryOut(id, member.onTick(time.nowMillis()));
-        time.schedule(TICK_MILLIS, () -> tick(id, member));
+        time.after(TICK_MILLIS, () -> tick(id, member));
     }
 
     /**
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/network/PeerFleet.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/network/PeerFleet.java
@@ -22,6 +22,7 @@
 import org.damasktiller.peer.SpreadSettings;
 import org.damasktiller.peer.StoreWatch;
 import org.damasktiller.peer.ZoneMap;
+import org.damasktiller.standin.time.VirtualTime;
 import org.damasktiller.table.TableRepository;
 
 /** Drives nodes of several zones over a virtual network. Not safe for use by several threads. */
@@ -94,7 +95,7 @@
         Node node = new Node(id, zone, region, sameZone);
         seeds.forEach((address, seedZone) -> node.core.hint(seedZone, address));
         nodes.put(id, node);
-        time.schedule(random.nextInt((int) TICK_MILLIS), () -> tick(node));
+        time.after(random.nextInt((int) TICK_MILLIS), () -> tick(node));
     }
 
     /**
@@ -188,7 +189,7 @@
         if (nodes.get(node.id) == node) {
             carryOut(node, node.core.onTick(time.nowMillis()));
             node.watch.onTick(time.nowMillis());
-            time.schedule(TICK_MILLIS, () -> tick(node));
+            time.after(TICK_MILLIS, () -> tick(node));
         }
     }
 
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/network/VirtualNetwork.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/network/VirtualNetwork.java
@@ -8,6 +8,7 @@
 import org.damasktiller.identity.RegionName;
 import org.damasktiller.identity.VmId;
 import org.damasktiller.identity.ZoneName;
+import org.damasktiller.standin.time.VirtualTime;
 
 /**
  * Delivers messages in virtual time, with delay, loss, cuts and the slow link between regions. Not
@@ -130,7 +131,7 @@
      */
     public void sendStream(VmId from, VmId to, int bytes, Runnable delivery) {
         if (connected(from, to)) {
-            time.schedule(
+            time.after(
                     delay(from, to, bytes),
                     () -> {
                         if (connected(from, to)) {
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/network/VirtualStore.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/network/VirtualStore.java
@@ -13,6 +13,7 @@
 import org.damasktiller.error.Step;
 import org.damasktiller.identity.VmId;
 import org.damasktiller.standin.store.StoreState;
+import org.damasktiller.standin.time.VirtualTime;
 import org.damasktiller.store.KeyValueStore;
 import org.damasktiller.store.StoredValue;
 import org.damasktiller.store.SwapRequest;
@@ -162,14 +163,14 @@
                         watches.add(check);
                         check.run();
                     });
-            time.schedule(
+            time.after(
                     timeoutMillis,
                     () -> {
                         if (watches.remove(check)) {
                             reply(List.of(), promise, 0);
                         }
                     });
-            time.schedule(timeoutMillis + TIMEOUT_MILLIS, () -> expire(promise));
+            time.after(timeoutMillis + TIMEOUT_MILLIS, () -> expire(promise));
             return promise;
         }
 
@@ -194,7 +195,7 @@
                         T result = operation.get();
                         reply(result, promise, answerBytes.applyAsInt(result));
                     });
-            time.schedule(TIMEOUT_MILLIS, () -> expire(promise));
+            time.after(TIMEOUT_MILLIS, () -> expire(promise));
             return promise;
         }
 
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/cell/ScheduledStep.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/time/ScheduledStep.java
@@ -1,4 +1,4 @@
-package org.damasktiller.standin.cell;
+package org.damasktiller.standin.time;
 
 /**
  * Holds something that happens at a time.
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/cell/VirtualTime.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/time/VirtualTime.java
@@ -1,9 +1,12 @@
-package org.damasktiller.standin.cell;
+package org.damasktiller.standin.time;
 
 import java.util.PriorityQueue;
 import java.util.function.BooleanSupplier;
 
-/** Runs steps in the order of their times; time passes only between steps. */
+/**
+ * Runs steps in the order of their times; time passes only between steps. Not safe for use by
+ * several threads.
+ */
 public final class VirtualTime {
 
     /** The steps to come. */
@@ -63,4 +66,13 @@
         nowMillis = Math.max(nowMillis, endMillis);
         return false;
     }
+
+    /**
+     * Runs the steps of some time.
+     *
+     * @param millis for how long, in milliseconds
+     */
+    public void pass(long millis) {
+        run(nowMillis + millis, () -> false);
+    }
 }
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/membership/MembershipFaultTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/membership/MembershipFaultTest.java
@@ -17,7 +17,7 @@
 import org.damasktiller.membership.MemberStatus;
 import org.damasktiller.standin.network.GossipFleet;
 import org.damasktiller.standin.network.VirtualNetwork;
-import org.damasktiller.standin.network.VirtualTime;
+import org.damasktiller.standin.time.VirtualTime;
 import org.damasktiller.vm.VmRecord;
 import org.damasktiller.vm.VmRole;
 import org.damasktiller.vm.VmState;
@@ -45,7 +45,7 @@
     void testKilledMemberIsFoundDead() {
         startMembers(9);
         fleet.kill(id(4));
-        time.run(20 * SECOND);
+        time.pass(20 * SECOND);
         assertThat(fleet.agreed(), is(true));
     }
 
@@ -56,11 +56,11 @@
         network.loss(0.05);
         for (int round = 0; round < 30; round++) {
             fleet.pause(id(round % 20), 2 * SECOND);
-            time.run(5 * SECOND);
+            time.pass(5 * SECOND);
         }
         assertThat(deaths, empty());
         network.loss(0);
-        time.run(20 * SECOND);
+        time.pass(20 * SECOND);
         assertThat(fleet.agreed(), is(true));
     }
 
@@ -69,10 +69,10 @@
         startMembers(9);
         observeDeaths();
         fleet.pause(id(3), 30 * SECOND);
-        time.run(29 * SECOND);
+        time.pass(29 * SECOND);
         assertThat(deaths.stream().allMatch(death -> death.subject().id().equals(id(3))), is(true));
         assertThat(deaths.size(), is(8));
-        time.run(30 * SECOND);
+        time.pass(30 * SECOND);
         assertThat(deaths.size(), is(8));
         assertThat(fleet.agreed(), is(true));
     }
@@ -81,9 +81,9 @@
     void testRestartAtTheSameAddressIsLive() {
         startMembers(9);
         fleet.kill(id(2));
-        time.run(SECOND);
+        time.pass(SECOND);
         fleet.start(id(2), Set.of(id(0)));
-        time.run(10 * SECOND);
+        time.pass(10 * SECOND);
         assertThat(fleet.agreed(), is(true));
         assertThat(fleet.member(id(5)).present().get(2).incarnation(), greaterThan(1_000_000L));
     }
@@ -93,7 +93,7 @@
         startMembers(9);
         observeDeaths();
         network.cut(List.of(id(1)), List.of(id(2), id(3)));
-        time.run(60 * SECOND);
+        time.pass(60 * SECOND);
         assertThat(deaths, empty());
     }
 
@@ -101,10 +101,10 @@
     void testMemberThatNobodyHearsIsDeadAndComesBack() {
         startMembers(9);
         network.cut(List.of(id(1)), others(1));
-        time.run(30 * SECOND);
+        time.pass(30 * SECOND);
         assertThat(present(5), is(others(1)));
         network.heal();
-        time.run(30 * SECOND);
+        time.pass(30 * SECOND);
         assertThat(fleet.agreed(), is(true));
     }
 
@@ -115,11 +115,11 @@
         List<VmId> right = fleet.running().subList(4, 9);
         network.cut(left, right);
         network.cut(right, left);
-        time.run(40 * SECOND);
+        time.pass(40 * SECOND);
         assertThat(present(0), is(left));
         assertThat(present(8), is(right));
         network.heal();
-        time.run(60 * SECOND);
+        time.pass(60 * SECOND);
         assertThat(fleet.agreed(), is(true));
     }
 
@@ -130,7 +130,7 @@
         network.loss(0.05);
         fleet.call(id(11), member -> member.startLeaving(time.nowMillis()));
         fleet.call(id(12), member -> member.markEndpoint(endpoint, 9, true, time.nowMillis()));
-        time.run(MARK_SPREAD_TARGET);
+        time.pass(MARK_SPREAD_TARGET);
         for (VmId id : fleet.running()) {
             assertThat(fleet.member(id).endpointLeaving(endpoint), is(true));
             assertThat(statusOf(id(11), id), is(MemberStatus.LEAVING));
@@ -141,9 +141,9 @@
     void testLeavingMemberThatCrashesIsFoundDead() {
         startMembers(9);
         fleet.call(id(4), member -> member.startLeaving(time.nowMillis()));
-        time.run(2 * SECOND);
+        time.pass(2 * SECOND);
         fleet.kill(id(4));
-        time.run(30 * SECOND);
+        time.pass(30 * SECOND);
         assertThat(fleet.agreed(), is(true));
     }
 
@@ -153,7 +153,7 @@
         observeDeaths();
         fleet.call(id(4), member -> member.leave(time.nowMillis()));
         fleet.kill(id(4));
-        time.run(3 * SECOND);
+        time.pass(3 * SECOND);
         assertThat(fleet.agreed(), is(true));
         assertThat(deaths, empty());
     }
@@ -165,10 +165,10 @@
             VmId old = id(index);
             fleet.call(old, member -> member.startLeaving(time.nowMillis()));
             fleet.start(id(100 + index), Set.copyOf(fleet.running()));
-            time.run(5 * SECOND);
+            time.pass(5 * SECOND);
             fleet.call(old, member -> member.leave(time.nowMillis()));
             fleet.kill(old);
-            time.run(5 * SECOND);
+            time.pass(5 * SECOND);
             assertThat("after replacement " + index, fleet.agreed(), is(true));
         }
         assertThat(fleet.running().get(0), is(id(100)));
@@ -178,10 +178,10 @@
     void testLaggingListIsMerged() {
         startMembers(3);
         fleet.start(id(50), Set.of());
-        time.run(5 * SECOND);
+        time.pass(5 * SECOND);
         assertThat(fleet.agreed(), is(false));
         fleet.kill(id(2));
-        time.run(20 * SECOND);
+        time.pass(20 * SECOND);
         fleet.call(
                 id(0),
                 member ->
@@ -191,7 +191,7 @@
                                         listed(50, VmState.LIVE),
                                         listed(1, VmState.LEAVING)),
                                 time.nowMillis()));
-        time.run(20 * SECOND);
+        time.pass(20 * SECOND);
         assertThat(fleet.agreed(), is(true));
         assertThat(statusOf(id(1), id(50)), is(MemberStatus.LEAVING));
     }
@@ -202,7 +202,7 @@
         fleet.call(
                 id(0),
                 member -> member.onDirectory(List.of(listed(1, VmState.GONE)), time.nowMillis()));
-        time.run(20 * SECOND);
+        time.pass(20 * SECOND);
         assertThat(fleet.agreed(), is(true));
         assertThat(fleet.member(id(1)).counters().refutations(), greaterThan(0L));
     }
@@ -216,16 +216,16 @@
             fleet.pause(id(20 + round), 2 * SECOND);
             fleet.kill(id(round % 10));
             fleet.start(id(round % 10), Set.of(id(59), id(58)));
-            time.run(2 * SECOND);
+            time.pass(2 * SECOND);
         }
         List<Long> after = sentBytes();
         for (int index = 10; index < 60; index++) {
             long sent = after.get(index) - before.get(index);
             assertThat(sent / 60, lessThanOrEqualTo((long) BUDGET_BYTES_PER_SECOND));
         }
-        time.run(60 * SECOND);
+        time.pass(60 * SECOND);
         network.loss(0);
-        time.run(30 * SECOND);
+        time.pass(30 * SECOND);
         assertThat(fleet.agreed(), is(true));
     }
 
@@ -234,7 +234,7 @@
         for (int index = 0; index < count; index++) {
             fleet.start(id(index), seeds);
         }
-        time.run(30 * SECOND);
+        time.pass(30 * SECOND);
     }
 
     private void observeDeaths() {
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/table/TableSpreadFaultTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/table/TableSpreadFaultTest.java
@@ -17,7 +17,7 @@
 import org.damasktiller.standin.network.PeerFleet;
 import org.damasktiller.standin.network.VirtualNetwork;
 import org.damasktiller.standin.network.VirtualStore;
-import org.damasktiller.standin.network.VirtualTime;
+import org.damasktiller.standin.time.VirtualTime;
 import org.damasktiller.table.EditId;
 import org.damasktiller.table.KindOfWork;
 import org.damasktiller.table.OperatorTable;
@@ -54,20 +54,20 @@
             seeds.put(new VmId("10.0.0." + index + ":7000"), ZONES.get(index % 3));
         }
         seeds.forEach((id, zone) -> fleet.start(id, zone, seeds));
-        time.run(30_000);
+        time.pass(30_000);
     }
 
     @Test
     void testRegionCutFromAllKeepsItsTableAndCatchesUp() {
         edit("before");
-        time.run(TARGET_MILLIS);
+        time.pass(TARGET_MILLIS);
         cutOff(THIRD);
         edit("after");
-        time.run(TARGET_MILLIS);
+        time.pass(TARGET_MILLIS);
         assertThat(fleet.lowestVersion(fleet.running(THIRD)), is(1L));
         assertThat(fleet.lowestVersion(fleet.running(SECOND)), is(2L));
         network.heal();
-        time.run(TARGET_MILLIS);
+        time.pass(TARGET_MILLIS);
         assertThat(fleet.lowestVersion(fleet.running()), is(2L));
     }
 
@@ -76,7 +76,7 @@
         network.cut(fleet.running(SECOND), Set.of(VirtualStore.ADDRESS));
         network.cut(Set.of(VirtualStore.ADDRESS), fleet.running(SECOND));
         edit("one");
-        time.run(TARGET_MILLIS);
+        time.pass(TARGET_MILLIS);
         assertThat(fleet.lowestVersion(fleet.running()), is(1L));
     }
 
