Keep an unknown outcome over later refusals when a submission is passed on

Cause: where a first peer answered NOT_OWNER with an unknown outcome, since it may have accepted the job before it lost the cell, the refusal of the next peer was reported as NOT_RUN, which an operator may take as the truth about the job. Change: the outcome of the tries before is kept; JobPeers is an interface, so that the router is tested without a network. ./measure authority prints the figures of claims once; they stood inside a loop. Conclusion: "not run" is said only where no try can have been accepted.

--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/authority/AuthorityMeasurement.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/authority/AuthorityMeasurement.java
@@ -73,7 +73,6 @@
         measureStarts(report);
         for (long rate : RATES) {
             measureLatency(rate, report);
-            new ClaimsMeasurement().run(quick, report);
         }
         for (int jobs : LIVE_JOBS) {
             measureTakeover(jobs, CELL_WORKERS, report);
@@ -82,6 +81,7 @@
             measureTakeover(MIDDLE_LIVE_JOBS, workers, report);
         }
         measureMatrix(report);
+        new ClaimsMeasurement().run(quick, report);
     }
 
     /**
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/ForwardingJobRouter.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/ForwardingJobRouter.java
@@ -44,7 +44,7 @@
     private final String self;
 
     /** Passes calls to other entry VMs. */
-    private final PeerJobClient peers;
+    private final JobPeers peers;
 
     /**
      * Creates a router.
@@ -60,7 +60,7 @@
             CellLayout layout,
             Supplier<FleetView> fleet,
             String self,
-            PeerJobClient peers) {
+            JobPeers peers) {
         this.host = host;
         this.layout = layout;
         this.fleet = fleet;
@@ -103,7 +103,7 @@
      * Asks entry VMs one after the other until one owns the cell.
      *
      * @param candidates the entry VMs
-     * @param failure the error to report if none is left, which is that of the last one asked
+     * @param failure the error to report if none is left, which is that of the tries before
      * @param call passes the call to one of them
      * @return the reply
      */
@@ -118,10 +118,36 @@
         return call.apply(candidates.get(0))
                 .then(
                         Promise::of,
-                        exception ->
-                                mayAskNext(exception)
-                                        ? ask(others, exception, call)
-                                        : Promise.ofException(exception));
+                        exception -> {
+                            Exception told = honest(failure, exception);
+                            return mayAskNext(exception)
+                                    ? ask(others, told, call)
+                                    : Promise.ofException(told);
+                        });
+    }
+
+    /**
+     * Keeps the outcome of an earlier try that is not known: that a later peer did not run a call
+     * says nothing of what an earlier one did.
+     *
+     * @param earlier the error of the tries before
+     * @param later the error of the latest try
+     * @return the error to report
+     */
+    private static Exception honest(Exception earlier, Exception later) {
+        if (!(earlier instanceof DamasktillerException before)
+                || !(later instanceof DamasktillerException after)
+                || before.outcome() == Outcome.NOT_RUN
+                || after.outcome() != Outcome.NOT_RUN) {
+            return later;
+        }
+        return new DamasktillerException(
+                after.code(),
+                after.step(),
+                after.peer(),
+                before.outcome(),
+                after.getMessage() + "; an earlier try may have been carried out",
+                after);
     }
 
     /**
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/PeerJobClient.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/PeerJobClient.java
@@ -18,7 +18,7 @@
 import org.damasktiller.vm.VmRecord;
 
 /** Passes calls on jobs to another entry VM, marked so that it does not pass them on again. */
-public final class PeerJobClient {
+public final class PeerJobClient implements JobPeers {
 
     /** The client. */
     private final JsonClient client;
@@ -37,13 +37,7 @@
         this.timeoutMillis = timeoutMillis;
     }
 
-    /**
-     * Passes on a submission.
-     *
-     * @param peer the entry VM
-     * @param submission the job
-     * @return the reply; fails with the error of the peer
-     */
+    @Override
     public Promise<JobReply> submit(VmRecord peer, JobSubmission submission) {
         HttpRequest.Builder request =
                 HttpRequest.post(url(peer, submission.task().kind().value()))
@@ -52,24 +46,12 @@
         return send(peer, request);
     }
 
-    /**
-     * Passes on a question for the state of a job.
-     *
-     * @param peer the entry VM
-     * @param job the job
-     * @return the reply; fails with the error of the peer
-     */
+    @Override
     public Promise<JobReply> query(VmRecord peer, JobId job) {
         return send(peer, HttpRequest.get(url(peer, job.value())));
     }
 
-    /**
-     * Passes on a cancellation.
-     *
-     * @param peer the entry VM
-     * @param job the job
-     * @return the reply; fails with the error of the peer
-     */
+    @Override
     public Promise<JobReply> cancel(VmRecord peer, JobId job) {
         return send(peer, HttpRequest.builder(HttpMethod.DELETE, url(peer, job.value())));
     }
