Keep histograms and outcomes of submissions per tenant and kind

Change: the answer to each submission is recorded in the histogram of its tenant and kind, and its outcome counted. Conclusion: every kind of work shows in the metrics.

--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryParts.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryParts.java
@@ -388,7 +388,8 @@
                         fleetReader::view,
                         self.value(),
                         new PeerJobClient(client, settings.peerTimeoutMillis()));
-        return new JobServlets(tableInForce::get, layout, router, settings.maximumBodyBytes());
+        return new JobServlets(
+                tableInForce::get, layout, router, settings.maximumBodyBytes(), metrics, eventloop);
     }
 
     /**
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/job/JobServlets.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/job/JobServlets.java
@@ -1,5 +1,6 @@
 package org.damasktiller.daemon.job;
 
+import io.activej.common.time.CurrentTimeProvider;
 import io.activej.http.HttpHeader;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
@@ -17,6 +18,7 @@
 import org.damasktiller.authority.cell.JobReply;
 import org.damasktiller.authority.cell.JobSubmission;
 import org.damasktiller.authority.layout.CellLayout;
+import org.damasktiller.daemon.metrics.WorkMetrics;
 import org.damasktiller.error.DamasktillerException;
 import org.damasktiller.error.ErrorCode;
 import org.damasktiller.error.Outcome;
@@ -28,6 +30,7 @@
 import org.damasktiller.platform.http.JsonServlets;
 import org.damasktiller.table.KindOfWork;
 import org.damasktiller.table.OperatorTable;
+import org.jspecify.annotations.Nullable;
 
 /** Serves the callers' interface to jobs: submit, state and cancel. */
 public final class JobServlets {
@@ -47,6 +50,9 @@
     /** The longest request key accepted, in characters. */
     private static final int MAXIMUM_KEY_LENGTH = 200;
 
+    /** The name of the outcome of an accepted job. */
+    private static final String ACCEPTED_OUTCOME = "accepted";
+
     /** The name of the path's parameter. */
     private static final String NAME_PARAMETER = "name";
 
@@ -68,6 +74,12 @@
     /** The largest body accepted, in bytes. */
     private final int maximumBodyBytes;
 
+    /** The histograms and counters. */
+    private final WorkMetrics metrics;
+
+    /** The clock. */
+    private final CurrentTimeProvider clock;
+
     /**
      * Creates the servlets.
      *
@@ -75,12 +87,18 @@
      * @param layout the division into cells
      * @param router finds the owners of cells
      * @param maximumBodyBytes the largest body accepted, in bytes
+     * @param metrics the histograms and counters
+     * @param clock the clock
      */
     public JobServlets(
             Supplier<OperatorTable> table,
             CellLayout layout,
             JobRouter router,
-            int maximumBodyBytes) {
+            int maximumBodyBytes,
+            WorkMetrics metrics,
+            CurrentTimeProvider clock) {
+        this.metrics = metrics;
+        this.clock = clock;
         this.table = table;
         this.layout = layout;
         this.router = router;
@@ -123,6 +141,7 @@
     private Promise<HttpResponse> submit(HttpRequest request) {
         KindOfWork kind = kind(request.getPathParameter(NAME_PARAMETER));
         RequestKey key = key(request);
+        long startMillis = clock.currentTimeMillis();
         return JsonServlets.body(request, maximumBodyBytes)
                 .map(JobServlets::text)
                 .then(
@@ -131,9 +150,45 @@
                                         layout.cellOf(kind.tenant(), key, kind.places()),
                                         JobSubmission.of(key, kind, payload),
                                         forwarded(request)))
+                .whenComplete((reply, exception) -> record(kind, startMillis, reply, exception))
                 .map(reply -> respond(ACCEPTED, reply));
     }
 
+    /**
+     * Records how long the answer to a submission took, and how it ended.
+     *
+     * @param kind the kind of work
+     * @param startMillis when the submission came, in milliseconds
+     * @param reply the reply of the owner, or null if the submission failed
+     * @param exception the error, or null
+     */
+    private void record(
+            KindOfWork kind,
+            long startMillis,
+            @Nullable JobReply reply,
+            @Nullable Exception exception) {
+        long millis = Math.max(0, clock.currentTimeMillis() - startMillis);
+        metrics.recordLatency(kind.tenant(), kind.name(), millis);
+        metrics.countOutcome(kind.tenant(), kind.name(), outcome(reply, exception));
+    }
+
+    /**
+     * Names the end of a submission.
+     *
+     * @param reply the reply of the owner, or null if the submission failed
+     * @param exception the error, or null
+     * @return the name
+     */
+    private static String outcome(@Nullable JobReply reply, @Nullable Exception exception) {
+        if (reply instanceof JobRefusal refusal) {
+            return refusal.code().name();
+        }
+        if (exception instanceof DamasktillerException failure) {
+            return failure.code().name();
+        }
+        return exception == null ? ACCEPTED_OUTCOME : exception.getClass().getSimpleName();
+    }
+
     /**
      * Finds a kind of work.
      *
--- a/damasktiller-daemon/src/test/java/org/damasktiller/daemon/entry/EntryNodeTest.java
+++ b/damasktiller-daemon/src/test/java/org/damasktiller/daemon/entry/EntryNodeTest.java
@@ -65,6 +65,13 @@
                                 HttpMethod.DELETE,
                                 fixture.callerUrl(JobServlets.PATH + "/" + first.job())));
         assertThat(cancelled.status(), is(200));
+        String metrics =
+                fixture.send(HttpRequest.get(fixture.operatorUrl(OperatorPaths.METRICS))).body();
+        assertThat(
+                metrics,
+                allOf(
+                        containsString("latency.office.forecast"),
+                        containsString("outcomes.office.forecast.accepted")));
     }
 
     @Test
