Name the parts of a cell's owner by what they do

Cause: CallerDesk, StoreDesk and LaneDesk were metaphors. Change: CallerRequests, StoreDispatcher and WorkerDispatcher. Measured: the whole Maven build passes; behaviour is as before. Conclusion: a newcomer finds them by their names.

--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/CallerDesk.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/CallerRequests.java
@@ -12,7 +12,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** Handles the events of callers. */
-final class CallerDesk {
+final class CallerRequests {
 
     /** The bounds. */
     private final CellSettings settings;
@@ -34,7 +34,7 @@
      * @param lanes the workers
      * @param actions where replies go
      */
-    CallerDesk(
+    CallerRequests(
             CellSettings settings,
             CellId cell,
             Map<WorkerId, WorkerLane> lanes,
@@ -133,7 +133,7 @@
         Optional<Binding> place =
                 refusal.isPresent() ? Optional.empty() : term.rules().place(submission, null);
         if (place.isEmpty()) {
-            reply(submit.replyId(), refusal.orElseGet(CallerDesk::noWorker));
+            reply(submit.replyId(), refusal.orElseGet(CallerRequests::noWorker));
             return;
         }
         accept(submit, term, view.jobNumber(), place.get(), nowMillis);
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/CellOwner.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/CellOwner.java
@@ -67,10 +67,10 @@
     private final Map<WorkerId, WorkerLane> lanes = new TreeMap<>();
 
     /** The calls to the store. */
-    private final StoreDesk store;
+    private final StoreDispatcher store;
 
     /** The calls to the workers. */
-    private final LaneDesk workers;
+    private final WorkerDispatcher workers;
 
     /** The latest number given to a call. */
     private long lastCallId;
@@ -125,9 +125,9 @@
         this.keys = new LogKeys("cell/" + cell + "/");
         this.ownership = new Ownership(settings.ownership(), self, keys, codec);
         this.placement = placement;
-        this.store = new StoreDesk(ownership, settings.callTimeoutMillis(), this::nextCallId);
+        this.store = new StoreDispatcher(ownership, settings.callTimeoutMillis(), this::nextCallId);
         this.workers =
-                new LaneDesk(
+                new WorkerDispatcher(
                         settings,
                         ownership,
                         new StartOrder(policy, lanes.values()),
@@ -219,7 +219,7 @@
         } else if (event instanceof Drain) {
             draining = true;
         } else {
-            new CallerDesk(settings, cell, lanes, actions)
+            new CallerRequests(settings, cell, lanes, actions)
                     .take(event, callerView(present), nowMillis);
         }
     }
@@ -413,7 +413,7 @@
                     .giveUpDead(lane, present.acquiredMillis(), present.graceMillis(), nowMillis);
         }
         present.book().forgetEnded(nowMillis - settings.retentionMillis());
-        new CallerDesk(settings, cell, lanes, actions).giveUpWaiting(present, nowMillis);
+        new CallerRequests(settings, cell, lanes, actions).giveUpWaiting(present, nowMillis);
     }
 
     /**
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/StoreDesk.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/StoreDispatcher.java
@@ -20,7 +20,7 @@
  * back. A call without an answer counts as failed after a timeout; an answer after that, or a
  * second answer, is ignored.
  */
-final class StoreDesk {
+final class StoreDispatcher {
 
     /** The segments that a recovery reads at once. */
     private static final int PARALLEL_READS = 8;
@@ -47,13 +47,13 @@
     private int readsInFlight;
 
     /**
-     * Creates a desk without open calls.
+     * Creates a dispatcher without open calls.
      *
      * @param ownership the ownership
      * @param timeoutMillis how long to wait for an answer, in milliseconds
      * @param callIds the source of call numbers
      */
-    StoreDesk(Ownership ownership, long timeoutMillis, LongSupplier callIds) {
+    StoreDispatcher(Ownership ownership, long timeoutMillis, LongSupplier callIds) {
         this.ownership = ownership;
         this.timeoutMillis = timeoutMillis;
         this.callIds = callIds;
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/LaneDesk.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/WorkerDispatcher.java
@@ -21,7 +21,7 @@
  * command in flight. A command without an answer counts as failed after a timeout; an answer after
  * that, or a second answer, is ignored.
  */
-final class LaneDesk {
+final class WorkerDispatcher {
 
     /** The delay after a command that failed or was refused, in milliseconds. */
     private static final long RETRY_MILLIS = 500;
@@ -42,14 +42,15 @@
     private final Map<Long, WorkerLane> open = new HashMap<>();
 
     /**
-     * Creates a desk without open calls.
+     * Creates a dispatcher without open calls.
      *
      * @param settings the times
      * @param ownership the ownership
      * @param order the order in which waiting jobs are started
      * @param callIds the source of call numbers
      */
-    LaneDesk(CellSettings settings, Ownership ownership, StartOrder order, LongSupplier callIds) {
+    WorkerDispatcher(
+            CellSettings settings, Ownership ownership, StartOrder order, LongSupplier callIds) {
         this.settings = settings;
         this.ownership = ownership;
         this.commands = new LaneCommands(settings, ownership, order);
