Name each header once, index the list of VMs by role, and remove dead code

Cause: a read-through of the whole change. The headers of calls stood three times (gateway, jobs, stand-in endpoint), addresses were written as text in three places of the daemon, ten methods had no caller, and each call passed on to another zone filtered and sorted the whole list of VMs. Change: CallHeaders lies beside the shared HTTP parts and serves all three; Addresses.text in place of its copies; the list is sorted by role once a reading; the router of jobs has one way to ask peers; uncalled methods of library, platform and the driver of cells are gone, with a field that only one of them read.

--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/interactive/LoadClient.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/interactive/LoadClient.java
@@ -10,8 +10,8 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import org.damasktiller.daemon.gateway.CallHeaders;
 import org.damasktiller.platform.http.AddressResolver;
+import org.damasktiller.platform.http.CallHeaders;
 import org.jspecify.annotations.Nullable;
 
 /** Makes HTTP requests on an event loop of its own and checks that each gets its own answer. */
--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/path/CallLoad.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/path/CallLoad.java
@@ -11,8 +11,8 @@
 import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
-import org.damasktiller.daemon.gateway.CallHeaders;
 import org.damasktiller.platform.http.AddressResolver;
+import org.damasktiller.platform.http.CallHeaders;
 import org.damasktiller.platform.http.EventLoops;
 
 /**
--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/path/DrainLoad.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/path/DrainLoad.java
@@ -10,8 +10,8 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Arrays;
-import org.damasktiller.daemon.gateway.CallHeaders;
 import org.damasktiller.platform.http.AddressResolver;
+import org.damasktiller.platform.http.CallHeaders;
 import org.damasktiller.platform.http.EventLoops;
 
 /**
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/CellDriver.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/CellDriver.java
@@ -36,7 +36,7 @@
 
 /**
  * Drives the owner of one cell. Every public method is called on the reactor's thread; the owner
- * itself runs on the pool, and what it tells is passed on in volatile fields.
+ * itself runs on the pool, and whether it holds the cell is passed on in a volatile field.
  */
 public final class CellDriver {
 
@@ -61,9 +61,6 @@
     /** Whether the owner held the cell after its latest event. */
     private volatile boolean active;
 
-    /** The process last seen to own the cell. */
-    private volatile String holder = "";
-
     /** Whether the owner still acts. */
     private boolean running = true;
 
@@ -156,15 +153,6 @@
         return active;
     }
 
-    /**
-     * Tells who was last seen to own the cell.
-     *
-     * @return the entry VM and its process, or an empty text
-     */
-    public String holder() {
-        return holder;
-    }
-
     /**
      * Passes an event to the owner and notes what it tells; runs on the pool.
      *
@@ -176,7 +164,6 @@
     private List<CellAction> handle(CellOwner owner, CellEvent event, long nowMillis) {
         List<CellAction> actions = owner.handle(event, nowMillis);
         active = owner.active();
-        holder = owner.holder();
         return actions;
     }
 
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/ForwardingJobRouter.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/ForwardingJobRouter.java
@@ -73,8 +73,7 @@
         if (forwarded || host.owns(cell)) {
             return host.submit(cell, submission);
         }
-        return ask(
-                candidates(cell), noOwner(Outcome.NOT_RUN), peer -> peers.submit(peer, submission));
+        return askPeers(cell, Outcome.NOT_RUN, peer -> peers.submit(peer, submission));
     }
 
     @Override
@@ -83,8 +82,7 @@
         if (forwarded || host.owns(cell)) {
             return host.query(cell, job);
         }
-        return ask(
-                candidates(cell), noOwner(Outcome.OUTCOME_UNKNOWN), peer -> peers.query(peer, job));
+        return askPeers(cell, Outcome.OUTCOME_UNKNOWN, peer -> peers.query(peer, job));
     }
 
     @Override
@@ -93,10 +91,20 @@
         if (forwarded || host.owns(cell)) {
             return host.cancel(cell, job);
         }
-        return ask(
-                candidates(cell),
-                noOwner(Outcome.OUTCOME_UNKNOWN),
-                peer -> peers.cancel(peer, job));
+        return askPeers(cell, Outcome.OUTCOME_UNKNOWN, peer -> peers.cancel(peer, job));
+    }
+
+    /**
+     * Asks the entry VMs that may own a cell.
+     *
+     * @param cell the cell
+     * @param unasked whether the work was run if there is nobody to ask
+     * @param call passes the call to one of them
+     * @return the reply
+     */
+    private Promise<JobReply> askPeers(
+            CellId cell, Outcome unasked, Function<VmRecord, Promise<JobReply>> call) {
+        return ask(candidates(cell), noOwner(unasked), call);
     }
 
     /**
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/PeerJobClient.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/PeerJobClient.java
@@ -14,6 +14,7 @@
 import org.damasktiller.error.Step;
 import org.damasktiller.identity.JobId;
 import org.damasktiller.platform.http.CallContext;
+import org.damasktiller.platform.http.CallHeaders;
 import org.damasktiller.platform.http.JsonClient;
 import org.damasktiller.vm.VmRecord;
 
@@ -41,7 +42,7 @@
     public Promise<JobReply> submit(VmRecord peer, JobSubmission submission) {
         HttpRequest.Builder request =
                 HttpRequest.post(url(peer, submission.task().kind().value()))
-                        .withHeader(JobServlets.KEY_HEADER, submission.key().value())
+                        .withHeader(CallHeaders.KEY, submission.key().value())
                         .withBody(submission.task().payload().getBytes(StandardCharsets.UTF_8));
         return send(peer, request);
     }
@@ -67,8 +68,7 @@
         CallContext context =
                 new CallContext(Step.PEER, peer.name(), ErrorCode.DEADLINE_EXCEEDED, timeoutMillis);
         HttpRequest marked =
-                request.withHeader(JobServlets.FORWARDED_HEADER, JobServlets.FORWARDED_VALUE)
-                        .build();
+                request.withHeader(CallHeaders.FORWARDED, JobServlets.FORWARDED_VALUE).build();
         return client.send(marked, JobBody.class, context)
                 .map(body -> new JobAnswer(body.toStatus()));
     }
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/ServerOptions.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/ServerOptions.java
@@ -5,6 +5,7 @@
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
+import org.damasktiller.daemon.entry.Addresses;
 import org.damasktiller.daemon.settings.AddressConverter;
 import org.damasktiller.daemon.settings.Settings;
 import org.damasktiller.error.ErrorCode;
@@ -47,7 +48,7 @@
      */
     <T> T call(String path, ServerCall<T> call) {
         InetSocketAddress address = Settings.required("--server", server, AddressConverter.ALLOWED);
-        String peer = address.getAddress().getHostAddress() + ":" + address.getPort();
+        String peer = Addresses.text(address);
         CallContext context =
                 new CallContext(Step.ACCEPT, peer, ErrorCode.DEADLINE_EXCEEDED, timeoutMillis);
         try (ApiClient client = new ApiClient()) {
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/StandInCommand.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/StandInCommand.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Function;
+import org.damasktiller.daemon.entry.Addresses;
 import org.damasktiller.daemon.settings.Settings;
 import org.damasktiller.error.ErrorCode;
 import org.damasktiller.error.Step;
@@ -117,7 +118,7 @@
         if (list == null) {
             return;
         }
-        String peer = list.getAddress().getHostAddress() + ":" + list.getPort();
+        String peer = Addresses.text(list);
         CallContext context =
                 new CallContext(
                         Step.COMMIT, peer, ErrorCode.DEADLINE_EXCEEDED, LIST_TIMEOUT_MILLIS);
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/SubmitCommand.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/SubmitCommand.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import org.damasktiller.daemon.job.JobBody;
 import org.damasktiller.daemon.job.JobServlets;
+import org.damasktiller.platform.http.CallHeaders;
 
 /** Submits a job; the same key gives the same job. */
 @Parameters(
@@ -51,7 +52,7 @@
                         (client, url, context) ->
                                 client.send(
                                         HttpRequest.post(url)
-                                                .withHeader(JobServlets.KEY_HEADER, key)
+                                                .withHeader(CallHeaders.KEY, key)
                                                 .withBody(payload.getBytes(StandardCharsets.UTF_8))
                                                 .build(),
                                         JobBody.class,
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/CallDispatcher.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/CallDispatcher.java
@@ -14,6 +14,7 @@
 import java.util.function.Consumer;
 import org.damasktiller.daemon.metrics.WorkMetrics;
 import org.damasktiller.identity.EndpointId;
+import org.damasktiller.platform.http.CallHeaders;
 import org.damasktiller.platform.http.JsonResponses;
 import org.damasktiller.routing.AttemptOutcome;
 import org.damasktiller.routing.ClaimOutcome;
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/job/JobServlets.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/job/JobServlets.java
@@ -1,8 +1,6 @@
 package org.damasktiller.daemon.job;
 
 import io.activej.common.time.CurrentTimeProvider;
-import io.activej.http.HttpHeader;
-import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
@@ -26,6 +24,7 @@
 import org.damasktiller.identity.JobId;
 import org.damasktiller.identity.KindName;
 import org.damasktiller.identity.RequestKey;
+import org.damasktiller.platform.http.CallHeaders;
 import org.damasktiller.platform.http.JsonResponses;
 import org.damasktiller.platform.http.JsonServlets;
 import org.damasktiller.table.KindOfWork;
@@ -35,12 +34,6 @@
 /** Serves the callers' interface to jobs: submit, state and cancel. */
 public final class JobServlets {
 
-    /** The header with the caller's request key. */
-    public static final HttpHeader KEY_HEADER = HttpHeaders.of("Damasktiller-Key");
-
-    /** The header of a call that another entry VM passed on. */
-    public static final HttpHeader FORWARDED_HEADER = HttpHeaders.of("Damasktiller-Forwarded");
-
     /** The value of that header. */
     public static final String FORWARDED_VALUE = "1";
 
@@ -212,11 +205,11 @@
      * @return the key
      */
     private static RequestKey key(HttpRequest request) {
-        String value = request.getHeader(KEY_HEADER);
+        String value = request.getHeader(CallHeaders.KEY);
         if (value == null || value.isBlank()) {
             throw refused(
                     ErrorCode.MISSING_KEY,
-                    "a job needs the header " + KEY_HEADER + " with its key");
+                    "a job needs the header " + CallHeaders.KEY + " with its key");
         }
         if (value.length() > MAXIMUM_KEY_LENGTH) {
             throw refused(
@@ -233,7 +226,7 @@
      * @return whether it did
      */
     private static boolean forwarded(HttpRequest request) {
-        return FORWARDED_VALUE.equals(request.getHeader(FORWARDED_HEADER));
+        return FORWARDED_VALUE.equals(request.getHeader(CallHeaders.FORWARDED));
     }
 
     /**
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/local/LocalLoad.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/local/LocalLoad.java
@@ -14,11 +14,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
-import org.damasktiller.daemon.gateway.CallHeaders;
 import org.damasktiller.daemon.job.JobBody;
 import org.damasktiller.daemon.job.JobServlets;
 import org.damasktiller.error.Step;
 import org.damasktiller.platform.http.AddressResolver;
+import org.damasktiller.platform.http.CallHeaders;
 import org.damasktiller.platform.http.Json;
 import org.damasktiller.table.KindOfWork;
 import org.damasktiller.table.Repeat;
@@ -261,7 +261,7 @@
     private void submitJob(KindOfWork kind, String key, long startMillis, int tries) {
         HttpRequest request =
                 HttpRequest.post(url(JobServlets.PATH + "/" + kind.name(), tries))
-                        .withHeader(JobServlets.KEY_HEADER, key)
+                        .withHeader(CallHeaders.KEY, key)
                         .withBody(("actual:" + JOB_RUN_MILLIS).getBytes(StandardCharsets.UTF_8))
                         .build();
         send(request)
--- a/damasktiller-daemon/src/test/java/org/damasktiller/daemon/entry/EntryNodeTest.java
+++ b/damasktiller-daemon/src/test/java/org/damasktiller/daemon/entry/EntryNodeTest.java
@@ -9,7 +9,6 @@
 import io.activej.http.HttpRequest;
 import java.nio.charset.StandardCharsets;
 import org.damasktiller.daemon.entry.EntryFixture.Answer;
-import org.damasktiller.daemon.gateway.CallHeaders;
 import org.damasktiller.daemon.job.JobBody;
 import org.damasktiller.daemon.job.JobServlets;
 import org.damasktiller.daemon.operator.OperatorPaths;
@@ -17,6 +16,7 @@
 import org.damasktiller.daemon.operator.TableBody;
 import org.damasktiller.daemon.operator.TablePutBody;
 import org.damasktiller.error.Step;
+import org.damasktiller.platform.http.CallHeaders;
 import org.damasktiller.platform.http.Json;
 import org.damasktiller.standin.store.StoreFaults;
 import org.junit.jupiter.api.AfterEach;
@@ -127,7 +127,7 @@
         Answer answer =
                 fixture.send(
                         HttpRequest.post(fixture.callerUrl(JobServlets.PATH + "/forecast"))
-                                .withHeader(JobServlets.KEY_HEADER, "key")
+                                .withHeader(CallHeaders.KEY, "key")
                                 .withBody(broken));
         assertRefused(answer, 400, "BAD_ENCODING");
     }
@@ -221,7 +221,7 @@
     private Answer submit(String kind, String key, String payload) {
         return fixture.send(
                 HttpRequest.post(fixture.callerUrl(JobServlets.PATH + "/" + kind))
-                        .withHeader(JobServlets.KEY_HEADER, key)
+                        .withHeader(CallHeaders.KEY, key)
                         .withBody(payload.getBytes(StandardCharsets.UTF_8)));
     }
 
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/CellOwner.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/CellOwner.java
@@ -161,16 +161,6 @@
         return ownership.holder();
     }
 
-    /**
-     * Returns the number of jobs that the owner keeps, the ended ones included.
-     *
-     * @return the number of jobs, zero while it does not own the cell
-     */
-    public int jobCount() {
-        OwnerTerm present = term;
-        return present == null ? 0 : present.book().size();
-    }
-
     /**
      * Takes one event.
      *
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/CellSettings.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/cell/CellSettings.java
@@ -66,23 +66,4 @@
                 maximumJobs,
                 maximumFailures);
     }
-
-    /**
-     * Returns these settings with another pace and other sizes of the log.
-     *
-     * @param other the pace and sizes
-     * @return the settings
-     */
-    public CellSettings withCommit(CommitSettings other) {
-        return new CellSettings(
-                ownership,
-                other,
-                renewMillis,
-                callTimeoutMillis,
-                silenceMillis,
-                acceptTimeoutMillis,
-                retentionMillis,
-                maximumJobs,
-                maximumFailures);
-    }
 }
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/commit/CommitSettings.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/commit/CommitSettings.java
@@ -34,20 +34,4 @@
             throw new IllegalArgumentException("a sealed segment would not fit into a value");
         }
     }
-
-    /**
-     * Returns these settings with another share of the write budget.
-     *
-     * @param writes the writes a second, above zero
-     * @return the settings
-     */
-    public CommitSettings withWritesPerSecond(double writes) {
-        return new CommitSettings(
-                writes,
-                burstWrites,
-                sealBytes,
-                batchBytes,
-                retryDelayMillis,
-                maximumRetryDelayMillis);
-    }
 }
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/commit/LogIndex.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/authority/commit/LogIndex.java
@@ -62,15 +62,6 @@
         return List.copyOf(current.values());
     }
 
-    /**
-     * Returns the number of current entries.
-     *
-     * @return the number of entries
-     */
-    int currentCount() {
-        return current.size();
-    }
-
     /**
      * Lets the log drop the entry of a key.
      *
--- a/damasktiller-library/src/main/java/org/damasktiller/decision/interference/HarmScore.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/decision/interference/HarmScore.java
@@ -50,16 +50,6 @@
         guarded.set(kind, value);
     }
 
-    /**
-     * Tells whether a kind is guarded.
-     *
-     * @param kind the number of the kind
-     * @return whether it is
-     */
-    public boolean guards(int kind) {
-        return guarded.get(kind);
-    }
-
     @Override
     public double cost(int kind, PlacementRequest request, WorkerState worker) {
         double whole = Math.max(1, worker.spec().capacity().milliProcessors());
--- a/damasktiller-library/src/main/java/org/damasktiller/decision/placement/WorkerState.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/decision/placement/WorkerState.java
@@ -110,16 +110,6 @@
         return kinds[at];
     }
 
-    /**
-     * Returns how many jobs of the kind at a position are on the worker.
-     *
-     * @param at the position, below {@code kindCount}
-     * @return the number of jobs
-     */
-    public int countAt(int at) {
-        return counts[at];
-    }
-
     /**
      * Returns the part of the worker's processors that is reserved for the kind at a position.
      *
--- a/damasktiller-library/src/main/java/org/damasktiller/routing/RoutingSettings.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/routing/RoutingSettings.java
@@ -33,48 +33,4 @@
     /** The settings for a zone of about fifteen endpoints. */
     public static final RoutingSettings DEFAULT =
             new RoutingSettings(1000, 10_000, 100, 100, 3, 10, 1000, 20, 10_000, 30, 5000, 500);
-
-    /**
-     * Replaces the bound of the queue.
-     *
-     * @param value how many requests wait at most
-     * @return the changed settings
-     */
-    public RoutingSettings withQueueCapacity(int value) {
-        return new RoutingSettings(
-                value,
-                attemptTimeoutMillis,
-                retryDepositPerMille,
-                retryCapacityTries,
-                triesPerRequest,
-                retryBaseMillis,
-                retryMaximumMillis,
-                hedgeFloorMillis,
-                ejectionMillis,
-                ejectionCapPercent,
-                slowStartMillis,
-                abandonedSlotMillis);
-    }
-
-    /**
-     * Replaces the attempt timeout.
-     *
-     * @param value when an attempt is given up at the latest, in milliseconds
-     * @return the changed settings
-     */
-    public RoutingSettings withAttemptTimeoutMillis(long value) {
-        return new RoutingSettings(
-                queueCapacity,
-                value,
-                retryDepositPerMille,
-                retryCapacityTries,
-                triesPerRequest,
-                retryBaseMillis,
-                retryMaximumMillis,
-                hedgeFloorMillis,
-                ejectionMillis,
-                ejectionCapPercent,
-                slowStartMillis,
-                abandonedSlotMillis);
-    }
 }
--- a/damasktiller-library/src/main/java/org/damasktiller/vm/FleetView.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/vm/FleetView.java
@@ -18,6 +18,9 @@
     /** The VMs by name. */
     private final Map<String, VmRecord> byName;
 
+    /** The VMs of each role that are not gone, by name. */
+    private final Map<VmRole, List<VmRecord>> presentByRole;
+
     /**
      * Creates a view; of two records with one name the later counts.
      *
@@ -31,6 +34,13 @@
                                         VmRecord::name,
                                         Function.identity(),
                                         (first, second) -> second));
+        presentByRole =
+                byName.values().stream()
+                        .filter(vm -> vm.state() != VmState.GONE)
+                        .sorted(Comparator.comparing(VmRecord::name))
+                        .collect(
+                                Collectors.groupingBy(
+                                        VmRecord::role, Collectors.toUnmodifiableList()));
     }
 
     /**
@@ -65,10 +75,7 @@
      * @return the VMs
      */
     public List<VmRecord> present(VmRole role) {
-        return byName.values().stream()
-                .filter(vm -> vm.role() == role && vm.state() != VmState.GONE)
-                .sorted(Comparator.comparing(VmRecord::name))
-                .toList();
+        return presentByRole.getOrDefault(role, List.of());
     }
 
     /**
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/CallHeaders.java
+++ b/damasktiller-platform/src/main/java/org/damasktiller/platform/http/CallHeaders.java
@@ -1,9 +1,9 @@
-package org.damasktiller.daemon.gateway;
+package org.damasktiller.platform.http;
 
 import io.activej.http.HttpHeader;
 import io.activej.http.HttpHeaders;
 
-/** Lists the headers of interactive calls. */
+/** Lists the headers of calls, shared by callers, entry VMs and endpoints. */
 public final class CallHeaders {
 
     /** Names the tenant that calls. */
@@ -24,6 +24,9 @@
     /** Marks the answer of an endpoint that had no free slot and did not run the request. */
     public static final HttpHeader NOT_RUN = HttpHeaders.of("Damasktiller-Not-Run");
 
+    /** Marks a call on a job that another entry VM passed on. */
+    public static final HttpHeader FORWARDED = HttpHeaders.of("Damasktiller-Forwarded");
+
     /** Prevents instantiation. */
     private CallHeaders() {}
 }
--- a/damasktiller-platform/src/main/java/org/damasktiller/platform/http/Json.java
+++ b/damasktiller-platform/src/main/java/org/damasktiller/platform/http/Json.java
@@ -39,20 +39,6 @@
         }
     }
 
-    /**
-     * Writes an object as JSON with line breaks, for a person to read.
-     *
-     * @param value the object
-     * @return the text
-     */
-    public static String writePretty(Object value) {
-        try {
-            return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(value);
-        } catch (JsonProcessingException exception) {
-            throw new IllegalArgumentException("cannot be written as JSON", exception);
-        }
-    }
-
     /**
      * Reads an object from the bytes of a JSON text.
      *
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/endpoint/EndpointServlet.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/endpoint/EndpointServlet.java
@@ -5,7 +5,6 @@
 import io.activej.http.AsyncServlet;
 import io.activej.http.HttpError;
 import io.activej.http.HttpHeader;
-import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
@@ -22,6 +21,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.WeakHashMap;
+import org.damasktiller.platform.http.CallHeaders;
 
 /**
  * Answers interactive requests as an endpoint does: it echoes the body. It runs as many requests at
@@ -29,18 +29,6 @@
  */
 public final class EndpointServlet implements AsyncServlet {
 
-    /** Carries the request key. */
-    private static final HttpHeader KEY = HttpHeaders.of("Damasktiller-Key");
-
-    /** Identifies the attempt. */
-    private static final HttpHeader ATTEMPT = HttpHeaders.of("Damasktiller-Attempt");
-
-    /** Marks the answer of an endpoint that is leaving. */
-    private static final HttpHeader DRAINING = HttpHeaders.of("Damasktiller-Draining");
-
-    /** Marks the answer to a request that was not run. */
-    private static final HttpHeader NOT_RUN = HttpHeaders.of("Damasktiller-Not-Run");
-
     /** The largest body, in bytes. */
     private static final int MAXIMUM_BODY_BYTES = 64 << 20;
 
@@ -122,11 +110,11 @@
             return silence();
         }
         if (now.draining()) {
-            return refusal(request, DRAINING);
+            return refusal(request, CallHeaders.DRAINING);
         }
         if (running >= now.slots()) {
             counters.countRefused();
-            return refusal(request, NOT_RUN);
+            return refusal(request, CallHeaders.NOT_RUN);
         }
         running++;
         return request.loadBody(MAXIMUM_BODY_BYTES)
@@ -194,7 +182,7 @@
      */
     private Promise<HttpResponse> run(
             HttpRequest request, byte[] body, EndpointBehaviour now, EndpointFault fault) {
-        String key = request.getHeader(KEY);
+        String key = request.getHeader(CallHeaders.KEY);
         counters.countRun(key == null ? "" : key);
         long late = fault == EndpointFault.LATE ? now.lateMillis() : 0;
         long delay = now.serviceMillis() * now.slowFactor() + late;
@@ -214,9 +202,9 @@
             HttpRequest request, byte[] body, EndpointFault fault) {
         HttpResponse.Builder builder =
                 HttpResponse.ofCode(fault == EndpointFault.ERROR ? FAILURE : SUCCESS);
-        String attempt = request.getHeader(ATTEMPT);
+        String attempt = request.getHeader(CallHeaders.ATTEMPT);
         if (attempt != null) {
-            builder.withHeader(ATTEMPT, attempt);
+            builder.withHeader(CallHeaders.ATTEMPT, attempt);
         }
         if (fault == EndpointFault.CLOSED) {
             return cutOff(builder, new byte[0]);
@@ -255,9 +243,9 @@
                 HttpResponse.ofCode(UNAVAILABLE)
                         .withHeader(mark, "true")
                         .withBody("not run".getBytes(StandardCharsets.UTF_8));
-        String attempt = request.getHeader(ATTEMPT);
+        String attempt = request.getHeader(CallHeaders.ATTEMPT);
         if (attempt != null) {
-            builder.withHeader(ATTEMPT, attempt);
+            builder.withHeader(CallHeaders.ATTEMPT, attempt);
         }
         return builder.toPromise();
     }
