--- /dev/null
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterParts.java
@@ -0,0 +1,21 @@
+package org.damasktiller.node.cluster;
+
+import org.damasktiller.scheduler.port.DecisionLog;
+import org.damasktiller.scheduler.port.MetadataStore;
+import org.damasktiller.scheduler.port.ProcessRuntime;
+
+/**
+ * What the elections of a process share.
+ *
+ * @param store the store
+ * @param session the lease
+ * @param view what the others publish
+ * @param runtime the clock and the timers
+ * @param log the log
+ */
+record ClusterParts(
+        MetadataStore store,
+        StoreSession session,
+        ClusterView view,
+        ProcessRuntime runtime,
+        DecisionLog log) {}
--- /dev/null
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Placement.java
@@ -0,0 +1,291 @@
+package org.damasktiller.scheduler.cell;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.damasktiller.scheduler.model.Resources;
+import org.damasktiller.scheduler.model.StepSpec;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses workers for tasks. Load patterns: tasks of unlike sizes in scattered holes, steps that
+ * must spread, data on one rack, fillers that share what serving tasks leave unused.
+ */
+final class Placement {
+
+    /** How many orders to one worker may be on their way at once: connections are priced. */
+    private static final int MOST_ORDERS = 6;
+
+    /** The part of a worker's processors that new lasting tasks leave free for urgent tasks. */
+    private static final double HOLE_SHARE = 0.18;
+
+    /** The part of the processors that a serving task asks for and uses on average. */
+    private static final double SERVING_USE = 0.55;
+
+    /** The weight of an earlier failure of the same task at a worker. */
+    private static final double FAILED_HERE = 1_000;
+
+    /** The weight of data on another rack. */
+    private static final double REMOTE_DATA = 10;
+
+    /** The shared part. */
+    private final CellCore core;
+
+    /**
+     * Creates the choice.
+     *
+     * @param core the shared part
+     */
+    Placement(CellCore core) {
+        this.core = core;
+    }
+
+    /**
+     * Chooses a worker for a task.
+     *
+     * @param task the task
+     * @return the worker, or null if none has room
+     */
+    @Nullable WorkerRecord choose(TaskRecord task) {
+        WorkerRecord best = null;
+        double bestScore = Double.MAX_VALUE;
+        for (WorkerRecord worker : core.allWorkers()) {
+            if (!allowed(task, worker) || !worker.free().covers(task.step.spec.reserved())) {
+                continue;
+            }
+            double score = score(task, worker);
+            if (score < bestScore) {
+                best = worker;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+    /**
+     * Chooses workers for all members of a gang at once.
+     *
+     * @param step the step
+     * @return a worker for each member in order, or an empty list if there is no room for all
+     */
+    List<WorkerRecord> chooseGang(StepRecord step) {
+        if (step.spec.sameRack()) {
+            for (String rack : racks()) {
+                List<WorkerRecord> chosen = fill(step, rack);
+                if (!chosen.isEmpty()) {
+                    return chosen;
+                }
+            }
+        }
+        return fill(step, "");
+    }
+
+    /**
+     * Tells whether a task could ever fit on a worker of the cell if nothing else ran.
+     *
+     * @param spec the step of the task
+     * @return whether it could
+     */
+    boolean possible(StepSpec spec) {
+        for (WorkerRecord worker : core.allWorkers()) {
+            if (labelled(spec, worker) && worker.entry.capacity().covers(spec.reserved())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Places the members of a gang one by one.
+     *
+     * @param step the step
+     * @param rack the rack to keep to, empty for any
+     * @return a worker for each member, or an empty list
+     */
+    private List<WorkerRecord> fill(StepRecord step, String rack) {
+        Map<WorkerRecord, Integer> taken = new HashMap<>();
+        List<WorkerRecord> chosen = new ArrayList<>();
+        List<WorkerRecord> order = new ArrayList<>(core.allWorkers());
+        order.sort(Comparator.comparingLong(worker -> -worker.free().cpuMillicores()));
+        Resources need = step.spec.reserved();
+        for (TaskRecord task : step.tasks) {
+            for (WorkerRecord worker : order) {
+                int here = taken.getOrDefault(worker, 0);
+                boolean spread =
+                        step.spec.maximumPerWorker() == 0 || here < step.spec.maximumPerWorker();
+                boolean onRack = rack.isEmpty() || worker.entry.labels().contains(rack);
+                if (spread
+                        && onRack
+                        && allowed(task, worker)
+                        && worker.free().covers(times(need, here + 1))) {
+                    taken.merge(worker, 1, Integer::sum);
+                    chosen.add(worker);
+                    break;
+                }
+            }
+        }
+        return chosen.size() == step.tasks.size() ? chosen : List.of();
+    }
+
+    /**
+     * Returns the labels that may be racks.
+     *
+     * @return the labels of all workers
+     */
+    private Set<String> racks() {
+        Set<String> racks = new TreeSet<>();
+        core.allWorkers().forEach(worker -> racks.addAll(worker.entry.labels()));
+        return racks;
+    }
+
+    /**
+     * Multiplies an amount.
+     *
+     * @param need the amount
+     * @param count the factor
+     * @return the product
+     */
+    private static Resources times(Resources need, int count) {
+        return new Resources(
+                need.cpuMillicores() * count, need.memoryMb() * count, need.accelerators() * count);
+    }
+
+    /**
+     * Tells whether a task may go to a worker, its room aside.
+     *
+     * @param task the task
+     * @param worker the worker
+     * @return whether it may
+     */
+    private boolean allowed(TaskRecord task, WorkerRecord worker) {
+        long now = core.now();
+        StepSpec spec = task.step.spec;
+        boolean busy =
+                now < worker.fullUntilMillis
+                        || worker.ordersInFlight >= MOST_ORDERS
+                        || worker.conduct.suspect(now);
+        if (!worker.usable(now) || busy || !labelled(spec, worker)) {
+            return false;
+        }
+        if (worker.conduct.onProbation() && !worker.runs.isEmpty()) {
+            return false;
+        }
+        return spread(task.step, worker) && roomBeside(task, worker);
+    }
+
+    /**
+     * Tells whether a worker has the label that a step needs.
+     *
+     * @param spec the step
+     * @param worker the worker
+     * @return whether it has
+     */
+    private static boolean labelled(StepSpec spec, WorkerRecord worker) {
+        return spec.requiredLabel().isEmpty()
+                || worker.entry.labels().contains(spec.requiredLabel());
+    }
+
+    /**
+     * Tells whether one more task of a step may run on a worker.
+     *
+     * @param step the step
+     * @param worker the worker
+     * @return whether it may
+     */
+    private static boolean spread(StepRecord step, WorkerRecord worker) {
+        int most = step.spec.maximumPerWorker();
+        if (most == 0) {
+            return true;
+        }
+        int here = 0;
+        for (RunRecord run : worker.runs.values()) {
+            if (run.id.submission().equals(step.occurrence.job.id())
+                    && run.id.occurrence() == step.occurrence.number
+                    && run.id.step() == step.number) {
+                here++;
+            }
+        }
+        return here < most;
+    }
+
+    /**
+     * Tells whether a worker has processors for a task beside what must be left to others.
+     *
+     * @param task the task
+     * @param worker the worker
+     * @return whether it has
+     */
+    private boolean roomBeside(TaskRecord task, WorkerRecord worker) {
+        StepSpec spec = task.step.spec;
+        long capacity = worker.entry.capacity().cpuMillicores();
+        if (spec.filling()) {
+            return !worker.harm.paused
+                    && fillerLoad(worker) + spec.need().cpuMillicores() <= unused(worker);
+        }
+        if (spec.lasting() && task.lastRun == 0) {
+            long left = worker.free().cpuMillicores() - spec.need().cpuMillicores();
+            return left >= capacity * HOLE_SHARE;
+        }
+        return true;
+    }
+
+    /**
+     * Returns the processors that the fillers of a worker ask for.
+     *
+     * @param worker the worker
+     * @return the processors, in millicores
+     */
+    private static long fillerLoad(WorkerRecord worker) {
+        long load = 0;
+        for (RunRecord run : worker.runs.values()) {
+            if (run.filling() && run.task != null) {
+                load += run.task.step.spec.need().cpuMillicores();
+            }
+        }
+        return load;
+    }
+
+    /**
+     * Estimates the processors that the other tasks of a worker leave unused.
+     *
+     * @param worker the worker
+     * @return the processors, in millicores
+     */
+    private static long unused(WorkerRecord worker) {
+        long used = 0;
+        for (RunRecord run : worker.runs.values()) {
+            long reserved = run.reserved.cpuMillicores();
+            used += run.serving() ? (long) (reserved * SERVING_USE) : reserved;
+        }
+        return worker.entry.capacity().cpuMillicores() - used;
+    }
+
+    /**
+     * Scores a worker for a task; the lowest score is chosen.
+     *
+     * @param task the task
+     * @param worker the worker
+     * @return the score
+     */
+    private double score(TaskRecord task, WorkerRecord worker) {
+        StepSpec spec = task.step.spec;
+        double capacity = Math.max(1, worker.entry.capacity().cpuMillicores());
+        double score = task.failedAt.contains(worker.id) ? FAILED_HERE : 0;
+        boolean remote =
+                !spec.dataRack().isEmpty() && !worker.entry.labels().contains(spec.dataRack());
+        if (remote) {
+            score += REMOTE_DATA;
+        }
+        if (spec.filling()) {
+            return score + (double) fillerLoad(worker) / Math.max(1, unused(worker));
+        }
+        if (spec.lasting()) {
+            return score - worker.free().cpuMillicores() / capacity;
+        }
+        return score + worker.free().cpuMillicores() / capacity;
+    }
+}
--- /dev/null
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StartPass.java
@@ -0,0 +1,271 @@
+package org.damasktiller.scheduler.cell;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.damasktiller.scheduler.model.Route;
+import org.damasktiller.scheduler.model.StepSpec;
+
+/**
+ * Starts what waits and has room. Load pattern: more work than room; tasks that serve come back
+ * first, then urgent work that can still be on time, by its objective, then new lasting tasks, then
+ * fillers; work that is late already comes after work that is not.
+ */
+final class StartPass {
+
+    /** The rank of a lasting task that has run before. */
+    private static final int RANK_RESTART = 0;
+
+    /** The rank of urgent work. */
+    private static final int RANK_URGENT = 1;
+
+    /** The rank of a new lasting task. */
+    private static final int RANK_LASTING = 2;
+
+    /** The rank of fillers. */
+    private static final int RANK_FILLING = 3;
+
+    /** How many starts one pass orders at most, so that a pass stays short. */
+    private static final int MOST_STARTS = 64;
+
+    /** The shared part. */
+    private final CellCore core;
+
+    /** Chooses workers. */
+    private final Placement placement;
+
+    /** Sends the orders. */
+    private final RunOrders orders;
+
+    /** The expected run times. */
+    private final RunTimes runTimes;
+
+    /** Tells what is known to belong to this term. */
+    private final OwnershipProof proof;
+
+    /** How many starts this pass has ordered. */
+    private int started;
+
+    /**
+     * Creates a pass.
+     *
+     * @param core the shared part
+     * @param placement chooses workers
+     * @param orders sends the orders
+     * @param runTimes the expected run times
+     * @param proof tells what is known to belong to this term
+     */
+    StartPass(
+            CellCore core,
+            Placement placement,
+            RunOrders orders,
+            RunTimes runTimes,
+            OwnershipProof proof) {
+        this.core = core;
+        this.placement = placement;
+        this.orders = orders;
+        this.runTimes = runTimes;
+        this.proof = proof;
+    }
+
+    /** Starts what waits and has room. */
+    void run() {
+        started = 0;
+        List<Waiting> steps = new ArrayList<>();
+        long unixLimit = core.runtime.unixMillis() + core.settings.earlyMillis();
+        for (Job job : core.jobs.values()) {
+            if (!mayStart(job)) {
+                continue;
+            }
+            job.beginDue(unixLimit);
+            for (OccurrenceRecord occurrence : job.occurrences.values()) {
+                collect(occurrence, steps);
+            }
+        }
+        steps.sort(Waiting.ORDER);
+        for (Waiting waiting : steps) {
+            if (started >= MOST_STARTS) {
+                return;
+            }
+            if (waiting.step.spec.gang()) {
+                startGang(waiting.step);
+            } else {
+                startTasks(waiting.step);
+            }
+        }
+    }
+
+    /**
+     * Tells whether tasks of a job may be started: the job is open, known to belong to this term,
+     * and no former owner can have left a run that is not known.
+     *
+     * @param job the job
+     * @return whether they may
+     */
+    private boolean mayStart(Job job) {
+        if (job.state.isFinal() || !proof.covers(job.createdRevision)) {
+            return false;
+        }
+        return core.settled || job.createdRevision > core.term.headRevision();
+    }
+
+    /**
+     * Collects the steps of an occurrence that wait for workers.
+     *
+     * @param occurrence the occurrence
+     * @param steps the list to add to
+     */
+    private void collect(OccurrenceRecord occurrence, List<Waiting> steps) {
+        long now = core.now();
+        for (StepRecord step : occurrence.steps) {
+            if (step.done() || !step.unblocked()) {
+                continue;
+            }
+            boolean waits = false;
+            boolean hasRun = false;
+            for (TaskRecord task : step.tasks) {
+                if (task.waiting(now)) {
+                    waits = true;
+                    hasRun |= task.lastRun > 0;
+                    if (task.readySinceMillis == 0) {
+                        task.readySinceMillis = now;
+                    }
+                }
+            }
+            if (waits) {
+                steps.add(describe(step, hasRun));
+            }
+        }
+    }
+
+    /**
+     * Describes a waiting step for the order.
+     *
+     * @param step the step
+     * @param hasRun whether a waiting task has run before
+     * @return the description
+     */
+    private Waiting describe(StepRecord step, boolean hasRun) {
+        StepSpec spec = step.spec;
+        Job job = step.occurrence.job;
+        int rank = RANK_URGENT;
+        if (spec.lasting()) {
+            rank = hasRun ? RANK_RESTART : RANK_LASTING;
+        } else if (spec.filling()) {
+            rank = RANK_FILLING;
+        }
+        Route route = core.manifest.byName(job.accepted.route());
+        double extension = route == null ? 1 : route.extension();
+        long slack = route == null ? 0 : route.targetLatencyMillis();
+        int priority = route == null ? 0 : route.priority();
+        long chain = remaining(step);
+        long objective = job.seenMillis + (long) (extension * chainOf(job)) + slack;
+        boolean late = core.now() + chain > objective;
+        return new Waiting(step, rank, priority, late, objective);
+    }
+
+    /**
+     * Estimates the time that the longest chain of a job takes.
+     *
+     * @param job the job
+     * @return the time, in milliseconds
+     */
+    private long chainOf(Job job) {
+        long chain = 0;
+        for (StepSpec spec : job.accepted.submission().steps()) {
+            chain += runTimes.expectedMillis(spec);
+        }
+        return chain;
+    }
+
+    /**
+     * Estimates the time that the steps from one on take.
+     *
+     * @param step the step
+     * @return the time, in milliseconds
+     */
+    private long remaining(StepRecord step) {
+        long chain = 0;
+        for (StepRecord later : step.occurrence.steps) {
+            if (later.number >= step.number) {
+                chain += runTimes.expectedMillis(later.spec);
+            }
+        }
+        return chain;
+    }
+
+    /**
+     * Starts the waiting tasks of a step while there is room.
+     *
+     * @param step the step
+     */
+    private void startTasks(StepRecord step) {
+        long now = core.now();
+        for (TaskRecord task : step.tasks) {
+            if (!task.waiting(now)) {
+                continue;
+            }
+            WorkerRecord worker = placement.choose(task);
+            if (worker == null) {
+                return;
+            }
+            orders.start(task, worker, nextRun(task.lastRun), "");
+            started++;
+        }
+    }
+
+    /**
+     * Starts all members of a gang at once if there is room for all.
+     *
+     * @param step the step
+     */
+    private void startGang(StepRecord step) {
+        long now = core.now();
+        int lastRun = 0;
+        for (TaskRecord task : step.tasks) {
+            if (!task.waiting(now)) {
+                return;
+            }
+            lastRun = Math.max(lastRun, task.lastRun);
+        }
+        List<WorkerRecord> workers = placement.chooseGang(step);
+        if (workers.isEmpty()) {
+            return;
+        }
+        int run = nextRun(lastRun);
+        for (int index = 0; index < workers.size(); index++) {
+            orders.start(step.tasks.get(index), workers.get(index), run, "");
+            started++;
+        }
+    }
+
+    /**
+     * Numbers the next run of a task.
+     *
+     * @param lastRun the highest run known
+     * @return the number
+     */
+    private int nextRun(int lastRun) {
+        return Math.max(lastRun, core.term.runBase()) + 1;
+    }
+
+    /**
+     * A step that waits.
+     *
+     * @param step the step
+     * @param rank its rank among kinds of work
+     * @param priority the priority of its route
+     * @param late whether it can't be on time any more
+     * @param objectiveMillis by when it should be done, in milliseconds
+     */
+    private record Waiting(
+            StepRecord step, int rank, int priority, boolean late, long objectiveMillis) {
+
+        /** The order in which steps get room. */
+        static final Comparator<Waiting> ORDER =
+                Comparator.comparingInt(Waiting::rank)
+                        .thenComparing(Waiting::late)
+                        .thenComparingInt(Waiting::priority)
+                        .thenComparingLong(Waiting::objectiveMillis);
+    }
+}
--- /dev/null
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerLooks.java
@@ -0,0 +1,334 @@
+package org.damasktiller.scheduler.cell;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Set;
+import org.damasktiller.scheduler.model.EndView;
+import org.damasktiller.scheduler.model.Inventory;
+import org.damasktiller.scheduler.model.Resources;
+import org.damasktiller.scheduler.model.RunView;
+import org.damasktiller.scheduler.port.HoldOrder;
+import org.damasktiller.scheduler.port.WorkerCalls;
+import org.damasktiller.scheduler.port.WorkerReply;
+import org.damasktiller.scheduler.port.WorkerStatus;
+
+/**
+ * Looks at the workers again and again: lengthens their leases, takes in what they run and what has
+ * ended, and finds out which runs are certainly over.
+ */
+final class WorkerLooks {
+
+    /** From how many listed ends on a list may be cut short, from the platform's pages. */
+    private static final int LONGEST_END_LIST = 500;
+
+    /** The pause before a look while ends wait for their commit, in milliseconds. */
+    private static final long COMMIT_WAIT_MILLIS = 300;
+
+    /** The processors in use below which a task counts as standing still, in millicores. */
+    private static final long IDLE_MILLICORES = 0;
+
+    /** How late an order without an answer may still be carried out, in milliseconds. */
+    private static final long LATEST_ARRIVAL_MILLIS = 13_000;
+
+    /** The shared part. */
+    private final CellCore core;
+
+    /** Applies ends. */
+    private final JobBook book;
+
+    /** Sends orders. */
+    private final RunOrders orders;
+
+    /** Told after each look. */
+    private final Listener listener;
+
+    /**
+     * Creates the looks.
+     *
+     * @param core the shared part
+     * @param book applies ends
+     * @param orders sends orders
+     * @param listener told after each look
+     */
+    WorkerLooks(CellCore core, JobBook book, RunOrders orders, Listener listener) {
+        this.core = core;
+        this.book = book;
+        this.orders = orders;
+        this.listener = listener;
+    }
+
+    /**
+     * Looks at a worker unless a look is on its way.
+     *
+     * @param worker the worker
+     */
+    void look(WorkerRecord worker) {
+        if (core.over || worker.looking || core.workers.get(worker.id) != worker) {
+            return;
+        }
+        worker.looking = true;
+        worker.lookNumber++;
+        long number = worker.lookNumber;
+        long now = core.now();
+        boolean first = !worker.fenced || worker.provenClockMillis == WorkerRecord.NO_CLOCK;
+        long leaseEnd = WorkerCalls.NO_LEASE;
+        if (!first) {
+            leaseEnd = core.leases.leaseEnd(worker, now);
+            core.leases.noteGrant(worker, leaseEnd, now);
+        }
+        HoldOrder order =
+                new HoldOrder(
+                        leaseEnd,
+                        core.term.generation(),
+                        worker.acknowledgedSequence,
+                        first ? 0 : core.settings.lookWaitMillis());
+        core.calls.hold(worker.address(), order, reply -> onReply(worker, number, reply));
+    }
+
+    /**
+     * Takes the answer to a look.
+     *
+     * @param worker the worker
+     * @param number the number of the look
+     * @param reply the answer
+     */
+    private void onReply(WorkerRecord worker, long number, WorkerReply reply) {
+        worker.looking = false;
+        if (core.over || core.workers.get(worker.id) != worker) {
+            return;
+        }
+        Inventory inventory = reply.inventory();
+        if (reply.status() != WorkerStatus.OK || inventory == null) {
+            listener.onMissedLook(worker, reply);
+            core.schedule(core.settings.lookRetryMillis(), () -> look(worker));
+            return;
+        }
+        long now = core.now();
+        if (worker.bornUnixMillis != 0 && reply.bornUnixMillis() != worker.bornUnixMillis) {
+            restarted(worker, reply.bornUnixMillis());
+        }
+        worker.bornUnixMillis = reply.bornUnixMillis();
+        worker.clockMillis = reply.clockMillis();
+        worker.clockReadAtMillis = now;
+        worker.answeredAtMillis = now;
+        boolean first = !worker.fenced;
+        worker.fenced = true;
+        merge(worker, number, inventory);
+        listener.onLook(worker, first);
+        if (worker.pendingEnds.isEmpty()) {
+            look(worker);
+        } else {
+            core.schedule(COMMIT_WAIT_MILLIS, () -> look(worker));
+        }
+    }
+
+    /**
+     * Takes note of a new boot of a worker: what ran before is over, but a start that got no answer
+     * may still arrive, and has to be stopped there too.
+     *
+     * @param worker the worker
+     * @param bornUnixMillis when the new boot began
+     */
+    void restarted(WorkerRecord worker, long bornUnixMillis) {
+        core.log.log(
+                "worker.restarted",
+                "worker",
+                worker.id,
+                "born",
+                bornUnixMillis,
+                "before",
+                worker.bornUnixMillis);
+        worker.fenced = false;
+        worker.bornUnixMillis = bornUnixMillis;
+        worker.clockMillis = WorkerRecord.NO_CLOCK;
+        worker.provenClockMillis = WorkerRecord.NO_CLOCK;
+        worker.candidateClockMillis = WorkerRecord.NO_CLOCK;
+        worker.takenSequence = 0;
+        worker.acknowledgedSequence = 0;
+        worker.pendingEnds.clear();
+        for (RunRecord record : new ArrayList<>(worker.runs.values())) {
+            boolean mayArrive =
+                    record.phase == RunPhase.STARTING || record.phase == RunPhase.UNCERTAIN;
+            if (mayArrive) {
+                record.phase = RunPhase.UNCERTAIN;
+                record.stopAcknowledged = false;
+                record.settledAfterLook = worker.lookNumber + 1;
+            } else {
+                book.lost(record, "the worker restarted");
+            }
+        }
+    }
+
+    /**
+     * Merges an inventory.
+     *
+     * @param worker the worker
+     * @param number the number of the look
+     * @param inventory the inventory
+     */
+    private void merge(WorkerRecord worker, long number, Inventory inventory) {
+        for (EndView end : inventory.ended()) {
+            if (end.sequence() > worker.takenSequence) {
+                worker.takenSequence = end.sequence();
+                worker.pendingEnds.add(book.apply(worker, end));
+            }
+        }
+        worker.advanceAcknowledgement();
+        Set<RunKey> seen = new HashSet<>();
+        for (RunView view : inventory.running()) {
+            seen.add(new RunKey(view.task(), view.run()));
+            mergeRun(worker, view);
+        }
+        boolean whole = inventory.ended().size() < LONGEST_END_LIST;
+        for (RunRecord record : new ArrayList<>(worker.runs.values())) {
+            if (whole && !seen.contains(record.key()) && number >= record.settledAfterLook) {
+                judgeAbsent(record);
+            }
+        }
+    }
+
+    /**
+     * Merges a run that the worker lists as active.
+     *
+     * @param worker the worker
+     * @param view the run
+     */
+    private void mergeRun(WorkerRecord worker, RunView view) {
+        RunRecord record = worker.runs.get(new RunKey(view.task(), view.run()));
+        if (record == null) {
+            record = adopt(worker, view);
+        }
+        if (record.phase == RunPhase.STARTING || record.phase == RunPhase.UNCERTAIN) {
+            record.phase = RunPhase.RUNNING;
+        }
+        if (record.task != null && record.phase == RunPhase.RUNNING) {
+            book.started(record.task);
+        }
+        record.checkpoint = view.checkpoint();
+        record.percent = view.percent();
+        record.load = view.load();
+        boolean idle =
+                record.phase == RunPhase.RUNNING
+                        && !record.serving()
+                        && view.load() == IDLE_MILLICORES
+                        && view.percent() > 0;
+        if (!idle) {
+            record.idleSinceMillis = RunRecord.UNKNOWN;
+        } else if (record.idleSinceMillis == RunRecord.UNKNOWN) {
+            record.idleSinceMillis = core.now();
+        }
+    }
+
+    /**
+     * Takes over a run that a former owner started, or stops one that must not be there.
+     *
+     * @param worker the worker
+     * @param view the run
+     * @return the record of the run
+     */
+    private RunRecord adopt(WorkerRecord worker, RunView view) {
+        TaskRecord task = book.find(view.task());
+        boolean wanted = task != null && !task.done && elsewhere(task, view);
+        Resources reserved = task == null ? Resources.NONE : task.step.spec.reserved();
+        RunRecord record =
+                new RunRecord(
+                        view.task(),
+                        view.run(),
+                        worker,
+                        wanted ? task : null,
+                        reserved,
+                        RunPhase.RUNNING,
+                        core.now());
+        record.wantedPercent = view.percent();
+        worker.add(record);
+        if (task != null) {
+            task.lastRun = Math.max(task.lastRun, view.run());
+        }
+        core.log.log(
+                "run.adopted",
+                "task",
+                view.task(),
+                "run",
+                view.run(),
+                "worker",
+                worker.id,
+                "wanted",
+                wanted);
+        if (!wanted) {
+            orders.stop(record);
+        }
+        return record;
+    }
+
+    /**
+     * Tells whether an adopted run may go on: no other run of the task is active, and it has not
+     * been superseded.
+     *
+     * @param task the task
+     * @param view the run
+     * @return whether it may
+     */
+    private static boolean elsewhere(TaskRecord task, RunView view) {
+        return task.runs.isEmpty() && view.run() > task.endedRun;
+    }
+
+    /**
+     * Judges a run that a complete inventory does not have.
+     *
+     * @param record the run
+     */
+    private void judgeAbsent(RunRecord record) {
+        switch (record.phase) {
+            case UNCERTAIN -> orders.stop(record);
+            case STOPPING -> {
+                if (record.stopAcknowledged) {
+                    book.lost(record, "stopped before it arrived");
+                } else {
+                    orders.sendStop(record);
+                }
+            }
+            case RUNNING -> book.lost(record, "the worker no longer lists it");
+            default -> {
+                return;
+            }
+        }
+    }
+
+    /**
+     * Ends the runs of a worker whose leases are certainly over.
+     *
+     * @param worker the worker
+     */
+    void expire(WorkerRecord worker) {
+        if (core.now() < worker.leaseOverAtMillis) {
+            return;
+        }
+        for (RunRecord record : new ArrayList<>(worker.runs.values())) {
+            boolean mayArrive =
+                    record.phase == RunPhase.UNCERTAIN || record.phase == RunPhase.STARTING;
+            if (!mayArrive || core.now() - record.sinceMillis > LATEST_ARRIVAL_MILLIS) {
+                book.lost(record, "the lease of the worker expired");
+            }
+        }
+    }
+
+    /** Told after each look. */
+    interface Listener {
+
+        /**
+         * Tells that a worker has answered a look.
+         *
+         * @param worker the worker
+         * @param first whether it is the first look at this boot
+         */
+        void onLook(WorkerRecord worker, boolean first);
+
+        /**
+         * Tells that a look got no answer or was refused.
+         *
+         * @param worker the worker
+         * @param reply the answer
+         */
+        void onMissedLook(WorkerRecord worker, WorkerReply reply);
+    }
+}
--- /dev/null
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/port/StoreEvent.java
@@ -0,0 +1,12 @@
+package org.damasktiller.scheduler.port;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A change of an item of the store.
+ *
+ * @param key the key
+ * @param revision the revision of the change
+ * @param item the item as it was written, or null if it was removed
+ */
+public record StoreEvent(String key, long revision, @Nullable StoreItem item) {}
