--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobBook.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobBook.java
@@ -84,7 +84,10 @@
             return new PendingEnd(end.sequence(), null, 0);
         }
         Job job = task.step.occurrence.job;
-        boolean news = end.run() > task.endedRun || end.kind() == EndKind.DONE;
+        boolean news =
+                end.run() > task.endedRun
+                        || end.kind() == EndKind.DONE
+                        || end.kind() == EndKind.FAILED;
         if (news && !task.done) {
             started(task);
             noteConduct(worker, record, end);
@@ -187,19 +190,23 @@
      * @param end the end
      */
     private void take(TaskRecord task, WorkerRecord worker, EndView end) {
+        boolean newest = end.run() >= task.endedRun;
         task.endedRun = Math.max(task.endedRun, end.run());
         task.lastRun = Math.max(task.lastRun, end.run());
         switch (end.kind()) {
             case DONE -> markDone(task);
             case FAILED -> {
-                task.failures++;
-                task.failedAt.add(worker.id);
-                if (task.step.spec.gang()) {
-                    task.step.gangFailures++;
+                if (!task.step.spec.lasting()) {
+                    task.failedRuns.add(end.run());
                 }
-                keepCheckpoint(task, end.checkpoint());
+                task.failedAt.add(worker.id);
             }
-            default -> keepCheckpoint(task, end.checkpoint());
+            default -> {
+                // Nothing but the saved progress is kept of a run that was ended by others.
+            }
+        }
+        if (newest) {
+            keepCheckpoint(task, end.checkpoint());
         }
         if (end.kind() != EndKind.DONE) {
             breakGang(task);
@@ -326,10 +333,11 @@
      */
     private static boolean exhausted(StepRecord step, int attempts) {
         if (step.spec.gang()) {
-            int failures = step.tasks.stream().mapToInt(task -> task.failures).sum();
+            int failures = step.tasks.stream().mapToInt(task -> task.failedRuns.size()).sum();
             return !step.done() && failures >= attempts;
         }
-        return step.tasks.stream().anyMatch(task -> !task.done && task.failures >= attempts);
+        return step.tasks.stream()
+                .anyMatch(task -> !task.done && task.failedRuns.size() >= attempts);
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressRecord.java
@@ -49,10 +49,10 @@
             if (task == null) {
                 continue;
             }
-            task.failures = entry.failures();
+            task.failedRuns.addAll(entry.failedRuns());
             task.endedRun = entry.run();
             task.lastRun = entry.run();
-            task.checkpoint = entry.checkpoint() == null ? "" : entry.checkpoint();
+            task.checkpoint = entry.checkpoint();
             if (entry.done()) {
                 task.step.markDone(task);
             }
@@ -66,7 +66,7 @@
      * @param step the number of the step
      * @param index the number of the task
      * @param done whether the task is done
-     * @param failures how many runs have failed
+     * @param failedRuns the runs that have failed, none for lasting tasks, which may fail forever
      * @param run the highest run whose end is recorded
      * @param checkpoint the saved progress
      */
@@ -76,10 +76,17 @@
             int step,
             int index,
             boolean done,
-            int failures,
+            List<Integer> failedRuns,
             int run,
             String checkpoint) {
 
+        /** Replaces fields left out of a stored record by their defaults. */
+        @SuppressWarnings("ConstantConditions")
+        public Entry {
+            failedRuns = failedRuns == null ? List.of() : List.copyOf(failedRuns);
+            checkpoint = checkpoint == null ? "" : checkpoint;
+        }
+
         /**
          * Takes the progress of a task.
          *
@@ -92,7 +99,7 @@
                     task.id.step(),
                     task.id.index(),
                     task.done,
-                    task.failures,
+                    List.copyOf(task.failedRuns),
                     task.endedRun,
                     task.done ? "" : task.checkpoint);
         }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StepRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StepRecord.java
@@ -23,9 +23,6 @@
     /** How many tasks are done. */
     int doneCount;
 
-    /** How many failed runs of the gang as a whole there were. */
-    int gangFailures;
-
     /**
      * Creates a record of a step that has not begun.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecord.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.TreeSet;
 import org.damasktiller.scheduler.model.TaskId;
 
 /** A task of a step and what is known of its runs. */
@@ -24,8 +25,8 @@
     /** Whether the task is done. */
     boolean done;
 
-    /** How many runs have failed. */
-    int failures;
+    /** The runs that have failed; their ends may be listed more than once and in any order. */
+    final Set<Integer> failedRuns = new TreeSet<>();
 
     /** The highest run whose end is recorded. */
     int endedRun;
