--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellCore.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellCore.java
@@ -1,8 +1,11 @@
 package org.damasktiller.scheduler.cell;
 
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.damasktiller.scheduler.model.Manifest;
 import org.damasktiller.scheduler.port.DecisionLog;
@@ -49,9 +52,18 @@
     /** Whether the term has ended. */
     boolean over;
 
+    /** The workers that may run something for former owners and have not been settled. */
+    final Set<String> unsettled = new TreeSet<>();
+
     /** Whether every worker that may run something for former owners has been settled. */
     boolean settled;
 
+    /**
+     * The submissions that this owner has closed; a listing of the store that was on its way may
+     * still show them.
+     */
+    private final Set<String> closed = new HashSet<>();
+
     /** Told once when the term ends. */
     private final Consumer<String> ended;
 
@@ -114,6 +126,26 @@
                 });
     }
 
+    /**
+     * Forgets a job that is over.
+     *
+     * @param job the job
+     */
+    void remove(Job job) {
+        jobs.remove(job.id());
+        closed.add(job.id());
+    }
+
+    /**
+     * Tells whether a submission is known, open or closed.
+     *
+     * @param id the submission
+     * @return whether it is
+     */
+    boolean known(String id) {
+        return jobs.containsKey(id) || closed.contains(id);
+    }
+
     /**
      * Returns the workers.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -1,10 +1,8 @@
 package org.damasktiller.scheduler.cell;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.damasktiller.scheduler.model.Manifest;
@@ -65,9 +63,6 @@
     /** Follows workers. */
     private final WorkerList workerList;
 
-    /** The workers that may run something for former owners and have not been settled. */
-    private final Set<String> unsettled = new HashSet<>();
-
     /** Whether the submissions and the progress have been read. */
     private boolean loaded;
 
@@ -206,7 +201,7 @@
         RosterRecord roster =
                 item == null ? null : StoredValues.read(item.value(), RosterRecord.class);
         if (roster != null) {
-            unsettled.addAll(roster.workers());
+            core.unsettled.addAll(roster.workers());
         }
         loaded = true;
         core.log.log(
@@ -216,7 +211,7 @@
                 "jobs",
                 core.jobs.size(),
                 "roster",
-                unsettled.size(),
+                core.unsettled.size(),
                 "millis",
                 core.now() - core.term.beganMillis());
         settle();
@@ -237,7 +232,7 @@
                     !worker.listed && worker.runs.isEmpty() && now >= worker.leaseOverAtMillis;
             if (gone) {
                 core.workers.remove(worker.id);
-                unsettled.remove(worker.id);
+                core.unsettled.remove(worker.id);
                 core.log.log("worker.gone", "worker", worker.id);
                 changed = true;
             }
@@ -256,16 +251,17 @@
             return;
         }
         boolean over = core.now() >= core.leases.formerLeasesOver(core.term.beganMillis());
-        if (over || unsettled.isEmpty()) {
+        if (over || core.unsettled.isEmpty()) {
             core.settled = true;
             core.log.log(
                     "owner.settled",
                     "cell",
                     core.cell,
                     "byTime",
-                    !unsettled.isEmpty(),
+                    !core.unsettled.isEmpty(),
                     "millis",
                     core.now() - core.term.beganMillis());
+            core.unsettled.clear();
             planPass();
         }
     }
@@ -327,7 +323,7 @@
         @Override
         public void onLook(WorkerRecord worker, boolean first) {
             if (first) {
-                unsettled.remove(worker.id);
+                core.unsettled.remove(worker.id);
                 settle();
                 proof.renew();
             }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitLoop.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitLoop.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import org.damasktiller.scheduler.model.SubmissionRecord;
 import org.damasktiller.scheduler.port.Commit;
 import org.damasktiller.scheduler.port.CommitReply;
@@ -150,12 +151,13 @@
      * @param next the group
      */
     private void addRoster(Group next) {
-        List<String> ids = new ArrayList<>();
+        Set<String> ids = new TreeSet<>(core.unsettled);
         for (WorkerRecord worker : core.allWorkers()) {
             ids.add(worker.id);
             next.enrolled.add(worker);
         }
-        next.commit.put(CellKeys.roster(core.cell), StoredValues.write(new RosterRecord(ids)));
+        next.commit.put(
+                CellKeys.roster(core.cell), StoredValues.write(new RosterRecord(List.copyOf(ids))));
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Inbox.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Inbox.java
@@ -119,7 +119,7 @@
             return;
         }
         StoreItem item = result.status() == StoreStatus.OK ? result.require().item() : null;
-        if (item != null && !core.jobs.containsKey(idOf(key))) {
+        if (item != null) {
             admit(item);
         }
     }
@@ -131,7 +131,7 @@
      */
     private void admit(StoreItem item) {
         String id = idOf(item.key());
-        if (core.jobs.containsKey(id)) {
+        if (core.known(id)) {
             return;
         }
         AcceptedSubmission accepted = StoredValues.read(item.value(), AcceptedSubmission.class);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobBook.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobBook.java
@@ -65,6 +65,10 @@
         if (job.state == SubmissionState.QUEUED) {
             job.state = SubmissionState.RUNNING;
         }
+        if (task.step.spec.lasting() && !task.everRan) {
+            task.everRan = true;
+            commits.change(job);
+        }
     }
 
     /**
@@ -79,11 +83,11 @@
         if (record != null) {
             worker.remove(record);
         }
+        Job job = core.jobs.get(end.task().submission());
         TaskRecord task = find(end.task());
-        if (task == null) {
-            return new PendingEnd(end.sequence(), null, 0);
+        if (job == null || task == null) {
+            return new PendingEnd(end.sequence(), job, job == null ? 0 : job.version);
         }
-        Job job = task.step.occurrence.job;
         boolean news =
                 end.run() > task.endedRun
                         || end.kind() == EndKind.DONE
@@ -144,7 +148,7 @@
         core.log.log("job.cancelled", "id", job.id(), "cell", core.cell);
         job.state = SubmissionState.CANCELLED;
         commits.forget(job);
-        core.jobs.remove(job.id());
+        core.remove(job);
         stopAll(job);
     }
 
@@ -154,7 +158,7 @@
      * @param job the job
      */
     void close(Job job) {
-        core.jobs.remove(job.id());
+        core.remove(job);
         core.log.log(
                 "job.closed",
                 "id",
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Placement.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Placement.java
@@ -226,7 +226,7 @@
             return !worker.harm.paused
                     && fillerLoad(worker) + spec.need().cpuMillicores() <= unused(worker);
         }
-        if (spec.lasting() && task.lastRun == 0) {
+        if (spec.lasting() && !task.everRan) {
             long left = worker.free().cpuMillicores() - spec.need().cpuMillicores();
             return left >= capacity * HOLE_SHARE;
         }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressRecord.java
@@ -28,7 +28,7 @@
         for (OccurrenceRecord occurrence : job.occurrences.values()) {
             for (StepRecord step : occurrence.steps) {
                 for (TaskRecord task : step.tasks) {
-                    if (task.endedRun > 0 || task.done) {
+                    if (task.endedRun > 0 || task.done || task.everRan) {
                         entries.add(Entry.of(task));
                     }
                 }
@@ -50,6 +50,7 @@
                 continue;
             }
             task.failedRuns.addAll(entry.failedRuns());
+            task.everRan = entry.ran();
             task.endedRun = entry.run();
             task.lastRun = entry.run();
             task.checkpoint = entry.checkpoint();
@@ -68,6 +69,7 @@
      * @param done whether the task is done
      * @param failedRuns the runs that have failed, none for lasting tasks, which may fail forever
      * @param run the highest run whose end is recorded
+     * @param ran whether a lasting task was ever at work
      * @param checkpoint the saved progress
      */
     @JsonInclude(JsonInclude.Include.NON_DEFAULT)
@@ -78,6 +80,7 @@
             boolean done,
             List<Integer> failedRuns,
             int run,
+            boolean ran,
             String checkpoint) {
 
         /** Replaces fields left out of a stored record by their defaults. */
@@ -101,6 +104,7 @@
                     task.done,
                     List.copyOf(task.failedRuns),
                     task.endedRun,
+                    task.everRan,
                     task.done ? "" : task.checkpoint);
         }
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StartPass.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StartPass.java
@@ -126,7 +126,7 @@
             for (TaskRecord task : step.tasks) {
                 if (task.waiting(now)) {
                     waits = true;
-                    hasRun |= task.lastRun > 0;
+                    hasRun |= task.everRan;
                     if (task.readySinceMillis == 0) {
                         task.readySinceMillis = now;
                     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecord.java
@@ -28,6 +28,9 @@
     /** The runs that have failed; their ends may be listed more than once and in any order. */
     final Set<Integer> failedRuns = new TreeSet<>();
 
+    /** Whether a run was ever confirmed; recorded for lasting tasks only. */
+    boolean everRan;
+
     /** The highest run whose end is recorded. */
     int endedRun;
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerLooks.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerLooks.java
@@ -72,7 +72,7 @@
         long now = core.now();
         boolean first = !worker.fenced || worker.provenClockMillis == WorkerRecord.NO_CLOCK;
         long leaseEnd = WorkerCalls.NO_LEASE;
-        if (!first) {
+        if (!first && worker.missedLooks == 0) {
             leaseEnd = core.leases.leaseEnd(worker, now);
             core.leases.noteGrant(worker, leaseEnd, now);
         }
@@ -99,18 +99,24 @@
         }
         Inventory inventory = reply.inventory();
         if (reply.status() != WorkerStatus.OK || inventory == null) {
+            worker.missedLooks++;
             listener.onMissedLook(worker, reply);
             core.schedule(core.settings.lookRetryMillis(), () -> look(worker));
             return;
         }
+        if (reply.bornUnixMillis() < worker.bornUnixMillis) {
+            look(worker);
+            return;
+        }
         long now = core.now();
-        if (worker.bornUnixMillis != 0 && reply.bornUnixMillis() != worker.bornUnixMillis) {
+        if (worker.bornUnixMillis != 0 && reply.bornUnixMillis() > worker.bornUnixMillis) {
             restarted(worker, reply.bornUnixMillis());
         }
         worker.bornUnixMillis = reply.bornUnixMillis();
         worker.clockMillis = reply.clockMillis();
         worker.clockReadAtMillis = now;
         worker.answeredAtMillis = now;
+        worker.missedLooks = 0;
         boolean first = !worker.fenced;
         worker.fenced = true;
         merge(worker, number, inventory);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
@@ -80,6 +80,9 @@
     /** The number of the look sent last. */
     long lookNumber;
 
+    /** How many looks in a row got no answer; none of those that follow lengthens the lease. */
+    int missedLooks;
+
     /** Whether a look is on its way. */
     boolean looking;
 
