Learn which fillers harm which serving tasks, and pace those first

Lasting tasks of different images stood mixed, so that hardly a worker bore any filler. Change: progress and share kept apart; the effect of each pair of images learnt by a Kalman filter over all workers; lasting tasks grouped by image; fillers placed where they harm least; culprits slowed first, all paused only near the bound.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -94,8 +94,8 @@
         commits = new CommitLoop(core, new Commits());
         book = new JobBook(core, commits, orders, runTimes);
         looks = new WorkerLooks(core, book, orders, new Looks());
-        fillers = new FillerControl(core, orders);
-        Placement placement = new Placement(core);
+        fillers = new FillerControl(core, orders, new PairEffects());
+        Placement placement = new Placement(core, fillers);
         drains = new DrainControl(core, orders, runTimes);
         pass = new StartPass(core, placement, orders, runTimes, proof);
         inbox = new Inbox(core, new Submissions());
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerControl.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerControl.java
@@ -1,14 +1,18 @@
 package org.damasktiller.scheduler.cell;
 
+import java.util.Map;
+import org.damasktiller.scheduler.model.StepSpec;
+
 /**
  * Paces the tasks that fill beside tasks that serve. Load pattern: a serving task goes over its
- * target while fillers work beside it, by an amount that changes within seconds; fillers pause
- * before the time over target reaches the bound, and go on when the serving tasks have recovered.
+ * target while fillers work beside it, by an amount that belongs to the pair of images and changes
+ * within seconds. The fillers to which the tail is put down are slowed at the first figure over the
+ * target and given back step by step; if the time over target nears the bound all of them pause.
  */
 final class FillerControl {
 
-    /** The part of the allowed time over target after which fillers pause. */
-    private static final double PAUSE_AT = 0.45;
+    /** The part of the allowed time over target after which all fillers pause. */
+    private static final double PAUSE_AT = 0.4;
 
     /** The longest pause, in milliseconds: two figures of half a second and their delay. */
     private static final long LONGEST_PAUSE_MILLIS = 1_600;
@@ -19,21 +23,55 @@
     /** The share of a paused filler, in percent. */
     private static final int PAUSED_PERCENT = 0;
 
+    /** The part of its share that a slowed filler keeps. */
+    private static final double SLOW_DOWN = 0.4;
+
+    /** What a slowed filler gets back after a look without harm, in percent. */
+    private static final int GIVE_BACK_PERCENT = 12;
+
+    /** The part of the target below which a serving task counts as recovered. */
+    private static final double RECOVERED = 0.75;
+
+    /** The part of the largest contribution from which on a filler is slowed. */
+    private static final double CULPRIT = 0.4;
+
+    /** The part of the target from which on a figure counts as over, since figures are rough. */
+    private static final double OVER = 0.9;
+
+    /**
+     * The longest time between looks over which a figure is put down to fillers, in milliseconds.
+     */
+    private static final long LONGEST_GAP_MILLIS = 1_200;
+
+    /** The shortest time over which a figure is put down to fillers, in milliseconds. */
+    private static final long SHORTEST_GAP_MILLIS = 200;
+
+    /** The time between repeated orders while a late one may undo them, in milliseconds. */
+    private static final long REPEAT_MILLIS = 1_500;
+
+    /** The predicted tail that does no harm, as a part of the target. */
+    private static final double HARMLESS = 0.6;
+
     /** The shared part. */
     private final CellCore core;
 
     /** Sends the orders. */
     private final RunOrders orders;
 
+    /** What each pair of images does. */
+    private final PairEffects effects;
+
     /**
      * Creates the control.
      *
      * @param core the shared part
      * @param orders sends the orders
+     * @param effects what each pair of images does
      */
-    FillerControl(CellCore core, RunOrders orders) {
+    FillerControl(CellCore core, RunOrders orders, PairEffects effects) {
         this.core = core;
         this.orders = orders;
+        this.effects = effects;
     }
 
     /**
@@ -43,50 +81,133 @@
      */
     void judge(WorkerRecord worker) {
         long now = core.now();
+        HarmWatch harm = worker.harm;
+        long gap = now - harm.judgedAtMillis;
+        if (gap < SHORTEST_GAP_MILLIS) {
+            apply(worker);
+            return;
+        }
+        boolean comparable = gap <= LONGEST_GAP_MILLIS;
         long longestOver = 0;
-        boolean anyOver = false;
+        double worst = 0;
         for (RunRecord run : worker.runs.values()) {
             if (!run.serving() || run.load < 0 || run.phase != RunPhase.RUNNING) {
                 continue;
             }
-            boolean over = run.load > run.targetMillis();
-            anyOver |= over;
-            if (!over) {
-                run.overSinceMillis = RunRecord.UNKNOWN;
-            } else if (run.overSinceMillis == RunRecord.UNKNOWN) {
-                run.overSinceMillis = now;
-            }
-            if (over) {
-                longestOver = Math.max(longestOver, now - run.overSinceMillis);
+            double tail = (double) run.load / run.targetMillis();
+            worst = Math.max(worst, tail);
+            if (comparable && run.task != null) {
+                effects.observe(run.task.step.spec.image(), tail, harm.lastShares);
             }
+            longestOver = Math.max(longestOver, overFor(run, tail, now));
         }
-        decide(worker, longestOver, anyOver, now);
+        harm.judgedAtMillis = now;
+        harm.lastShares = FillerShares.present(worker);
+        decide(worker, longestOver, worst, now);
         apply(worker);
     }
 
     /**
-     * Decides whether the fillers of a worker pause.
+     * Follows for how long a serving task has been over its target.
+     *
+     * @param run the run
+     * @param tail its tail, as a part of its target
+     * @param now the time, in milliseconds
+     * @return the time, in milliseconds
+     */
+    private static long overFor(RunRecord run, double tail, long now) {
+        if (tail < OVER) {
+            run.overSinceMillis = RunRecord.UNKNOWN;
+            return 0;
+        }
+        if (run.overSinceMillis == RunRecord.UNKNOWN) {
+            run.overSinceMillis = now;
+        }
+        return now - run.overSinceMillis;
+    }
+
+    /**
+     * Decides at which shares the fillers of a worker work.
      *
      * @param worker the worker
      * @param longestOver for how long a serving task has been over its target, in milliseconds
-     * @param anyOver whether a serving task is over its target
+     * @param worst the worst tail, as a part of its target
      * @param now the time, in milliseconds
      */
-    private void decide(WorkerRecord worker, long longestOver, boolean anyOver, long now) {
+    private void decide(WorkerRecord worker, long longestOver, double worst, long now) {
         HarmWatch harm = worker.harm;
         long inState = now - harm.sinceMillis;
-        if (!harm.paused && longestOver >= core.settings.impactMillis() * PAUSE_AT) {
+        if (harm.paused) {
+            boolean recovered = worst < RECOVERED && inState >= SHORTEST_PAUSE_MILLIS;
+            if (recovered || inState >= LONGEST_PAUSE_MILLIS) {
+                harm.set(false, now);
+                worker.runs.values().forEach(run -> run.overSinceMillis = RunRecord.UNKNOWN);
+            }
+        } else if (longestOver >= core.settings.impactMillis() * PAUSE_AT) {
             harm.set(true, now);
             core.log.log("filler.pause", "worker", worker.id, "overMillis", longestOver);
-            return;
         }
-        boolean recovered = !anyOver && inState >= SHORTEST_PAUSE_MILLIS;
-        if (harm.paused && (recovered || inState >= LONGEST_PAUSE_MILLIS)) {
-            harm.set(false, now);
-            for (RunRecord run : worker.runs.values()) {
-                run.overSinceMillis = RunRecord.UNKNOWN;
+        if (worst >= 1) {
+            slowCulprits(worker);
+        } else if (worst < RECOVERED) {
+            giveBack(worker);
+        }
+    }
+
+    /**
+     * Slows the fillers that contribute most to the tails that are over.
+     *
+     * @param worker the worker
+     */
+    private void slowCulprits(WorkerRecord worker) {
+        double largest = 0;
+        for (RunRecord run : worker.runs.values()) {
+            run.blame = run.filling() ? blame(worker, run) : 0;
+            largest = Math.max(largest, run.blame);
+        }
+        for (RunRecord run : worker.runs.values()) {
+            if (run.filling() && run.blame > 0 && run.blame >= largest * CULPRIT) {
+                run.allowedPercent = (int) (run.allowedPercent * SLOW_DOWN);
+            }
+        }
+    }
+
+    /**
+     * Estimates what a filler adds to the tails that are over.
+     *
+     * @param worker the worker
+     * @param filler the filler
+     * @return the sum over the tasks that are over of the logarithm of the growth
+     */
+    private double blame(WorkerRecord worker, RunRecord filler) {
+        if (filler.task == null) {
+            return 0;
+        }
+        StepSpec spec = filler.task.step.spec;
+        double share =
+                (double) spec.need().cpuMillicores()
+                        * Math.max(0, filler.percent)
+                        / RunRecord.FULL_PERCENT
+                        / Math.max(1, worker.entry.capacity().cpuMillicores());
+        double sum = 0;
+        for (RunRecord run : worker.runs.values()) {
+            if (run.serving() && run.task != null && run.load >= run.targetMillis()) {
+                sum += share * effects.factor(run.task.step.spec.image(), spec.image());
             }
         }
+        return sum;
+    }
+
+    /**
+     * Gives slowed fillers some of their share back.
+     *
+     * @param worker the worker
+     */
+    private static void giveBack(WorkerRecord worker) {
+        for (RunRecord run : worker.runs.values()) {
+            run.allowedPercent =
+                    Math.min(RunRecord.FULL_PERCENT, run.allowedPercent + GIVE_BACK_PERCENT);
+        }
     }
 
     /**
@@ -99,10 +220,32 @@
             if (!run.filling() || run.phase != RunPhase.RUNNING) {
                 continue;
             }
-            run.wantedPercent = worker.harm.paused ? PAUSED_PERCENT : RunRecord.FULL_PERCENT;
-            if (run.percent != run.wantedPercent) {
+            run.wantedPercent = worker.harm.paused ? PAUSED_PERCENT : run.allowedPercent;
+            long now = core.now();
+            boolean doubtful =
+                    now < run.paceDoubtUntilMillis && now - run.pacedAtMillis >= REPEAT_MILLIS;
+            if (run.percent != run.wantedPercent || doubtful) {
                 orders.pace(run);
             }
         }
     }
+
+    /**
+     * Predicts how many serving tasks of a worker a filler would bring over their target.
+     *
+     * @param worker the worker
+     * @param spec the step of the filler
+     * @return the number, in parts where the prediction is near the target
+     */
+    double harm(WorkerRecord worker, StepSpec spec) {
+        Map<String, Double> shares = FillerShares.with(worker, spec);
+        double harm = 0;
+        for (RunRecord run : worker.runs.values()) {
+            if (run.serving() && run.task != null) {
+                double tail = effects.tail(run.task.step.spec.image(), shares);
+                harm += Math.max(0, Math.min(1, (tail - HARMLESS) / (1 - HARMLESS)));
+            }
+        }
+        return harm;
+    }
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/HarmWatch.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/HarmWatch.java
@@ -1,14 +1,24 @@
 package org.damasktiller.scheduler.cell;
 
-/** Whether the fillers of a worker are paused for the sake of the tasks that serve there. */
+import java.util.Map;
+
+/**
+ * What the owner knows of the harm that the fillers of a worker do to the tasks that serve there.
+ */
 final class HarmWatch {
 
-    /** Whether the fillers are paused. */
+    /** Whether all fillers are paused. */
     boolean paused;
 
     /** When the present state began, in milliseconds. */
     long sinceMillis;
 
+    /** What the fillers worked at the last look, by image. */
+    Map<String, Double> lastShares = Map.of();
+
+    /** When the last look was judged, in milliseconds. */
+    long judgedAtMillis;
+
     /** Creates a watch of a worker whose fillers work. */
     HarmWatch() {}
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Placement.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Placement.java
@@ -21,10 +21,10 @@
     private static final int MOST_ORDERS = 6;
 
     /** The part of a worker's processors that new lasting tasks leave free for urgent tasks. */
-    private static final double HOLE_SHARE = 0.18;
+    private static final double HOLE_SHARE = 0.1;
 
     /** The part of the processors that a serving task asks for and uses on average. */
-    private static final double SERVING_USE = 0.55;
+    private static final double SERVING_USE = 0.35;
 
     /** The weight of an earlier failure of the same task at a worker. */
     private static final double FAILED_HERE = 1_000;
@@ -32,16 +32,42 @@
     /** The weight of data on another rack. */
     private static final double REMOTE_DATA = 10;
 
+    /** The score of a worker that is not chosen. */
+    private static final double WORST_SCORE = Double.MAX_VALUE;
+
+    /** The weight of the load of fillers beside the harm they do. */
+    private static final double LOAD_WEIGHT = 0.3;
+
+    /** The weight of the processors left over, so that workers fill up one after the other. */
+    private static final double LEFT_WEIGHT = 0.2;
+
+    /** The score of a worker without serving tasks: worse than one of the same image. */
+    private static final double EMPTY_SCORE = 0.3;
+
+    /** The harm that a filler may do at once, in serving tasks over their target. */
+    private static final double FIRST_HARM = 0.35;
+
+    /** What a filler may do more for each second that it waits, in tasks. */
+    private static final double HARM_PER_SECOND = 0.3;
+
+    /** The number of milliseconds in a second. */
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     /** The shared part. */
     private final CellCore core;
 
+    /** Predicts the harm of fillers. */
+    private final FillerControl fillers;
+
     /**
      * Creates the choice.
      *
      * @param core the shared part
+     * @param fillers predicts the harm of fillers
      */
-    Placement(CellCore core) {
+    Placement(CellCore core, FillerControl fillers) {
         this.core = core;
+        this.fillers = fillers;
     }
 
     /**
@@ -52,7 +78,7 @@
      */
     @Nullable WorkerRecord choose(TaskRecord task) {
         WorkerRecord best = null;
-        double bestScore = Double.MAX_VALUE;
+        double bestScore = WORST_SCORE;
         for (WorkerRecord worker : core.allWorkers()) {
             if (!allowed(task, worker) || !worker.free().covers(task.step.spec.reserved())) {
                 continue;
@@ -264,6 +290,38 @@
         return worker.entry.capacity().cpuMillicores() - used;
     }
 
+    /**
+     * Returns the harm that a filler may do: more, the longer it waits, so that each pair is tried
+     * some time and the factors stay fresh.
+     *
+     * @param task the filler
+     * @return the number of serving tasks over their target
+     */
+    private double bearable(TaskRecord task) {
+        long waited = task.readySinceMillis == 0 ? 0 : core.now() - task.readySinceMillis;
+        return FIRST_HARM + HARM_PER_SECOND * waited / MILLIS_PER_SECOND;
+    }
+
+    /**
+     * Tells how badly a serving task goes with those of a worker: tasks of one image bear the same
+     * fillers, so that a worker of one image has fillers that do no harm there.
+     *
+     * @param worker the worker
+     * @param image the image of the task
+     * @return the part of the worker's serving tasks that have another image
+     */
+    private static double strangers(WorkerRecord worker, String image) {
+        int serving = 0;
+        int others = 0;
+        for (RunRecord run : worker.runs.values()) {
+            if (run.serving() && run.task != null) {
+                serving++;
+                others += run.task.step.spec.image().equals(image) ? 0 : 1;
+            }
+        }
+        return serving == 0 ? EMPTY_SCORE : (double) others / serving;
+    }
+
     /**
      * Scores a worker for a task; the lowest score is chosen.
      *
@@ -281,10 +339,13 @@
             score += REMOTE_DATA;
         }
         if (spec.filling()) {
-            return score + (double) fillerLoad(worker) / Math.max(1, unused(worker));
+            double load = (double) fillerLoad(worker) / Math.max(1, unused(worker));
+            double harm = fillers.harm(worker, spec);
+            return harm > bearable(task) ? WORST_SCORE : score + harm + LOAD_WEIGHT * load;
         }
         if (spec.lasting()) {
-            return score - worker.free().cpuMillicores() / capacity;
+            double left = worker.free().cpuMillicores() / capacity;
+            return score + strangers(worker, spec.image()) + LEFT_WEIGHT * left;
         }
         return score + worker.free().cpuMillicores() / capacity;
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunOrders.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunOrders.java
@@ -10,6 +10,9 @@
  */
 final class RunOrders {
 
+    /** How late an order without an answer may still be carried out, in milliseconds. */
+    static final long LATEST_ARRIVAL_MILLIS = 13_000;
+
     /** The pause before a stop is sent again, in milliseconds. */
     private static final long STOP_RETRY_MILLIS = 150;
 
@@ -236,6 +239,7 @@
             return;
         }
         record.pacing = true;
+        record.pacedAtMillis = core.now();
         int wanted = record.wantedPercent;
         core.calls.pace(
                 record.worker.address(),
@@ -247,6 +251,9 @@
                     record.pacing = false;
                     if (reply.status() == WorkerStatus.OK) {
                         record.percent = wanted;
+                    } else if (reply.status() == WorkerStatus.UNKNOWN) {
+                        record.percent = RunRecord.UNKNOWN;
+                        record.paceDoubtUntilMillis = core.now() + LATEST_ARRIVAL_MILLIS;
                     }
                 });
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
@@ -37,12 +37,30 @@
     /** The saved progress seen last. */
     String checkpoint = "";
 
-    /** The share at which the worker lets the run work. */
+    /** How much of its work the run has done, in percent, or UNKNOWN. */
+    int progressPercent = UNKNOWN;
+
+    /** When the progress last changed, in milliseconds. */
+    long progressedAtMillis;
+
+    /** The share at which the worker lets the run work as far as told, in percent, or UNKNOWN. */
     int percent = FULL_PERCENT;
 
+    /** Until when an order to change the share that got no answer may still be carried out. */
+    long paceDoubtUntilMillis;
+
+    /** When the last order to change the share was sent, in milliseconds. */
+    long pacedAtMillis;
+
     /** The share that the owner wants. */
     int wantedPercent = FULL_PERCENT;
 
+    /** The share that the owner allows a filler while not all fillers are paused. */
+    int allowedPercent = FULL_PERCENT;
+
+    /** What the run adds to the tails of serving tasks, the figure of the last judgement. */
+    double blame;
+
     /** Whether an order to change the share is on its way. */
     boolean pacing;
 
@@ -61,9 +79,6 @@
     /** Since when a serving run has been over its target, in milliseconds, or -1. */
     long overSinceMillis = UNKNOWN;
 
-    /** When the run's load was last seen to be idle, in milliseconds, or -1 while it is busy. */
-    long idleSinceMillis = UNKNOWN;
-
     /**
      * Creates a record.
      *
@@ -90,6 +105,7 @@
         this.reserved = reserved;
         this.phase = phase;
         this.sinceMillis = sinceMillis;
+        this.progressedAtMillis = sinceMillis;
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerLooks.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerLooks.java
@@ -24,12 +24,6 @@
     /** The pause before a look while ends wait for their commit, in milliseconds. */
     private static final long COMMIT_WAIT_MILLIS = 300;
 
-    /** The processors in use below which a task counts as standing still, in millicores. */
-    private static final long IDLE_MILLICORES = 0;
-
-    /** How late an order without an answer may still be carried out, in milliseconds. */
-    private static final long LATEST_ARRIVAL_MILLIS = 13_000;
-
     /** The shared part. */
     private final CellCore core;
 
@@ -81,7 +75,7 @@
                         leaseEnd,
                         core.term.generation(),
                         worker.acknowledgedSequence,
-                        first ? 0 : core.settings.lookWaitMillis());
+                        worker.fenced ? core.settings.lookWaitMillis() : 0);
         core.calls.hold(worker.address(), order, reply -> onReply(worker, number, reply));
     }
 
@@ -211,17 +205,10 @@
             book.started(record.task);
         }
         record.checkpoint = view.checkpoint();
-        record.percent = view.percent();
         record.load = view.load();
-        boolean idle =
-                record.phase == RunPhase.RUNNING
-                        && !record.serving()
-                        && view.load() == IDLE_MILLICORES
-                        && view.percent() > 0;
-        if (!idle) {
-            record.idleSinceMillis = RunRecord.UNKNOWN;
-        } else if (record.idleSinceMillis == RunRecord.UNKNOWN) {
-            record.idleSinceMillis = core.now();
+        if (record.progressPercent != view.progressPercent()) {
+            record.progressPercent = view.progressPercent();
+            record.progressedAtMillis = core.now();
         }
     }
 
@@ -245,7 +232,7 @@
                         reserved,
                         RunPhase.RUNNING,
                         core.now());
-        record.wantedPercent = view.percent();
+        record.percent = RunRecord.UNKNOWN;
         worker.add(record);
         if (task != null) {
             task.lastRun = Math.max(task.lastRun, view.run());
@@ -312,7 +299,7 @@
         for (RunRecord record : new ArrayList<>(worker.runs.values())) {
             boolean mayArrive =
                     record.phase == RunPhase.UNCERTAIN || record.phase == RunPhase.STARTING;
-            if (!mayArrive || core.now() - record.sinceMillis > LATEST_ARRIVAL_MILLIS) {
+            if (!mayArrive || core.now() - record.sinceMillis > RunOrders.LATEST_ARRIVAL_MILLIS) {
                 book.lost(record, "the lease of the worker expired");
             }
         }
