--- /dev/null
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerWorld.java
@@ -0,0 +1,359 @@
+package org.damasktiller.verification.owner;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.damasktiller.scheduler.cell.CellEnvironment;
+import org.damasktiller.scheduler.cell.CellKeys;
+import org.damasktiller.scheduler.cell.CellOwner;
+import org.damasktiller.scheduler.cell.CellSettings;
+import org.damasktiller.scheduler.cell.CellTerm;
+import org.damasktiller.scheduler.cell.HeadRecord;
+import org.damasktiller.scheduler.cell.OwnerRecord;
+import org.damasktiller.scheduler.cell.StoredValues;
+import org.damasktiller.scheduler.model.AcceptedSubmission;
+import org.damasktiller.scheduler.model.EndKind;
+import org.damasktiller.scheduler.model.IngressLimits;
+import org.damasktiller.scheduler.model.Manifest;
+import org.damasktiller.scheduler.model.Resources;
+import org.damasktiller.scheduler.model.Route;
+import org.damasktiller.scheduler.model.StepSpec;
+import org.damasktiller.scheduler.model.Submission;
+import org.damasktiller.scheduler.model.SubmissionRecord;
+import org.damasktiller.scheduler.model.SubmissionState;
+import org.damasktiller.scheduler.model.TaskId;
+import org.damasktiller.scheduler.port.Commit;
+import org.damasktiller.scheduler.port.StoreItem;
+import org.damasktiller.standin.fleet.FleetClient;
+import org.damasktiller.standin.fleet.RunAudit;
+import org.damasktiller.standin.fleet.TaskBehaviour;
+import org.damasktiller.standin.fleet.WorkerModel;
+import org.damasktiller.standin.metadata.FatePlan;
+import org.damasktiller.standin.metadata.StoreClient;
+import org.damasktiller.standin.metadata.StoreModel;
+import org.damasktiller.standin.time.PausedRuntime;
+import org.jspecify.annotations.Nullable;
+
+/** A store, some workers and the owners of one cell, on a paused clock. */
+final class OwnerWorld implements TaskBehaviour {
+
+    /** The cell, which is also the service. */
+    static final String CELL = "dispatch";
+
+    /** The attempts of a task. */
+    static final int ATTEMPTS = 3;
+
+    /** The processors of a worker, in millicores. */
+    private static final long WORKER_CPU = 8_000;
+
+    /** The clock. */
+    final PausedRuntime runtime = new PausedRuntime();
+
+    /** The store. */
+    final StoreModel store = new StoreModel(runtime);
+
+    /** The workers by identifier. */
+    final Map<String, WorkerModel> workers = new LinkedHashMap<>();
+
+    /** The workers that can't be reached. */
+    final Set<String> cut = FleetClient.nothingCut();
+
+    /** The check of what must never happen. */
+    final RunAudit audit = new RunAudit(ATTEMPTS);
+
+    /** The lines of the log. */
+    final List<String> lines = new ArrayList<>();
+
+    /** The submissions that were handed in. */
+    private final Map<String, Submission> submissions = new LinkedHashMap<>();
+
+    /** How long tasks run, in milliseconds, or LASTS. */
+    long workMillis = 400;
+
+    /** The workers that fail all that they start. */
+    final Set<String> failing = FleetClient.nothingCut();
+
+    /** The submissions that always fail. */
+    final Set<String> hopeless = FleetClient.nothingCut();
+
+    /** The generation of the last owner. */
+    private long generation;
+
+    /**
+     * Creates a world.
+     *
+     * @param count the number of workers
+     */
+    OwnerWorld(int count) {
+        for (int number = 0; number < count; number++) {
+            addWorker("w" + number);
+        }
+    }
+
+    /**
+     * Adds a worker.
+     *
+     * @param id its identifier
+     */
+    void addWorker(String id) {
+        Resources capacity = new Resources(WORKER_CPU, WORKER_CPU, 0);
+        workers.put(id, new WorkerModel(id, capacity, runtime, this, audit));
+        register(id, false);
+    }
+
+    /**
+     * Writes the entry of a worker.
+     *
+     * @param id its identifier
+     * @param draining whether it is leaving
+     */
+    void register(String id, boolean draining) {
+        WorkerModel model = workers.get(id);
+        InetSocketAddress address =
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 1 + workers.size());
+        store.commit(
+                new Commit()
+                        .put(
+                                ModelFormats.WORKERS + id,
+                                ModelFormats.encode(
+                                        id,
+                                        CELL,
+                                        address,
+                                        draining,
+                                        model.capacity(),
+                                        model.bornUnixMillis())));
+    }
+
+    /**
+     * Removes the entry of a worker.
+     *
+     * @param id its identifier
+     */
+    void unregister(String id) {
+        store.commit(new Commit().remove(ModelFormats.WORKERS + id));
+    }
+
+    /**
+     * Hands in a submission.
+     *
+     * @param id its identifier
+     * @param steps the steps
+     */
+    void submit(String id, StepSpec... steps) {
+        Submission submission = new Submission(id, "payload", List.of(steps), 0, 0, 0);
+        submissions.put(id, submission);
+        SubmissionRecord record =
+                new SubmissionRecord(CELL, "route", SubmissionState.QUEUED, runtime.unixMillis());
+        AcceptedSubmission accepted =
+                new AcceptedSubmission(submission, "route", CELL, runtime.unixMillis());
+        store.commit(
+                new Commit()
+                        .expect(CellKeys.submission(id), StoreItem.ABSENT)
+                        .put(CellKeys.submission(id), StoredValues.write(record))
+                        .put(CellKeys.inbox(CELL) + id, StoredValues.write(accepted)));
+    }
+
+    /**
+     * Cancels a submission.
+     *
+     * @param id its identifier
+     */
+    void cancel(String id) {
+        SubmissionRecord record =
+                new SubmissionRecord(
+                        CELL, "route", SubmissionState.CANCELLED, runtime.unixMillis());
+        store.commit(
+                new Commit()
+                        .put(CellKeys.submission(id), StoredValues.write(record))
+                        .remove(CellKeys.inbox(CELL) + id));
+    }
+
+    /**
+     * Returns the stored state of a submission.
+     *
+     * @param id its identifier
+     * @return the state, or null if it is not stored
+     */
+    @Nullable SubmissionState state(String id) {
+        byte[] value = store.value(CellKeys.submission(id));
+        SubmissionRecord record =
+                value == null ? null : StoredValues.read(value, SubmissionRecord.class);
+        return record == null ? null : record.state();
+    }
+
+    /**
+     * Begins a new term with calm connections.
+     *
+     * @return the owner's process
+     */
+    OwnerProcess own() {
+        return own(FatePlan.CALM, FatePlan.CALM);
+    }
+
+    /**
+     * Begins a new term.
+     *
+     * @param storeFates what becomes of calls to the store
+     * @param workerFates what becomes of calls to workers
+     * @return the owner's process
+     */
+    OwnerProcess own(FatePlan storeFates, FatePlan workerFates) {
+        generation++;
+        OwnerRecord record = new OwnerRecord("node" + generation, "process", generation);
+        HeadRecord head = new HeadRecord(generation, 0, record.node());
+        long revision =
+                store.commit(
+                                new Commit()
+                                        .put(CellKeys.owner(CELL), StoredValues.write(record))
+                                        .put(CellKeys.head(CELL), StoredValues.write(head)))
+                        .require()
+                        .revision();
+        CellTerm term = new CellTerm(generation, record, revision, runtime.nowMillis());
+        StoreClient storeClient = new StoreClient(store, runtime, storeFates);
+        FleetClient fleetClient = new FleetClient(workers, cut, runtime, workerFates);
+        CellEnvironment environment =
+                new CellEnvironment(
+                        CellSettings.builder().build(),
+                        storeClient,
+                        fleetClient,
+                        new ModelFormats(),
+                        runtime,
+                        this::log,
+                        manifest());
+        OwnerProcess process = new OwnerProcess(storeClient, fleetClient);
+        CellOwner owner =
+                new CellOwner(
+                        environment, CELL, term, entry -> true, reason -> process.ended = true);
+        process.owner = owner;
+        owner.start();
+        return process;
+    }
+
+    /**
+     * Makes a step of short tasks.
+     *
+     * @param count the number of tasks
+     * @param after the numbers of the earlier steps
+     * @return the step
+     */
+    static StepSpec step(int count, Integer... after) {
+        return spec(count, false, List.of(after));
+    }
+
+    /**
+     * Makes a step of lasting tasks.
+     *
+     * @param count the number of tasks
+     * @return the step
+     */
+    static StepSpec lasting(int count) {
+        return spec(count, true, List.of());
+    }
+
+    @Override
+    public Resources reserved(TaskId task) {
+        Submission submission = submissions.get(task.submission());
+        return submission == null ? Resources.NONE : submission.steps().get(task.step()).reserved();
+    }
+
+    @Override
+    public long workMillis(String worker, TaskId task) {
+        Submission submission = submissions.get(task.submission());
+        boolean lasts = submission != null && submission.steps().get(task.step()).lasting();
+        return lasts ? LASTS : workMillis;
+    }
+
+    @Override
+    public EndKind end(String worker, TaskId task) {
+        boolean fails = failing.contains(worker) || hopeless.contains(task.submission());
+        return fails ? EndKind.FAILED : EndKind.DONE;
+    }
+
+    /**
+     * Makes a step.
+     *
+     * @param count the number of tasks
+     * @param lasting whether they last
+     * @param after the numbers of the earlier steps
+     * @return the step
+     */
+    private static StepSpec spec(int count, boolean lasting, List<Integer> after) {
+        return new StepSpec(
+                count,
+                new Resources(2_000, 1_000, 0),
+                400,
+                after,
+                false,
+                false,
+                false,
+                "",
+                "",
+                0,
+                false,
+                lasting,
+                "",
+                0,
+                false,
+                0);
+    }
+
+    /**
+     * Makes the manifest.
+     *
+     * @return the manifest
+     */
+    private static Manifest manifest() {
+        Route route = new Route("route", "host", "/", CELL, 0, ATTEMPTS, 2, 1_000, false);
+        return new Manifest(1, List.of(route), Set.of(CELL), new IngressLimits(1 << 18, 15_000));
+    }
+
+    /**
+     * Keeps a line of the log.
+     *
+     * @param event the kind of the event
+     * @param fields names and values by turns
+     */
+    private void log(String event, Object... fields) {
+        lines.add(runtime.nowMillis() + " " + event + " " + List.of(fields));
+    }
+
+    /** The process of an owner. */
+    static final class OwnerProcess {
+
+        /** Its connection to the store. */
+        private final StoreClient storeClient;
+
+        /** Its connections to the workers. */
+        private final FleetClient fleetClient;
+
+        /** The owner, once it has been made. */
+        private @Nullable CellOwner owner;
+
+        /** Whether its term has ended. */
+        boolean ended;
+
+        /**
+         * Creates a process.
+         *
+         * @param storeClient its connection to the store
+         * @param fleetClient its connections to the workers
+         */
+        OwnerProcess(StoreClient storeClient, FleetClient fleetClient) {
+            this.storeClient = storeClient;
+            this.fleetClient = fleetClient;
+        }
+
+        /** Kills the process. */
+        void kill() {
+            storeClient.kill();
+            fleetClient.kill();
+            if (owner != null) {
+                owner.stop("killed");
+            }
+        }
+    }
+}
