Tell bad workers from hopeless submissions, and admit fillers by the tails seen now

Cause: a wave of hopeless submissions made every worker suspect (found by a test with four workers), and fillers were admitted by a mean tail that hides the swing of the serving tasks' own load. Change: a failure of a submission that failed elsewhere says nothing of the worker, at most a quarter are suspect; the harm of a filler is predicted from the tails of the last looks; harmless fillers are not slowed.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerControl.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerControl.java
@@ -27,11 +27,14 @@
     private static final double SLOW_DOWN = 0.4;
 
     /** What a slowed filler gets back after a look without harm, in percent. */
-    private static final int GIVE_BACK_PERCENT = 12;
+    private static final int GIVE_BACK_PERCENT = 20;
 
     /** The part of the target below which a serving task counts as recovered. */
     private static final double RECOVERED = 0.75;
 
+    /** The least growth of the logarithm of a tail for which a filler is slowed. */
+    private static final double LEAST_BLAME = 0.06;
+
     /** The part of the largest contribution from which on a filler is slowed. */
     private static final double CULPRIT = 0.4;
 
@@ -49,6 +52,12 @@
     /** The time between repeated orders while a late one may undo them, in milliseconds. */
     private static final long REPEAT_MILLIS = 1_500;
 
+    /** What a filler adds to the logarithm of a tail that counts as its doing for the most part. */
+    private static final double WHOLE_PART = 0.15;
+
+    /** The weight of a new figure in the tail that admission goes by. */
+    private static final double TAIL_WEIGHT = 0.5;
+
     /** The predicted tail that does no harm, as a part of the target. */
     private static final double HARMLESS = 0.6;
 
@@ -96,6 +105,10 @@
             }
             double tail = (double) run.load / run.targetMillis();
             worst = Math.max(worst, tail);
+            run.tail =
+                    run.tail == RunRecord.UNKNOWN
+                            ? tail
+                            : run.tail + TAIL_WEIGHT * (tail - run.tail);
             if (comparable && run.task != null) {
                 effects.observe(run.task.step.spec.image(), tail, harm.lastShares);
             }
@@ -147,7 +160,7 @@
             harm.set(true, now);
             core.log.log("filler.pause", "worker", worker.id, "overMillis", longestOver);
         }
-        if (worst >= 1) {
+        if (worst >= OVER) {
             slowCulprits(worker);
         } else if (worst < RECOVERED) {
             giveBack(worker);
@@ -166,7 +179,7 @@
             largest = Math.max(largest, run.blame);
         }
         for (RunRecord run : worker.runs.values()) {
-            if (run.filling() && run.blame > 0 && run.blame >= largest * CULPRIT) {
+            if (run.filling() && run.blame >= Math.max(LEAST_BLAME, largest * CULPRIT)) {
                 run.allowedPercent = (int) (run.allowedPercent * SLOW_DOWN);
             }
         }
@@ -191,7 +204,7 @@
                         / Math.max(1, worker.entry.capacity().cpuMillicores());
         double sum = 0;
         for (RunRecord run : worker.runs.values()) {
-            if (run.serving() && run.task != null && run.load >= run.targetMillis()) {
+            if (run.serving() && run.task != null && run.load >= OVER * run.targetMillis()) {
                 sum += share * effects.factor(run.task.step.spec.image(), spec.image());
             }
         }
@@ -231,19 +244,35 @@
     }
 
     /**
-     * Predicts how many serving tasks of a worker a filler would bring over their target.
+     * Rates a predicted tail.
+     *
+     * @param tail the tail, as a part of its target
+     * @return 0 where it does no harm, 1 where it is over the target, and parts in between
+     */
+    private static double over(double tail) {
+        return Math.max(0, Math.min(1, (tail - HARMLESS) / (1 - HARMLESS)));
+    }
+
+    /**
+     * Predicts how many serving tasks of a worker a filler would help to bring over their target:
+     * from their tails now, what has started since they were told, and the filler itself. A task
+     * counts in proportion to what the filler adds to its tail.
      *
      * @param worker the worker
      * @param spec the step of the filler
      * @return the number, in parts where the prediction is near the target
      */
     double harm(WorkerRecord worker, StepSpec spec) {
-        Map<String, Double> shares = FillerShares.with(worker, spec);
+        Map<String, Double> added = FillerShares.added(worker, spec);
+        double share = FillerShares.of(spec, worker);
         double harm = 0;
         for (RunRecord run : worker.runs.values()) {
             if (run.serving() && run.task != null) {
-                double tail = effects.tail(run.task.step.spec.image(), shares);
-                harm += Math.max(0, Math.min(1, (tail - HARMLESS) / (1 - HARMLESS)));
+                String image = run.task.step.spec.image();
+                double tail = run.tail == RunRecord.UNKNOWN ? effects.base(image) : run.tail;
+                double own = effects.factor(image, spec.image()) * share;
+                double part = 1 - Math.exp(-own / WHOLE_PART);
+                harm += part * over(tail * Math.exp(effects.growth(image, added)));
             }
         }
         return harm;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerShares.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerShares.java
@@ -28,23 +28,38 @@
     }
 
     /**
-     * Adds up what the fillers of a worker would work at full share, with one more.
+     * Adds up what a filler and those that have started since the last look would add to what the
+     * fillers of a worker worked then.
      *
      * @param worker the worker
-     * @param another the step of one more filler
-     * @return the processors by image, as parts of the worker's
+     * @param another the step of the filler
+     * @return the processors by image, as parts of the worker's, without images that gain nothing
      */
-    static Map<String, Double> with(WorkerRecord worker, StepSpec another) {
+    static Map<String, Double> added(WorkerRecord worker, StepSpec another) {
         Map<String, Double> shares = new HashMap<>();
         for (RunRecord run : worker.runs.values()) {
             if (run.filling() && run.task != null) {
                 add(shares, run.task.step.spec, worker, 1);
             }
         }
+        worker.harm.lastShares.forEach((image, share) -> shares.merge(image, -share, Double::sum));
+        shares.values().removeIf(share -> share <= 0);
         add(shares, another, worker, 1);
         return shares;
     }
 
+    /**
+     * Returns what a filler would work at full share.
+     *
+     * @param spec its step
+     * @param worker the worker
+     * @return the processors, as a part of the worker's
+     */
+    static double of(StepSpec spec, WorkerRecord worker) {
+        double capacity = Math.max(1, worker.entry.capacity().cpuMillicores());
+        return spec.need().cpuMillicores() / capacity;
+    }
+
     /**
      * Adds a filler.
      *
@@ -55,8 +70,7 @@
      */
     private static void add(
             Map<String, Double> shares, StepSpec spec, WorkerRecord worker, double part) {
-        double capacity = Math.max(1, worker.entry.capacity().cpuMillicores());
-        double share = part * spec.need().cpuMillicores() / capacity;
+        double share = part * of(spec, worker);
         if (share > 0) {
             shares.merge(spec.image(), share, Double::sum);
         }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
@@ -1,6 +1,8 @@
 package org.damasktiller.scheduler.cell;
 
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.damasktiller.scheduler.model.AcceptedSubmission;
 import org.damasktiller.scheduler.model.Submission;
@@ -20,6 +22,9 @@
     /** The occurrences that have begun, by number. */
     final Map<Integer, OccurrenceRecord> occurrences = new TreeMap<>();
 
+    /** The workers at which a run failed. */
+    final Set<String> failedAt = new HashSet<>(2);
+
     /** The state. */
     SubmissionState state = SubmissionState.QUEUED;
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobBook.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobBook.java
@@ -17,6 +17,9 @@
     /** The attempts of a task where the manifest no longer names the route. */
     private static final int DEFAULT_ATTEMPTS = 2;
 
+    /** At most one worker in so many may be suspect. */
+    private static final int LEAST_SOUND_FACTOR = 4;
+
     /** The shared part. */
     private final CellCore core;
 
@@ -94,7 +97,7 @@
                         || end.kind() == EndKind.FAILED;
         if (news && !task.done) {
             started(task);
-            noteConduct(worker, record, end);
+            noteConduct(job, worker, record, end);
             core.log.log(
                     "run.ended",
                     "task",
@@ -277,18 +280,38 @@
     /**
      * Notes what an end says of its worker and of the run times of its image.
      *
+     * @param job the job
      * @param worker the worker
      * @param record the run, or null if it was not known
      * @param end the end
      */
-    private void noteConduct(WorkerRecord worker, @Nullable RunRecord record, EndView end) {
+    private void noteConduct(
+            Job job, WorkerRecord worker, @Nullable RunRecord record, EndView end) {
         if (end.kind() == EndKind.DONE) {
             worker.conduct.done();
             if (record != null && record.task != null) {
                 runTimes.observe(record.task.step.spec, core.now() - record.sinceMillis);
             }
-        } else if (end.kind() == EndKind.FAILED
-                && worker.conduct.failed(end.task().submission(), core.now())) {
+        } else if (end.kind() == EndKind.FAILED) {
+            noteFailure(job, worker);
+        }
+    }
+
+    /**
+     * Notes a failed run. One of a submission that has failed elsewhere says nothing of the worker;
+     * and where many workers are suspect, the submissions are at fault.
+     *
+     * @param job the job
+     * @param worker the worker
+     */
+    private void noteFailure(Job job, WorkerRecord worker) {
+        boolean elsewhere = job.failedAt.stream().anyMatch(id -> !id.equals(worker.id));
+        job.failedAt.add(worker.id);
+        long now = core.now();
+        long suspects =
+                core.allWorkers().stream().filter(other -> other.conduct.suspect(now)).count();
+        boolean many = (suspects + 1) * LEAST_SOUND_FACTOR > core.allWorkers().size();
+        if (!elsewhere && !many && worker.conduct.failed(job.id(), now)) {
             core.log.log("worker.suspect", "worker", worker.id, "reason", "runs fail in a row");
         }
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PairEffects.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PairEffects.java
@@ -93,17 +93,6 @@
         }
     }
 
-    /**
-     * Predicts the tail of a serving task.
-     *
-     * @param image its image
-     * @param shares what fillers of each image work, as parts of the worker's processors
-     * @return the tail, as a part of its target
-     */
-    double tail(String image, Map<String, Double> shares) {
-        return base(image) * Math.exp(growth(image, shares));
-    }
-
     /**
      * Returns the factor of a pair.
      *
@@ -123,7 +112,7 @@
      * @param shares what fillers of each image work
      * @return the logarithm
      */
-    private double growth(String image, Map<String, Double> shares) {
+    double growth(String image, Map<String, Double> shares) {
         double sum = 0;
         for (Map.Entry<String, Double> filler : shares.entrySet()) {
             sum += factor(image, filler.getKey()) * filler.getValue();
@@ -137,7 +126,7 @@
      * @param image the image of the serving task
      * @return the tail, as a part of its target
      */
-    private double base(String image) {
+    double base(String image) {
         return bases.getOrDefault(image, FIRST_BASE);
     }
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Placement.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Placement.java
@@ -21,7 +21,7 @@
     private static final int MOST_ORDERS = 6;
 
     /** The part of a worker's processors that new lasting tasks leave free for urgent tasks. */
-    private static final double HOLE_SHARE = 0.1;
+    private static final double HOLE_SHARE = 0.06;
 
     /** The part of the processors that a serving task asks for and uses on average. */
     private static final double SERVING_USE = 0.35;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
@@ -76,6 +76,9 @@
     /** Whether an order to stop is on its way. */
     boolean stopSent;
 
+    /** The smoothed tail of a serving run, as a part of its target, or UNKNOWN. */
+    double tail = UNKNOWN;
+
     /** Since when a serving run has been over its target, in milliseconds, or -1. */
     long overSinceMillis = UNKNOWN;
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerConduct.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerConduct.java
@@ -59,17 +59,6 @@
         return true;
     }
 
-    /**
-     * Notes that tasks stand still on the worker.
-     *
-     * @param nowMillis the time, in milliseconds
-     */
-    void stalled(long nowMillis) {
-        failedInRow = SUSPECT_SUBMISSIONS;
-        suspectUntilMillis = Math.max(suspectUntilMillis, nowMillis + penaltyMillis);
-        penaltyMillis = Math.min(LONGEST_PENALTY_MILLIS, penaltyMillis * 2);
-    }
-
     /**
      * Tells whether the worker is left alone.
      *
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/metadata/StoreClient.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/metadata/StoreClient.java
@@ -19,6 +19,9 @@
     /** How long a call takes each way, in milliseconds. */
     private static final long ONE_WAY_MILLIS = 2;
 
+    /** How much longer a page takes than a small answer, in milliseconds. */
+    private static final long PAGE_MILLIS = 12;
+
     /** How long a client waits for an answer, in milliseconds. */
     private static final long TIMEOUT_MILLIS = 1_000;
 
@@ -65,7 +68,17 @@
 
     @Override
     public void list(String prefix, String after, Consumer<StoreResult<StorePage>> answer) {
-        call("list", () -> StoreResult.ok(model.list(prefix, after)), answer);
+        call(
+                "list",
+                () -> StoreResult.ok(model.list(prefix, after)),
+                result ->
+                        runtime.schedule(
+                                PAGE_MILLIS,
+                                () -> {
+                                    if (!dead) {
+                                        answer.accept(result);
+                                    }
+                                }));
     }
 
     @Override
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerFaultMatrixTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerFaultMatrixTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.standin.metadata.CallFate;
 import org.damasktiller.standin.metadata.FatePlan;
@@ -26,9 +27,18 @@
     /** The numbers of the call of a kind that goes wrong. */
     private static final int MOST_CALLS = 10;
 
+    /** When the first owner dies after the submissions, in milliseconds; zero for never. */
+    private static final long[] KILL_TIMES = {0, 150, 900, 4_600};
+
+    /** The steps of a chain that is still running when late calls are carried out. */
+    private static final int CHAIN = 14;
+
     /** The submissions of a case. */
     private static final int JOBS = 4;
 
+    /** The submission that is a chain. */
+    private static final String CHAIN_JOB = "00000000000000fe";
+
     /** The seeds of the random cases. */
     private static final int SEEDS = 250;
 
@@ -39,7 +49,7 @@
         for (String call : CALLS) {
             for (CallFate fate : CallFate.values()) {
                 for (int number = 1; number <= MOST_CALLS; number++) {
-                    for (long killAfter : new long[] {0, 150, 900}) {
+                    for (long killAfter : KILL_TIMES) {
                         cases++;
                         String name = call + ' ' + fate + ' ' + number + " kill " + killAfter;
                         found.addAll(run(name, nth(call, fate, number), killAfter));
@@ -104,6 +114,7 @@
             world.submit("000000000000000" + job, OwnerWorld.step(3), OwnerWorld.step(2, 0));
         }
         world.submit("00000000000000ff", OwnerWorld.lasting(2));
+        world.submit(CHAIN_JOB, chain());
         if (killAfterMillis > 0) {
             world.runtime.advance(killAfterMillis);
             first.kill();
@@ -125,6 +136,22 @@
                 wrong.add(name + ": submission " + job + " is " + state);
             }
         }
+        if (world.state(CHAIN_JOB) != SubmissionState.SUCCEEDED) {
+            wrong.add(name + ": the chain is " + world.state(CHAIN_JOB));
+        }
         return wrong;
     }
+
+    /**
+     * Makes a chain of steps of one task.
+     *
+     * @return the steps
+     */
+    private static StepSpec[] chain() {
+        StepSpec[] steps = new StepSpec[CHAIN];
+        for (int number = 0; number < CHAIN; number++) {
+            steps[number] = number == 0 ? OwnerWorld.step(1) : OwnerWorld.step(1, number - 1);
+        }
+        return steps;
+    }
 }
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerTest.java
@@ -37,7 +37,6 @@
     @Test
     void failedRunsListedInAnyOrderAllCount() {
         OwnerWorld world = new OwnerWorld(4);
-        world.hopeless.add(JOB);
         OwnerProcess first =
                 world.own(
                         call ->
@@ -46,14 +45,22 @@
                                         : CallFate.ANSWERED,
                         FatePlan.CALM);
         world.runtime.advance(200);
-        world.submit(JOB, OwnerWorld.step(1));
+        for (int number = 0; number < 12; number++) {
+            String id = "00000000000000c" + Integer.toHexString(number);
+            world.hopeless.add(id);
+            world.submit(id, OwnerWorld.step(1));
+            world.runtime.advance(60);
+        }
         world.runtime.advance(2_500);
         first.kill();
         world.own();
         world.runtime.advance(12_000);
-        assertThat(world.state(JOB), equalTo(SubmissionState.FAILED));
+        for (int number = 0; number < 12; number++) {
+            String id = "00000000000000c" + Integer.toHexString(number);
+            assertThat(world.state(id), equalTo(SubmissionState.FAILED));
+            assertThat(world.audit.starts(new TaskId(id, 0, 0, 0)), equalTo(OwnerWorld.ATTEMPTS));
+        }
         assertThat(world.audit.violations(), empty());
-        assertThat(world.audit.starts(new TaskId(JOB, 0, 0, 0)), equalTo(OwnerWorld.ATTEMPTS));
     }
 
     @Test
