Believe only the record itself that a submission was cancelled

Change: both are followed by a linearizable read of the record; conflicts get a line in the log. Frozen owners are tested.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitLoop.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitLoop.java
@@ -224,19 +224,24 @@
      * @param reply the current items, or null if they were not told
      */
     private void resolve(Group sent, @Nullable CommitReply reply) {
+        core.log.log(
+                "commit.conflict",
+                "cell",
+                core.cell,
+                "sequence",
+                sent.sequence,
+                "jobs",
+                sent.versions.size(),
+                "told",
+                reply == null ? 0 : reply.current().size());
         if (reply == null || reply.currentRevision(CellKeys.head(core.cell)) != headRevision) {
             readHead(sent);
             return;
         }
         group = null;
         for (Job job : sent.versions.keySet()) {
-            boolean taken =
-                    job.state.isFinal()
-                            && reply.currentRevision(CellKeys.submission(job.id()))
-                                    != job.createdRevision;
-            if (taken) {
-                forget(job);
-                listener.onTaken(job);
+            if (job.state.isFinal()) {
+                verify(job);
             } else {
                 changed.add(job);
             }
@@ -246,6 +251,42 @@
         plan();
     }
 
+    /**
+     * Reads the record of a job that is over and took part in a conflict: its caller may have
+     * cancelled it. Only the record itself tells; the items of the conflict may not be complete.
+     *
+     * @param job the job
+     */
+    private void verify(Job job) {
+        core.store.read(CellKeys.submission(job.id()), result -> onRecord(job, result));
+    }
+
+    /**
+     * Judges the record of a job that is over.
+     *
+     * @param job the job
+     * @param result the reading
+     */
+    private void onRecord(Job job, StoreResult<StoreReading> result) {
+        if (core.over) {
+            return;
+        }
+        boolean absent = result.status() == StoreStatus.ABSENT;
+        if (result.status() != StoreStatus.OK && !absent) {
+            core.schedule(RETRY_MILLIS, () -> verify(job));
+            return;
+        }
+        StoreItem item = absent ? null : result.require().item();
+        if (item != null && item.revision() == job.createdRevision) {
+            changed.add(job);
+        } else {
+            forget(job);
+            listener.onTaken(job);
+            acknowledge();
+        }
+        plan();
+    }
+
     /**
      * Reads the head to find out whether a group was carried out.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Inbox.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Inbox.java
@@ -73,7 +73,7 @@
         for (Job job : new ArrayList<>(core.jobs.values())) {
             boolean older = job.createdRevision <= highestRevision;
             if (older && !present.contains(job.id()) && !job.state.isFinal()) {
-                listener.onRemoved(job);
+                verify(prefix + job.id());
             }
         }
         listener.onSnapshot();
@@ -96,7 +96,8 @@
     }
 
     /**
-     * Reads a key of which a change is reported that may be older than the pages read.
+     * Reads a key again: one that a page lacks, or one of which a change is reported that may be
+     * older than the pages read.
      *
      * @param key the key
      */
@@ -119,8 +120,11 @@
             return;
         }
         StoreItem item = result.status() == StoreStatus.OK ? result.require().item() : null;
+        Job job = core.jobs.get(idOf(key));
         if (item != null) {
             admit(item);
+        } else if (job != null && !job.state.isFinal()) {
+            listener.onRemoved(job);
         }
     }
 
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerTest.java
@@ -168,6 +168,52 @@
         assertThat(world.audit.violations(), empty());
     }
 
+    /**
+     * An owner is frozen, its successor can't reach one worker, and the frozen one wakes and can:
+     * it may not lengthen the lease there beyond the time that its successor waits.
+     */
+    @Test
+    void ownerThatWakesDoesNotLengthenALeaseBeyondItsAuthority() {
+        OwnerWorld world = new OwnerWorld(3);
+        OwnerProcess first = world.own();
+        world.submit(JOB, OwnerWorld.lasting(6));
+        world.runtime.advance(1_500);
+        first.clock.freeze();
+        world.cut.add("w0");
+        world.unregister("w0");
+        world.own();
+        world.runtime.advance(4_000);
+        world.cut.remove("w0");
+        first.clock.thaw();
+        world.runtime.advance(3);
+        world.cut.add("w0");
+        world.runtime.advance(12_000);
+        assertThat(world.audit.violations(), empty());
+    }
+
+    /**
+     * An owner that wakes sees a submission that came after its successor's term began; it may not
+     * start it, at a worker that its successor has not fenced.
+     */
+    @Test
+    void ownerThatWakesStartsNothingThatCameAfterItsTerm() {
+        OwnerWorld world = new OwnerWorld(2);
+        OwnerProcess first = world.own();
+        world.runtime.advance(1_500);
+        first.clock.freeze();
+        world.cut.add("w0");
+        world.own();
+        world.runtime.advance(200);
+        world.workMillis = 3_000;
+        world.submit(JOB, OwnerWorld.step(6));
+        world.runtime.advance(300);
+        world.cut.remove("w0");
+        first.clock.thaw();
+        world.runtime.advance(12_000);
+        assertThat(world.audit.violations(), empty());
+        assertThat(world.state(JOB), equalTo(SubmissionState.SUCCEEDED));
+    }
+
     @Test
     void workerThatFailsEverythingDoesNotUseUpTheAttempts() {
         OwnerWorld world = new OwnerWorld(4);
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerWorld.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerWorld.java
@@ -35,6 +35,7 @@
 import org.damasktiller.standin.metadata.FatePlan;
 import org.damasktiller.standin.metadata.StoreClient;
 import org.damasktiller.standin.metadata.StoreModel;
+import org.damasktiller.standin.time.FreezableRuntime;
 import org.damasktiller.standin.time.PausedRuntime;
 import org.jspecify.annotations.Nullable;
 
@@ -212,19 +213,20 @@
                                         .put(CellKeys.head(CELL), StoredValues.write(head)))
                         .require()
                         .revision();
-        CellTerm term = new CellTerm(generation, record, revision, runtime.nowMillis());
-        StoreClient storeClient = new StoreClient(store, runtime, storeFates);
-        FleetClient fleetClient = new FleetClient(workers, cut, runtime, workerFates);
+        FreezableRuntime clock = new FreezableRuntime(runtime);
+        CellTerm term = new CellTerm(generation, record, revision, clock.nowMillis());
+        StoreClient storeClient = new StoreClient(store, clock, storeFates);
+        FleetClient fleetClient = new FleetClient(workers, cut, clock, workerFates);
         CellEnvironment environment =
                 new CellEnvironment(
                         CellSettings.builder().build(),
                         storeClient,
                         fleetClient,
                         new ModelFormats(),
-                        runtime,
+                        clock,
                         this::log,
                         manifest());
-        OwnerProcess process = new OwnerProcess(storeClient, fleetClient);
+        OwnerProcess process = new OwnerProcess(storeClient, fleetClient, clock);
         CellOwner owner =
                 new CellOwner(
                         environment, CELL, term, entry -> true, reason -> process.ended = true);
@@ -330,6 +332,9 @@
         /** Its connections to the workers. */
         private final FleetClient fleetClient;
 
+        /** Its clock. */
+        final FreezableRuntime clock;
+
         /** The owner, once it has been made. */
         private @Nullable CellOwner owner;
 
@@ -341,10 +346,12 @@
          *
          * @param storeClient its connection to the store
          * @param fleetClient its connections to the workers
+         * @param clock its clock
          */
-        OwnerProcess(StoreClient storeClient, FleetClient fleetClient) {
+        OwnerProcess(StoreClient storeClient, FleetClient fleetClient, FreezableRuntime clock) {
             this.storeClient = storeClient;
             this.fleetClient = fleetClient;
+            this.clock = clock;
         }
 
         /** Kills the process. */
