--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StartPass.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StartPass.java
@@ -8,8 +8,9 @@
 
 /**
  * Starts what waits and has room. Load pattern: more work than room; tasks that serve come back
- * first, then urgent work that can still be on time, by its objective, then new lasting tasks, then
- * fillers; work that is late already comes after work that is not.
+ * first, then urgent work, then new lasting tasks, then fillers. Within each, work that can be on
+ * time comes before work that is late, and the least work left first, so that as many submissions
+ * as possible are on time when not all can be.
  */
 final class StartPass {
 
@@ -25,6 +26,18 @@
     /** The rank of fillers. */
     private static final int RANK_FILLING = 3;
 
+    /** The lateness of work that can be on time. */
+    private static final int ON_TIME = 0;
+
+    /** The lateness of work that will be late. */
+    private static final int LATE = 1;
+
+    /** The lateness of work that comes too late to be of use. */
+    private static final int TOO_LATE = 2;
+
+    /** How many times the objective late work may take to be of use, from the platform's pages. */
+    private static final int LATE_FACTOR = 3;
+
     /** How many starts one pass orders at most, so that a pass stays short. */
     private static final int MOST_STARTS = 64;
 
@@ -159,9 +172,31 @@
         long slack = route == null ? 0 : route.targetLatencyMillis();
         int priority = route == null ? 0 : route.priority();
         long chain = remaining(step);
-        long objective = job.seenMillis + (long) (extension * chainOf(job)) + slack;
-        boolean late = core.now() + chain > objective;
-        return new Waiting(step, rank, priority, late, objective);
+        long objective = (long) (extension * chainOf(job)) + slack;
+        long latest = core.now() + chain - job.seenMillis;
+        int lateness = latest <= objective ? ON_TIME : LATE;
+        if (latest > LATE_FACTOR * objective) {
+            lateness = TOO_LATE;
+        }
+        return new Waiting(step, rank, lateness, priority, openWork(step));
+    }
+
+    /**
+     * Estimates the work that is left of an occurrence from one step on.
+     *
+     * @param step the step
+     * @return the work, in millicores times milliseconds
+     */
+    private double openWork(StepRecord step) {
+        double work = 0;
+        for (StepRecord later : step.occurrence.steps) {
+            if (later.number >= step.number) {
+                double cpu = later.spec.need().cpuMillicores();
+                int open = later.tasks.size() - later.doneCount;
+                work += open * cpu * runTimes.expectedMillis(later.spec);
+            }
+        }
+        return work;
     }
 
     /**
@@ -254,18 +289,17 @@
      *
      * @param step the step
      * @param rank its rank among kinds of work
+     * @param lateness whether it can be on time, late, or too late to be of use
      * @param priority the priority of its route
-     * @param late whether it can't be on time any more
-     * @param objectiveMillis by when it should be done, in milliseconds
+     * @param work the work that is left of it
      */
-    private record Waiting(
-            StepRecord step, int rank, int priority, boolean late, long objectiveMillis) {
+    private record Waiting(StepRecord step, int rank, int lateness, int priority, double work) {
 
         /** The order in which steps get room. */
         static final Comparator<Waiting> ORDER =
                 Comparator.comparingInt(Waiting::rank)
-                        .thenComparing(Waiting::late)
+                        .thenComparingInt(Waiting::lateness)
                         .thenComparingInt(Waiting::priority)
-                        .thenComparingLong(Waiting::objectiveMillis);
+                        .thenComparingDouble(Waiting::work);
     }
 }
