--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/interactive/LoadClient.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/interactive/LoadClient.java
@@ -11,7 +11,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.damasktiller.platform.http.AddressResolver;
-import org.damasktiller.platform.http.CallHeaders;
+import org.damasktiller.standin.http.CallHeaders;
 import org.jspecify.annotations.Nullable;
 
 /** Makes HTTP requests on an event loop of its own and checks that each gets its own answer. */
--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/path/CallLoad.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/path/CallLoad.java
@@ -12,8 +12,8 @@
 import java.util.concurrent.TimeUnit;
 import org.HdrHistogram.Histogram;
 import org.damasktiller.platform.http.AddressResolver;
-import org.damasktiller.platform.http.CallHeaders;
 import org.damasktiller.platform.http.EventLoops;
+import org.damasktiller.standin.http.CallHeaders;
 
 /**
  * Sends interactive calls over a fixed number of connections, each with one call at a time, and
--- a/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/path/DrainLoad.java
+++ b/damasktiller-benchmarks/src/main/java/org/damasktiller/benchmark/path/DrainLoad.java
@@ -11,8 +11,8 @@
 import java.time.Duration;
 import java.util.Arrays;
 import org.damasktiller.platform.http.AddressResolver;
-import org.damasktiller.platform.http.CallHeaders;
 import org.damasktiller.platform.http.EventLoops;
+import org.damasktiller.standin.http.CallHeaders;
 
 /**
  * Sends calls to one entry VM over many connections until it drains, as callers behind a balancer
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/PeerJobClient.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/cell/PeerJobClient.java
@@ -13,9 +13,9 @@
 import org.damasktiller.error.ErrorCode;
 import org.damasktiller.error.Step;
 import org.damasktiller.identity.JobId;
-import org.damasktiller.platform.http.CallContext;
-import org.damasktiller.platform.http.CallHeaders;
-import org.damasktiller.platform.http.JsonClient;
+import org.damasktiller.standin.http.CallContext;
+import org.damasktiller.standin.http.CallHeaders;
+import org.damasktiller.standin.http.JsonClient;
 import org.damasktiller.vm.VmRecord;
 
 /** Passes calls on jobs to another entry VM, marked so that it does not pass them on again. */
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/ApiClient.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/ApiClient.java
@@ -7,7 +7,7 @@
 import java.util.function.Function;
 import org.damasktiller.error.DamasktillerException;
 import org.damasktiller.platform.http.EventLoops;
-import org.damasktiller.platform.http.JsonClient;
+import org.damasktiller.standin.http.JsonClient;
 
 /** Calls the HTTP interface of an entry VM and waits for the answer. */
 public final class ApiClient implements AutoCloseable {
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/ServerOptions.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/ServerOptions.java
@@ -10,9 +10,9 @@
 import org.damasktiller.daemon.settings.Settings;
 import org.damasktiller.error.ErrorCode;
 import org.damasktiller.error.Step;
-import org.damasktiller.platform.http.CallContext;
-import org.damasktiller.platform.http.Json;
-import org.damasktiller.platform.http.JsonClient;
+import org.damasktiller.standin.http.CallContext;
+import org.damasktiller.standin.http.Json;
+import org.damasktiller.standin.http.JsonClient;
 import org.jspecify.annotations.Nullable;
 
 /** Holds the flags of every command that calls an entry VM. */
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/SubmitCommand.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/SubmitCommand.java
@@ -9,7 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import org.damasktiller.daemon.job.JobBody;
 import org.damasktiller.daemon.job.JobServlets;
-import org.damasktiller.platform.http.CallHeaders;
+import org.damasktiller.standin.http.CallHeaders;
 
 /** Submits a job; the same key gives the same job. */
 @Parameters(
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryRoutes.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/EntryRoutes.java
@@ -8,7 +8,7 @@
 import org.damasktiller.daemon.operator.DrainBody;
 import org.damasktiller.daemon.operator.OperatorPaths;
 import org.damasktiller.daemon.operator.TableServlets;
-import org.damasktiller.platform.http.JsonServlets;
+import org.damasktiller.standin.http.JsonServlets;
 
 /** Makes the routes of an entry VM's listeners. */
 final class EntryRoutes {
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/HealthServlets.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/entry/HealthServlets.java
@@ -6,7 +6,7 @@
 import io.activej.promise.Promise;
 import io.activej.reactor.Reactor;
 import java.util.function.Supplier;
-import org.damasktiller.platform.http.JsonResponses;
+import org.damasktiller.standin.http.JsonResponses;
 
 /** Answers the health checks of the platform and its balancer. */
 final class HealthServlets {
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/CallDispatcher.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/CallDispatcher.java
@@ -14,13 +14,13 @@
 import java.util.function.Consumer;
 import org.damasktiller.daemon.metrics.WorkMetrics;
 import org.damasktiller.identity.EndpointId;
-import org.damasktiller.platform.http.CallHeaders;
-import org.damasktiller.platform.http.JsonResponses;
 import org.damasktiller.routing.AttemptOutcome;
 import org.damasktiller.routing.ClaimOutcome;
 import org.damasktiller.routing.RequestRouter;
 import org.damasktiller.routing.RoutingAction;
 import org.damasktiller.routing.RoutingRequest;
+import org.damasktiller.standin.http.CallHeaders;
+import org.damasktiller.standin.http.JsonResponses;
 import org.jspecify.annotations.Nullable;
 
 /**
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/CallParser.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/CallParser.java
@@ -12,8 +12,8 @@
 import org.damasktiller.error.Step;
 import org.damasktiller.identity.KindName;
 import org.damasktiller.identity.RequestKey;
-import org.damasktiller.platform.http.CallHeaders;
 import org.damasktiller.routing.RoutingRequest;
+import org.damasktiller.standin.http.CallHeaders;
 import org.damasktiller.table.KindOfWork;
 import org.jspecify.annotations.Nullable;
 
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/EndpointConnection.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/EndpointConnection.java
@@ -17,8 +17,8 @@
 import java.time.Duration;
 import java.util.Objects;
 import org.damasktiller.platform.http.AddressResolver;
-import org.damasktiller.platform.http.CallHeaders;
 import org.damasktiller.routing.AttemptOutcome;
+import org.damasktiller.standin.http.CallHeaders;
 import org.jspecify.annotations.Nullable;
 
 /**
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/InteractiveGateway.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/gateway/InteractiveGateway.java
@@ -18,13 +18,13 @@
 import org.damasktiller.error.DamasktillerException;
 import org.damasktiller.identity.EndpointId;
 import org.damasktiller.identity.KindName;
-import org.damasktiller.platform.http.JsonResponses;
 import org.damasktiller.routing.ClaimOutcome;
 import org.damasktiller.routing.EndpointAllowance;
 import org.damasktiller.routing.EndpointDescription;
 import org.damasktiller.routing.EqualAllowance;
 import org.damasktiller.routing.RequestRouter;
 import org.damasktiller.routing.RoutingRequest;
+import org.damasktiller.standin.http.JsonResponses;
 import org.damasktiller.table.KindOfWork;
 import org.jspecify.annotations.Nullable;
 
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/http/HttpListener.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/http/HttpListener.java
@@ -13,7 +13,7 @@
 import org.damasktiller.error.ErrorCode;
 import org.damasktiller.error.Outcome;
 import org.damasktiller.error.Step;
-import org.damasktiller.platform.http.JsonResponses;
+import org.damasktiller.standin.http.JsonResponses;
 
 /**
  * Builds HTTP servers with limits of size, time and number, with errors rendered as JSON, and with
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/operator/TableServlets.java
+++ b/damasktiller-daemon/src/main/java/org/damasktiller/daemon/operator/TableServlets.java
@@ -12,7 +12,7 @@
 import org.damasktiller.error.Outcome;
 import org.damasktiller.error.Step;
 import org.damasktiller.identity.KindName;
-import org.damasktiller.platform.http.JsonServlets;
+import org.damasktiller.standin.http.JsonServlets;
 import org.damasktiller.table.CellEdits;
 import org.damasktiller.table.EditId;
 import org.damasktiller.table.EditResult;
--- a/damasktiller-daemon/src/test/java/org/damasktiller/daemon/documentation/OperatorsPageTest.java
+++ b/damasktiller-daemon/src/test/java/org/damasktiller/daemon/documentation/OperatorsPageTest.java
@@ -19,7 +19,7 @@
 import org.damasktiller.daemon.settings.EntrySettings;
 import org.damasktiller.daemon.settings.Settings;
 import org.damasktiller.error.ErrorCode;
-import org.damasktiller.platform.http.HttpCodes;
+import org.damasktiller.standin.http.HttpCodes;
 import org.damasktiller.table.OperatorTable;
 import org.damasktiller.table.TableWriter;
 import org.junit.jupiter.api.Test;
--- a/platform/src/main/java/org/damasktiller/platform/store/HttpKeyValueStore.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/client/store/HttpKeyValueStore.java
@@ -1,12 +1,12 @@
-package org.damasktiller.platform.store;
+package org.damasktiller.standin.client.store;
 
 import io.activej.promise.Promise;
 import java.util.List;
 import java.util.Optional;
 import org.damasktiller.error.ErrorCode;
 import org.damasktiller.error.Step;
-import org.damasktiller.platform.http.CallContext;
-import org.damasktiller.platform.http.JsonClient;
+import org.damasktiller.standin.http.CallContext;
+import org.damasktiller.standin.http.JsonClient;
 import org.damasktiller.store.KeyValueStore;
 import org.damasktiller.store.StoredValue;
 import org.damasktiller.store.SwapRequest;
--- a/platform/src/main/java/org/damasktiller/platform/store/StoreCall.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/client/store/StoreCall.java
@@ -1,4 +1,4 @@
-package org.damasktiller.platform.store;
+package org.damasktiller.standin.client.store;
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
--- a/platform/src/main/java/org/damasktiller/platform/store/StoreReply.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/client/store/StoreReply.java
@@ -1,4 +1,4 @@
-package org.damasktiller.platform.store;
+package org.damasktiller.standin.client.store;
 
 import java.util.List;
 import org.damasktiller.store.StoredValue;
--- a/platform/src/main/java/org/damasktiller/platform/store/package-info.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/client/store/package-info.java
@@ -1,5 +1,5 @@
 /** Client of the platform's key-value service. */
 @NullMarked
-package org.damasktiller.platform.store;
+package org.damasktiller.standin.client.store;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/main/java/org/damasktiller/platform/vm/HttpVmDirectory.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/client/vm/HttpVmDirectory.java
@@ -1,10 +1,10 @@
-package org.damasktiller.platform.vm;
+package org.damasktiller.standin.client.vm;
 
 import io.activej.promise.Promise;
 import org.damasktiller.error.ErrorCode;
 import org.damasktiller.error.Step;
-import org.damasktiller.platform.http.CallContext;
-import org.damasktiller.platform.http.JsonClient;
+import org.damasktiller.standin.http.CallContext;
+import org.damasktiller.standin.http.JsonClient;
 import org.damasktiller.vm.VmChanges;
 import org.damasktiller.vm.VmDirectory;
 
--- a/platform/src/main/java/org/damasktiller/platform/vm/package-info.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/client/vm/package-info.java
@@ -1,5 +1,5 @@
 /** Client of the platform's list of VMs. */
 @NullMarked
-package org.damasktiller.platform.vm;
+package org.damasktiller.standin.client.vm;
 
 import org.jspecify.annotations.NullMarked;
--- a/platform/src/main/java/org/damasktiller/platform/worker/HttpWorkerClient.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/client/worker/HttpWorkerClient.java
@@ -1,4 +1,4 @@
-package org.damasktiller.platform.worker;
+package org.damasktiller.standin.client.worker;
 
 import io.activej.promise.Promise;
 import java.util.Optional;
@@ -8,8 +8,8 @@
 import org.damasktiller.error.Outcome;
 import org.damasktiller.error.Step;
 import org.damasktiller.identity.WorkerId;
-import org.damasktiller.platform.http.CallContext;
-import org.damasktiller.platform.http.JsonClient;
+import org.damasktiller.standin.http.CallContext;
+import org.damasktiller.standin.http.JsonClient;
 import org.damasktiller.worker.WorkerAnswer;
 import org.damasktiller.worker.WorkerClient;
 import org.damasktiller.worker.WorkerCommand;
--- a/platform/src/main/java/org/damasktiller/platform/worker/package-info.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/client/worker/package-info.java
@@ -1,5 +1,5 @@
 /** Client of the platform's workers. */
 @NullMarked
-package org.damasktiller.platform.worker;
+package org.damasktiller.standin.client.worker;
 
 import org.jspecify.annotations.NullMarked;
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/endpoint/EndpointServlet.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/endpoint/EndpointServlet.java
@@ -21,7 +21,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.WeakHashMap;
-import org.damasktiller.platform.http.CallHeaders;
+import org.damasktiller.standin.http.CallHeaders;
 
 /**
  * Answers interactive requests as an endpoint does: it echoes the body. It runs as many requests at
--- a/platform/src/main/java/org/damasktiller/platform/http/CallContext.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/http/CallContext.java
@@ -1,4 +1,4 @@
-package org.damasktiller.platform.http;
+package org.damasktiller.standin.http;
 
 import org.damasktiller.error.ErrorCode;
 import org.damasktiller.error.Step;
--- a/platform/src/main/java/org/damasktiller/platform/http/CallHeaders.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/http/CallHeaders.java
@@ -1,4 +1,4 @@
-package org.damasktiller.platform.http;
+package org.damasktiller.standin.http;
 
 import io.activej.http.HttpHeader;
 import io.activej.http.HttpHeaders;
--- a/platform/src/main/java/org/damasktiller/platform/http/ErrorBody.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/http/ErrorBody.java
@@ -1,4 +1,4 @@
-package org.damasktiller.platform.http;
+package org.damasktiller.standin.http;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import org.damasktiller.error.DamasktillerException;
--- a/platform/src/main/java/org/damasktiller/platform/http/Json.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/http/Json.java
@@ -1,4 +1,4 @@
-package org.damasktiller.platform.http;
+package org.damasktiller.standin.http;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
--- a/platform/src/main/java/org/damasktiller/platform/http/JsonClient.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/http/JsonClient.java
@@ -1,4 +1,4 @@
-package org.damasktiller.platform.http;
+package org.damasktiller.standin.http;
 
 import io.activej.http.HttpClient;
 import io.activej.http.HttpHeaders;
@@ -11,6 +11,7 @@
 import java.time.Duration;
 import org.damasktiller.error.DamasktillerException;
 import org.damasktiller.error.Outcome;
+import org.damasktiller.platform.http.AddressResolver;
 
 /** Sends JSON over HTTP to peers named by IP address. Used on its reactor's thread only. */
 public final class JsonClient {
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/platform/StandInServer.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/platform/StandInServer.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.damasktiller.platform.http.EventLoops;
-import org.damasktiller.platform.http.JsonResponses;
+import org.damasktiller.standin.http.JsonResponses;
 
 /** Runs one stand-in HTTP server on an event loop and thread of its own. */
 public final class StandInServer implements AutoCloseable {
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/platform/StoreServlet.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/platform/StoreServlet.java
@@ -5,10 +5,10 @@
 import io.activej.http.RoutingServlet;
 import io.activej.promise.Promise;
 import io.activej.reactor.Reactor;
-import org.damasktiller.platform.http.JsonServlets;
-import org.damasktiller.platform.store.HttpKeyValueStore;
-import org.damasktiller.platform.store.StoreCall;
-import org.damasktiller.platform.store.StoreReply;
+import org.damasktiller.standin.client.store.HttpKeyValueStore;
+import org.damasktiller.standin.client.store.StoreCall;
+import org.damasktiller.standin.client.store.StoreReply;
+import org.damasktiller.standin.http.JsonServlets;
 import org.damasktiller.standin.store.StoreFaults;
 import org.damasktiller.standin.store.StoreService;
 
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/platform/VmListServlet.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/platform/VmListServlet.java
@@ -10,8 +10,8 @@
 import org.damasktiller.error.ErrorCode;
 import org.damasktiller.error.Outcome;
 import org.damasktiller.error.Step;
-import org.damasktiller.platform.http.JsonServlets;
-import org.damasktiller.platform.vm.HttpVmDirectory;
+import org.damasktiller.standin.client.vm.HttpVmDirectory;
+import org.damasktiller.standin.http.JsonServlets;
 import org.damasktiller.vm.VmDirectory;
 import org.damasktiller.vm.VmRecord;
 
