--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -90,7 +90,7 @@
         core = new CellCore(environment, cell, term, reason -> ended(reason, ended));
         RunTimes runTimes = new RunTimes();
         proof = new OwnershipProof(core, this::planPass);
-        RunOrders orders = new RunOrders(core, this::planPass, proof::renew);
+        RunOrders orders = new RunOrders(core, this::planPass, this::fenced);
         commits = new CommitLoop(core, new Commits());
         book = new JobBook(core, commits, orders, runTimes);
         looks = new WorkerLooks(core, book, orders, new Looks());
@@ -165,6 +165,11 @@
         listener.accept(reason);
     }
 
+    /** Ends the term: only a successor's fencing token can be higher than this owner's. */
+    private void fenced() {
+        core.end("a worker has seen a newer generation");
+    }
+
     /** Reads the stored progress, then the roster, then the workers. */
     private void loadProgress() {
         ProgressReader reader = new ProgressReader();
@@ -334,7 +339,7 @@
         @Override
         public void onMissedLook(WorkerRecord worker, WorkerReply reply) {
             if (reply.status() == WorkerStatus.FENCED) {
-                proof.renew();
+                fenced();
             }
             worker.avoidUntilMillis =
                     Math.max(worker.avoidUntilMillis, core.now() + MISSED_LOOK_MILLIS);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitLoop.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitLoop.java
@@ -232,6 +232,8 @@
                 sent.sequence,
                 "jobs",
                 sent.versions.size(),
+                "conditions",
+                sent.commit.expected().size(),
                 "told",
                 reply == null ? 0 : reply.current().size());
         if (reply == null || reply.currentRevision(CellKeys.head(core.cell)) != headRevision) {
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerTest.java
@@ -214,6 +214,25 @@
         assertThat(world.state(JOB), equalTo(SubmissionState.SUCCEEDED));
     }
 
+    /** A store that refuses one owner must not leave it sending orders that workers refuse. */
+    @Test
+    void ownerThatTheStoreRefusesEndsAtTheFirstFence() {
+        OwnerWorld world = new OwnerWorld(2);
+        OwnerProcess first =
+                world.own(
+                        call ->
+                                world.runtime.nowMillis() > 500
+                                        ? CallFate.REFUSED
+                                        : CallFate.ANSWERED,
+                        FatePlan.CALM);
+        world.submit(JOB, OwnerWorld.lasting(4));
+        world.runtime.advance(1_000);
+        world.own();
+        world.runtime.advance(1_000);
+        assertThat(first.ended, is(true));
+        assertThat(world.audit.violations(), empty());
+    }
+
     @Test
     void workerThatFailsEverythingDoesNotUseUpTheAttempts() {
         OwnerWorld world = new OwnerWorld(4);
