Ask the advice service for queues that need it

Measured: OwnerTest.stepsOfAQueueThatNeedsAdviceRunOnTheWorkersItAllows passes; without the tickets the submission does not end.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/Cluster.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/Cluster.java
@@ -10,6 +10,7 @@
 import org.damasktiller.scheduler.cell.StoredValues;
 import org.damasktiller.scheduler.model.Manifest;
 import org.damasktiller.scheduler.model.SubmissionState;
+import org.damasktiller.scheduler.port.AdviceCalls;
 import org.damasktiller.scheduler.port.Commit;
 import org.damasktiller.scheduler.port.DecisionLog;
 import org.damasktiller.scheduler.port.MetadataStore;
@@ -54,6 +55,9 @@
     /** The calls to workers. */
     private final WorkerCalls calls;
 
+    /** The calls to the advice service. */
+    private final AdviceCalls advice;
+
     /** The platform's records. */
     private final PlatformFormats formats;
 
@@ -83,6 +87,7 @@
      * @param settings the settings of the cells
      * @param store the store
      * @param calls the calls to workers
+     * @param advice the calls to the advice service
      * @param formats the platform's records
      * @param runtime the clock and the timers
      * @param log the log
@@ -93,6 +98,7 @@
             CellSettings settings,
             MetadataStore store,
             WorkerCalls calls,
+            AdviceCalls advice,
             PlatformFormats formats,
             ProcessRuntime runtime,
             DecisionLog log) {
@@ -100,6 +106,7 @@
         this.layout = layout;
         this.settings = settings;
         this.calls = calls;
+        this.advice = advice;
         this.formats = formats;
         StoreSession session = new StoreSession(store, runtime, log, LEASE_MILLIS);
         ClusterView view = new ClusterView(store, runtime, log, this::considerAll);
@@ -262,6 +269,7 @@
                         settings,
                         parts.store(),
                         calls,
+                        advice,
                         formats,
                         parts.runtime(),
                         parts.log(),
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -21,6 +21,7 @@
 import org.damasktiller.node.cluster.ManifestFollower;
 import org.damasktiller.node.cluster.NodeIdentity;
 import org.damasktiller.node.log.JsonLineLog;
+import org.damasktiller.platform.advice.HttpAdviceCalls;
 import org.damasktiller.platform.call.PlatformCaller;
 import org.damasktiller.platform.http.EventLoops;
 import org.damasktiller.platform.metadata.HttpMetadataStore;
@@ -30,6 +31,7 @@
 import org.damasktiller.platform.settings.SettingsReader;
 import org.damasktiller.scheduler.cell.CellLayout;
 import org.damasktiller.scheduler.cell.CellSettings;
+import org.damasktiller.scheduler.port.AdviceCalls;
 import org.damasktiller.scheduler.port.MetadataStore;
 
 /** The process of an entry VM: it takes callers, and owns the cells that it wins. */
@@ -47,6 +49,9 @@
     /** How long an answer to a look may take, its wait of 0.5 s included, in milliseconds. */
     private static final long LOOK_MILLIS = 1_200;
 
+    /** How long an answer of the advice service may take, in milliseconds. */
+    private static final long ADVICE_MILLIS = 3_000;
+
     /** How long the load balancer needs to send callers elsewhere, in milliseconds. */
     private static final long BALANCER_MILLIS = 3_000;
 
@@ -136,6 +141,7 @@
                         new HttpWorkerCalls(
                                 new PlatformCaller(eventloop, WORKER_MILLIS),
                                 new PlatformCaller(eventloop, LOOK_MILLIS)),
+                        advice(),
                         records,
                         runtime,
                         log);
@@ -194,6 +200,18 @@
         eventloop.run();
     }
 
+    /**
+     * Makes the client of the advice service.
+     *
+     * @return the client
+     */
+    private AdviceCalls advice() {
+        InetSocketAddress address = settings.adviceAddress();
+        return address == null
+                ? AdviceCalls.NONE
+                : new HttpAdviceCalls(new PlatformCaller(eventloop, ADVICE_MILLIS), address);
+    }
+
     /**
      * Makes a server.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellEnvironment.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellEnvironment.java
@@ -1,6 +1,7 @@
 package org.damasktiller.scheduler.cell;
 
 import org.damasktiller.scheduler.model.Manifest;
+import org.damasktiller.scheduler.port.AdviceCalls;
 import org.damasktiller.scheduler.port.DecisionLog;
 import org.damasktiller.scheduler.port.MetadataStore;
 import org.damasktiller.scheduler.port.PlatformFormats;
@@ -13,6 +14,7 @@
  * @param settings the settings
  * @param store the store
  * @param calls the calls to workers
+ * @param advice the calls to the advice service
  * @param formats the platform's records
  * @param runtime the clock and the timers
  * @param log the log
@@ -22,6 +24,7 @@
         CellSettings settings,
         MetadataStore store,
         WorkerCalls calls,
+        AdviceCalls advice,
         PlatformFormats formats,
         ProcessRuntime runtime,
         DecisionLog log,
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -95,9 +95,10 @@
         book = new JobBook(core, commits, orders, runTimes);
         looks = new WorkerLooks(core, book, orders, new Looks());
         fillers = new FillerControl(core, orders, new PairEffects());
-        Placement placement = new Placement(core, fillers);
+        AdviceDesk advice = new AdviceDesk(core, environment.advice(), this::planPass);
+        Placement placement = new Placement(core, fillers, advice);
         drains = new DrainControl(core, orders, runTimes);
-        pass = new StartPass(core, placement, orders, runTimes, proof);
+        pass = new StartPass(core, placement, orders, runTimes, advice, proof);
         inbox = new Inbox(core, new Submissions());
         workerList = new WorkerList(core, environment.formats(), member, new Workers());
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Placement.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Placement.java
@@ -59,14 +59,19 @@
     /** Predicts the harm of fillers. */
     private final FillerControl fillers;
 
+    /** Has the tickets of queues that need them. */
+    private final AdviceDesk advice;
+
     /**
      * Creates the choice.
      *
      * @param core the shared part
      * @param fillers predicts the harm of fillers
+     * @param advice has the tickets of queues that need them
      */
-    Placement(CellCore core, FillerControl fillers) {
+    Placement(CellCore core, FillerControl fillers, AdviceDesk advice) {
         this.core = core;
+        this.advice = advice;
         this.fillers = fillers;
     }
 
@@ -200,7 +205,8 @@
         if (worker.conduct.onProbation() && !worker.runs.isEmpty()) {
             return false;
         }
-        return spread(task.step, worker) && roomBeside(task, worker);
+        boolean advised = !advice.needed(task.step) || !advice.ticket(task.step, worker).isEmpty();
+        return advised && spread(task.step, worker) && roomBeside(task, worker);
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunOrders.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunOrders.java
@@ -158,6 +158,11 @@
             case FENCED -> doubted.run();
             case NO_ROOM -> worker.fullUntilMillis = now + FULL_MILLIS;
             case BUSY -> worker.avoidUntilMillis = now + BUSY_MILLIS;
+            case NO_TICKET -> {
+                if (record.task != null) {
+                    record.task.step.tickets.remove(worker.id);
+                }
+            }
             case OTHER_WORKER -> worker.avoidUntilMillis = now + BUSY_MILLIS;
             case INVALID -> {
                 if (record.task != null) {
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StartPass.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StartPass.java
@@ -53,6 +53,9 @@
     /** The expected run times. */
     private final RunTimes runTimes;
 
+    /** Has the tickets of queues that need them. */
+    private final AdviceDesk advice;
+
     /** Tells what is known to belong to this term. */
     private final OwnershipProof proof;
 
@@ -66,6 +69,7 @@
      * @param placement chooses workers
      * @param orders sends the orders
      * @param runTimes the expected run times
+     * @param advice has the tickets of queues that need them
      * @param proof tells what is known to belong to this term
      */
     StartPass(
@@ -73,11 +77,13 @@
             Placement placement,
             RunOrders orders,
             RunTimes runTimes,
+            AdviceDesk advice,
             OwnershipProof proof) {
         this.core = core;
         this.placement = placement;
         this.orders = orders;
         this.runTimes = runTimes;
+        this.advice = advice;
         this.proof = proof;
     }
 
@@ -242,9 +248,10 @@
             }
             WorkerRecord worker = placement.choose(task);
             if (worker == null) {
+                askFor(step);
                 return;
             }
-            orders.start(task, worker, nextRun(task.lastRun), "");
+            orders.start(task, worker, nextRun(task.lastRun), advice.ticket(step, worker));
             started++;
         }
     }
@@ -265,15 +272,28 @@
         }
         List<WorkerRecord> workers = placement.chooseGang(step);
         if (workers.isEmpty()) {
+            askFor(step);
             return;
         }
         int run = nextRun(lastRun);
         for (int index = 0; index < workers.size(); index++) {
-            orders.start(step.tasks.get(index), workers.get(index), run, "");
+            WorkerRecord worker = workers.get(index);
+            orders.start(step.tasks.get(index), worker, run, advice.ticket(step, worker));
             started++;
         }
     }
 
+    /**
+     * Asks for tickets if a step needs them.
+     *
+     * @param step the step, for which no worker was found
+     */
+    private void askFor(StepRecord step) {
+        if (advice.needed(step)) {
+            advice.ask(step);
+        }
+    }
+
     /**
      * Numbers the next run of a task.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StepRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StepRecord.java
@@ -1,7 +1,11 @@
 package org.damasktiller.scheduler.cell;
 
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.model.TaskId;
 
@@ -20,6 +24,12 @@
     /** The tasks. */
     final List<TaskRecord> tasks = new ArrayList<>();
 
+    /** The tickets of the advice service, by worker. */
+    final Map<String, AdviceTicket> tickets = new HashMap<>();
+
+    /** The workers that the advice service does not allow for the step, which does not change. */
+    final Set<String> unadvised = new HashSet<>();
+
     /** How many tasks are done. */
     int doneCount;
 
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 
+import java.util.Set;
 import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.scheduler.model.TaskId;
 import org.damasktiller.standin.metadata.CallFate;
@@ -233,6 +234,18 @@
         assertThat(world.audit.violations(), empty());
     }
 
+    @Test
+    void stepsOfAQueueThatNeedsAdviceRunOnTheWorkersItAllows() {
+        OwnerWorld world = new OwnerWorld(4);
+        world.adviceNeeded = true;
+        world.advised.add("w2");
+        world.own();
+        world.submit(JOB, OwnerWorld.step(6), OwnerWorld.step(2, 0));
+        world.runtime.advance(6_000);
+        assertThat(world.state(JOB), equalTo(SubmissionState.SUCCEEDED));
+        assertThat(world.workersUsed(), equalTo(Set.of("w2")));
+    }
+
     @Test
     void workerThatFailsEverythingDoesNotUseUpTheAttempts() {
         OwnerWorld world = new OwnerWorld(4);
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerWorld.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerWorld.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Consumer;
 import org.damasktiller.scheduler.cell.CellEnvironment;
 import org.damasktiller.scheduler.cell.CellKeys;
 import org.damasktiller.scheduler.cell.CellOwner;
@@ -26,6 +28,7 @@
 import org.damasktiller.scheduler.model.SubmissionRecord;
 import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.scheduler.model.TaskId;
+import org.damasktiller.scheduler.port.AdviceReply;
 import org.damasktiller.scheduler.port.Commit;
 import org.damasktiller.scheduler.port.StoreItem;
 import org.damasktiller.standin.fleet.FleetClient;
@@ -81,6 +84,12 @@
     /** The submissions that always fail. */
     final Set<String> hopeless = FleetClient.nothingCut();
 
+    /** Whether the queue needs advice. */
+    boolean adviceNeeded;
+
+    /** The workers that the advice service allows. */
+    final Set<String> advised = FleetClient.nothingCut();
+
     /** The generation of the last owner. */
     private long generation;
 
@@ -222,6 +231,7 @@
                         CellSettings.builder().build(),
                         storeClient,
                         fleetClient,
+                        this::advise,
                         new ModelFormats(),
                         clock,
                         this::log,
@@ -235,6 +245,23 @@
         return process;
     }
 
+    /**
+     * Returns the workers at which a run was ordered.
+     *
+     * @return their identifiers
+     */
+    Set<String> workersUsed() {
+        Set<String> used = new TreeSet<>();
+        for (String line : lines) {
+            for (String id : workers.keySet()) {
+                if (line.contains(" run.start ") && line.contains(" " + id + ",")) {
+                    used.add(id);
+                }
+            }
+        }
+        return used;
+    }
+
     /**
      * Makes a step of short tasks.
      *
@@ -308,11 +335,29 @@
      *
      * @return the manifest
      */
-    private static Manifest manifest() {
-        Route route = new Route("route", "host", "/", CELL, 0, ATTEMPTS, 2, 1_000, false);
+    private Manifest manifest() {
+        Route route = new Route("route", "host", "/", CELL, 0, ATTEMPTS, 2, 1_000, adviceNeeded);
         return new Manifest(1, List.of(route), Set.of(CELL), new IngressLimits(1 << 18, 15_000));
     }
 
+    /**
+     * Answers as the advice service.
+     *
+     * @param step the step
+     * @param asked the workers
+     * @param answer takes the answer
+     */
+    private void advise(String step, List<String> asked, Consumer<AdviceReply> answer) {
+        Map<String, String> tickets = new LinkedHashMap<>();
+        for (String worker : asked) {
+            if (advised.contains(worker)) {
+                tickets.put(worker, step + '-' + worker);
+            }
+        }
+        runtime.schedule(
+                20L * asked.size(), () -> answer.accept(new AdviceReply(true, tickets, 3_000, "")));
+    }
+
     /**
      * Keeps a line of the log.
      *
