Answer within 1.5 s where the store is silent

The caller could have asked a VM that reaches the store. Change: 504 after one timeout and half another; a refusal stays 503 only where no write went unanswered.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
@@ -30,6 +30,12 @@
     /** How long a store that refuses is tried, in milliseconds: about one retry of a caller. */
     private static final long REFUSAL_MILLIS = 700;
 
+    /**
+     * How long a silent store is tried, in milliseconds: one call's timeout and half another. Then
+     * the caller may ask another VM, which may reach the store.
+     */
+    private static final long SILENCE_MILLIS = 1_500;
+
     /** How long before the caller's deadline the answer is due, in milliseconds. */
     private static final long MARGIN_MILLIS = 150;
 
@@ -78,7 +84,7 @@
      * @param answer takes the answer
      */
     void accept(CallerRequest request, Submission submission, Consumer<CallerAnswer> answer) {
-        new Attempt(request, submission, answer).send();
+        new Attempt(request, submission, answer).start();
     }
 
     /** The attempts to store one submission. */
@@ -102,6 +108,9 @@
         /** Whether a write has gone unanswered. */
         private boolean uncertain;
 
+        /** Whether the caller has been answered. */
+        private boolean answered;
+
         /**
          * Prepares the transaction.
          *
@@ -131,9 +140,27 @@
                             .put(CellKeys.inbox(cell) + request.id(), accepted);
         }
 
+        /** Sends the transaction, and answers at the latest when its time is over. */
+        void start() {
+            long latest =
+                    Math.min(
+                            request.deadlineMillis() - MARGIN_MILLIS, beganMillis + SILENCE_MILLIS);
+            runtime.schedule(
+                    Math.max(0, latest - beganMillis),
+                    () -> {
+                        uncertain = true;
+                        finish(
+                                StoreStatus.UNKNOWN,
+                                CallerAnswer.outcomeUnknown("the store did not answer in time"));
+                    });
+            send();
+        }
+
         /** Sends the transaction. */
-        void send() {
-            store.commit(commit, this::onResult);
+        private void send() {
+            if (!answered) {
+                store.commit(commit, this::onResult);
+            }
         }
 
         /**
@@ -146,30 +173,29 @@
                 case OK, CONFLICT -> finish(result.status(), CallerAnswer.accepted());
                 case UNKNOWN -> {
                     uncertain = true;
-                    again(result, request.deadlineMillis() - MARGIN_MILLIS);
+                    again(result);
                 }
-                default -> again(result, latestRetry());
+                default -> again(result);
             }
         }
 
         /**
-         * Returns until when a refused write is tried again.
+         * Returns until when the write is tried again.
          *
          * @return the time, in milliseconds
          */
         private long latestRetry() {
-            long latest = request.deadlineMillis() - MARGIN_MILLIS;
-            return uncertain ? latest : Math.min(latest, beganMillis + REFUSAL_MILLIS);
+            long patience = uncertain ? SILENCE_MILLIS : REFUSAL_MILLIS;
+            return Math.min(request.deadlineMillis() - MARGIN_MILLIS, beganMillis + patience);
         }
 
         /**
          * Sends the transaction again, or gives up.
          *
          * @param result the answer of the store
-         * @param latestMillis until when to try, in milliseconds
          */
-        private void again(StoreResult<CommitReply> result, long latestMillis) {
-            if (runtime.nowMillis() + RETRY_MILLIS < latestMillis) {
+        private void again(StoreResult<CommitReply> result) {
+            if (runtime.nowMillis() + RETRY_MILLIS < latestRetry()) {
                 runtime.schedule(RETRY_MILLIS, this::send);
             } else if (uncertain) {
                 finish(
@@ -189,6 +215,10 @@
          * @param outcome the answer
          */
         private void finish(StoreStatus status, CallerAnswer outcome) {
+            if (answered) {
+                return;
+            }
+            answered = true;
             log.log(
                     "submission.answered",
                     "id",
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionQuestions.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionQuestions.java
@@ -25,6 +25,9 @@
     /** The pause before a call is sent again, in milliseconds. */
     private static final long RETRY_MILLIS = 80;
 
+    /** How long a silent store is asked, in milliseconds: one call's timeout and half another. */
+    private static final long SILENCE_MILLIS = 1_500;
+
     /** How long before the caller's deadline the answer is due, in milliseconds. */
     private static final long MARGIN_MILLIS = 150;
 
@@ -63,7 +66,7 @@
      * @param answer takes the answer
      */
     void state(CallerRequest request, Consumer<CallerAnswer> answer) {
-        read(request, false, answer);
+        read(request, false, bounded(request, false, answer));
     }
 
     /**
@@ -73,7 +76,33 @@
      * @param answer takes the answer
      */
     void cancel(CallerRequest request, Consumer<CallerAnswer> answer) {
-        read(request, true, answer);
+        read(request, true, bounded(request, true, answer));
+    }
+
+    /**
+     * Answers once, and at the latest when the caller may as well ask another VM.
+     *
+     * @param request the request
+     * @param cancel whether the submission is to be cancelled
+     * @param answer takes the answer
+     * @return takes the first answer and drops others
+     */
+    private Consumer<CallerAnswer> bounded(
+            CallerRequest request, boolean cancel, Consumer<CallerAnswer> answer) {
+        boolean[] answered = new boolean[1];
+        Consumer<CallerAnswer> once =
+                outcome -> {
+                    if (!answered[0]) {
+                        answered[0] = true;
+                        log(request, cancel, outcome);
+                        answer.accept(outcome);
+                    }
+                };
+        long left = request.deadlineMillis() - MARGIN_MILLIS - runtime.nowMillis();
+        runtime.schedule(
+                Math.max(0, Math.min(left, SILENCE_MILLIS)),
+                () -> once.accept(CallerAnswer.outcomeUnknown("the store did not answer in time")));
+        return once;
     }
 
     /**
@@ -103,7 +132,7 @@
             Consumer<CallerAnswer> answer,
             StoreResult<StoreReading> result) {
         if (result.status() == StoreStatus.ABSENT) {
-            finish(request, cancel, answer, CallerAnswer.unknownSubmission());
+            answer.accept(CallerAnswer.unknownSubmission());
             return;
         }
         StoreItem item = result.status() == StoreStatus.OK ? result.require().item() : null;
@@ -112,7 +141,7 @@
         if (item == null || record == null) {
             again(request, cancel, answer, result.status());
         } else if (record.state().isFinal() || !cancel) {
-            finish(request, cancel, answer, CallerAnswer.state(present(request, record)));
+            answer.accept(CallerAnswer.state(present(request, record)));
         } else {
             write(request, answer, record, item.revision());
         }
@@ -170,7 +199,7 @@
     private void onCancelled(
             CallerRequest request, Consumer<CallerAnswer> answer, StoreResult<CommitReply> result) {
         if (result.status() == StoreStatus.OK) {
-            finish(request, true, answer, CallerAnswer.state(SubmissionState.CANCELLED));
+            answer.accept(CallerAnswer.state(SubmissionState.CANCELLED));
         } else {
             again(request, true, answer, result.status());
         }
@@ -192,27 +221,18 @@
         if (runtime.nowMillis() + RETRY_MILLIS < request.deadlineMillis() - MARGIN_MILLIS) {
             runtime.schedule(RETRY_MILLIS, () -> read(request, cancel, answer));
         } else {
-            finish(
-                    request,
-                    cancel,
-                    answer,
-                    CallerAnswer.outcomeUnknown("the store did not answer, " + status));
+            answer.accept(CallerAnswer.outcomeUnknown("the store did not answer, " + status));
         }
     }
 
     /**
-     * Answers the caller.
+     * Writes a line for a cancellation or a question that could not be answered.
      *
      * @param request the request
      * @param cancel whether the submission was to be cancelled
-     * @param answer takes the answer
      * @param outcome the answer
      */
-    private void finish(
-            CallerRequest request,
-            boolean cancel,
-            Consumer<CallerAnswer> answer,
-            CallerAnswer outcome) {
+    private void log(CallerRequest request, boolean cancel, CallerAnswer outcome) {
         if (cancel || outcome.retryAfterSeconds() > 0) {
             log.log(
                     cancel ? "cancel.answered" : "question.failed",
@@ -223,6 +243,5 @@
                     "status",
                     outcome.status());
         }
-        answer.accept(outcome);
     }
 }
