Serve counters and histograms made of the logged decisions

Change: a log that counts each decision and keeps the times it tells, for each route, in HDR histograms; text at /metrics on the readiness address. Measured: EventMetricsTest; 8 tests of the node green.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -2,6 +2,7 @@
 
 import io.activej.eventloop.Eventloop;
 import io.activej.http.AsyncServlet;
+import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.http.HttpServer;
 import java.io.IOException;
@@ -21,6 +22,7 @@
 import org.damasktiller.node.cluster.ManifestFollower;
 import org.damasktiller.node.cluster.NodeIdentity;
 import org.damasktiller.node.log.JsonLineLog;
+import org.damasktiller.node.metrics.EventMetrics;
 import org.damasktiller.platform.advice.HttpAdviceCalls;
 import org.damasktiller.platform.call.PlatformCaller;
 import org.damasktiller.platform.http.EventLoops;
@@ -67,6 +69,9 @@
     /** How long a caller may take to send a request, in milliseconds. */
     private static final long MESSAGE_MILLIS = 10_000;
 
+    /** The path of the metrics, on the address of the load balancer. */
+    private static final String METRICS_PATH = "/metrics";
+
     /** The status of a process that takes callers. */
     private static final int READY = 200;
 
@@ -82,8 +87,11 @@
     /** The event loop. */
     private final Eventloop eventloop;
 
-    /** The log. */
-    private final JsonLineLog log;
+    /** Writes the lines of the log. */
+    private final JsonLineLog lines;
+
+    /** The log, which counts what it passes on. */
+    private final EventMetrics log;
 
     /** The clock and the timers. */
     private final LoopRuntime runtime;
@@ -117,7 +125,8 @@
         this.settings = settings;
         Clock clock = Clock.systemUTC();
         eventloop = EventLoops.create();
-        log = new JsonLineLog(settings.node(), clock);
+        lines = new JsonLineLog(settings.node(), clock);
+        log = new EventMetrics(lines);
         runtime = new LoopRuntime(eventloop, clock, log);
         MetadataStore store =
                 new HttpMetadataStore(
@@ -155,10 +164,7 @@
                         runtime,
                         log);
         callers = server(servlet, settings.callerAddress());
-        readiness =
-                server(
-                        request -> HttpResponse.ofCode(ready() ? READY : NOT_READY).toPromise(),
-                        settings.readinessAddress());
+        readiness = server(request -> inform(request).toPromise(), settings.readinessAddress());
     }
 
     /**
@@ -167,7 +173,7 @@
      * @throws DamasktillerException with code BAD_SETTING if an address can't be listened on
      */
     public void run() {
-        log.start(System.out);
+        lines.start(System.out);
         log.log(
                 "process.start",
                 "zone",
@@ -227,6 +233,19 @@
                 .build();
     }
 
+    /**
+     * Answers the load balancer, and whoever asks for the metrics.
+     *
+     * @param request the request
+     * @return the response
+     */
+    private HttpResponse inform(HttpRequest request) {
+        if (request.getPath().equals(METRICS_PATH)) {
+            return HttpResponse.ofCode(READY).withPlainText(log.render()).build();
+        }
+        return HttpResponse.ofCode(ready() ? READY : NOT_READY).build();
+    }
+
     /**
      * Tells whether the process takes callers: it can accept submissions.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobBook.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobBook.java
@@ -164,6 +164,8 @@
         core.remove(job);
         core.log.log(
                 "job.closed",
+                "route",
+                job.accepted.route(),
                 "id",
                 job.id(),
                 "cell",
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunOrders.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunOrders.java
@@ -86,6 +86,8 @@
         worker.ordersInFlight++;
         core.log.log(
                 "run.start",
+                "route",
+                task.step.occurrence.job.accepted.route(),
                 "task",
                 task.id,
                 "run",
@@ -97,7 +99,7 @@
                 "free",
                 worker.free(),
                 "waited",
-                task.readySinceMillis == 0 ? 0 : now - task.readySinceMillis);
+                task.readySinceMillis == 0 ? 0L : now - task.readySinceMillis);
         core.calls.start(worker.address(), order, reply -> onStart(record, reply));
     }
 
