Wake the frozen owners of two tests where their rules decide

Cause: the mutation runs still passed without the proof for new submissions and without the bound of leases by the proven clock; the woken owner's term ended at the first look at its successor's worker. Change: the owner is cut from the store before it is frozen, so that it does not hear of that worker. Measured: mutation runs: both rules are needed now, each by one test. Conclusion: only the numbering of runs by generation is needed by no test.

--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerTest.java
@@ -182,9 +182,9 @@
     @Test
     void ownerThatWakesDoesNotLengthenALeaseBeyondItsAuthority() {
         OwnerWorld world = new OwnerWorld(1);
-        OwnerProcess first = world.own(cutFromTheStoreAfter(world, 1_500), FatePlan.CALM);
+        OwnerProcess first = world.own(cutFromTheStoreAfter(world, 1_000), FatePlan.CALM);
         world.submit(JOB, OwnerWorld.lasting(3));
-        world.runtime.advance(1_500);
+        world.runtime.advance(1_700);
         first.clock.freeze();
         world.unregister("w0");
         world.addWorker("w1");
@@ -203,8 +203,8 @@
     @Test
     void ownerThatWakesStartsNothingThatCameAfterItsTerm() {
         OwnerWorld world = new OwnerWorld(1);
-        OwnerProcess first = world.own(cutFromTheStoreAfter(world, 1_500), FatePlan.CALM);
-        world.runtime.advance(1_500);
+        OwnerProcess first = world.own(cutFromTheStoreAfter(world, 1_000), FatePlan.CALM);
+        world.runtime.advance(1_700);
         first.clock.freeze();
         world.unregister("w0");
         world.addWorker("w1");
