--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/RunAudit.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/RunAudit.java
@@ -12,8 +12,7 @@
 
 /**
  * Checks what must never happen: two active runs of a task, a start after an acknowledged end as
- * done, more acknowledged failures than attempts, and a start of a task whose earlier steps are not
- * done.
+ * done, and a start after as many acknowledged failures as there are attempts.
  */
 public final class RunAudit implements RunObserver {
 
