Run local deployments and the fault soak on the platform's protocol; remove the former entry VM

Cause: the program before the platform (gossip, claim shards, interactive gateway, list of VMs, its own cells, stand-ins and clients) was needless on the platform, and was kept only because ./damasktiller local and the tests used it. Change: damasktiller-lab holds the command line (entry, local, table, explain, soak). A local deployment emulates the store and the workers, each behind a link that takes faults, and runs entry VMs as processes of their own. The soak lets seeded faults overlap (signals, links, fates of calls, workers, leases, manifests) and checks what callers and workers see all the while. explain prints the life of a submission from logs. Error codes and steps that nothing can raise any more are removed.

--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/job/package-info.java
+++ /dev/null
@@ -1,5 +0,0 @@
-/** The callers' interface to batch jobs. */
-@NullMarked
-package org.damasktiller.daemon.job;
-
-import org.jspecify.annotations.NullMarked;
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/package-info.java
+++ /dev/null
@@ -1,5 +0,0 @@
-/** The damasktiller program. */
-@NullMarked
-package org.damasktiller.daemon;
-
-import org.jspecify.annotations.NullMarked;
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/CommandLine.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/command/CommandLine.java
@@ -1,4 +1,4 @@
-package org.damasktiller.daemon.command;
+package org.damasktiller.lab.command;
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
@@ -6,8 +6,8 @@
 import java.io.PrintStream;
 import java.util.List;
 import java.util.Map;
-import org.damasktiller.daemon.settings.Settings;
 import org.damasktiller.error.DamasktillerException;
+import org.damasktiller.lab.settings.Settings;
 
 /** Selects a command by the first word, reads its settings and runs it. */
 public final class CommandLine {
--- /dev/null
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/command/EntryCommand.java
@@ -0,0 +1,35 @@
+package org.damasktiller.lab.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import org.damasktiller.node.process.NodeProcess;
+import org.damasktiller.platform.settings.SettingsReader;
+
+/** Runs the program of an entry VM in the foreground. */
+@Parameters(commandNames = "entry", commandDescription = "Run the program of an entry VM")
+public final class EntryCommand implements Command {
+
+    /** The path of the settings file. */
+    @Parameter(
+            names = "--settings",
+            description = "Path of the platform's settings file",
+            required = true)
+    private String settings = "";
+
+    /** Creates the command. */
+    public EntryCommand() {}
+
+    @Override
+    public String name() {
+        return "entry";
+    }
+
+    @Override
+    public ExitCode run(PrintStream output) {
+        Path path = Path.of(settings);
+        new NodeProcess(path, SettingsReader.read(path)).run();
+        return ExitCode.SUCCESS;
+    }
+}
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/command/ExitCode.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/command/ExitCode.java
@@ -1,4 +1,4 @@
-package org.damasktiller.daemon.command;
+package org.damasktiller.lab.command;
 
 import org.damasktiller.error.DamasktillerException;
 import org.damasktiller.error.ErrorCode;
--- /dev/null
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/explain/LogReader.java
@@ -0,0 +1,97 @@
+package org.damasktiller.lab.explain;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.damasktiller.lab.settings.Settings;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads log files of entry VMs. Text that is no line of the log, such as output of the Java machine
+ * or what a collector puts before a line, is left out.
+ */
+public final class LogReader {
+
+    /** Reads the lines. */
+    private final ObjectMapper mapper = JsonMapper.builder().build();
+
+    /** Creates a reader. */
+    public LogReader() {}
+
+    /**
+     * Reads files.
+     *
+     * @param files the files, of one or several VMs
+     * @return their lines in the order of time
+     * @throws org.damasktiller.error.DamasktillerException with code BAD_SETTING if a file can't be
+     *     read
+     */
+    public LogLines read(List<Path> files) {
+        List<LogLine> lines = new ArrayList<>();
+        for (Path file : files) {
+            try {
+                for (String text : Files.readString(file, StandardCharsets.UTF_8).split("\n")) {
+                    LogLine line = parse(text);
+                    if (line != null) {
+                        lines.add(line);
+                    }
+                }
+            } catch (IOException exception) {
+                throw Settings.refused("--log", file.toString(), "a log file", exception);
+            }
+        }
+        lines.sort(Comparator.comparingLong(LogLine::unixMillis));
+        return new LogLines(lines);
+    }
+
+    /**
+     * Reads a line.
+     *
+     * @param text the text
+     * @return the line, or null if the text is none
+     */
+    private @Nullable LogLine parse(String text) {
+        int start = text.indexOf('{');
+        if (start < 0) {
+            return null;
+        }
+        JsonNode node;
+        try {
+            node = mapper.readTree(text.substring(start));
+        } catch (JsonProcessingException exception) {
+            return null;
+        }
+        if (!node.path("time").isIntegralNumber() || !node.path("event").isTextual()) {
+            return null;
+        }
+        Map<String, String> fields = new LinkedHashMap<>();
+        node.properties().forEach(field -> fields.put(field.getKey(), text(field.getValue())));
+        fields.keySet().removeAll(Set.of("time", "node", "event"));
+        return new LogLine(
+                node.path("time").asLong(),
+                node.path("node").asText(),
+                node.path("event").asText(),
+                fields);
+    }
+
+    /**
+     * Returns the text of a field.
+     *
+     * @param value the field
+     * @return its text
+     */
+    private static String text(JsonNode value) {
+        return value.isValueNode() ? value.asText() : value.toString();
+    }
+}
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/local/Deployment.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/Deployment.java
@@ -1,9 +1,9 @@
-package org.damasktiller.daemon.local;
+package org.damasktiller.lab.rig;
 
 import com.google.common.collect.ImmutableMap;
 import org.damasktiller.identity.RegionName;
 import org.damasktiller.identity.ZoneName;
-import org.damasktiller.resource.Resources;
+import org.damasktiller.scheduler.model.Resources;
 
 /** Describes the two deployments of today. */
 public enum Deployment {
@@ -68,6 +68,15 @@
         return result.buildOrThrow();
     }
 
+    /**
+     * Returns the names of the availability zones with those of their regions, in order.
+     *
+     * @return the region of each zone
+     */
+    public ImmutableMap<String, String> zoneNames() {
+        return zones;
+    }
+
     /**
      * Returns the number of workers in all zones together.
      *
--- a/damasktiller-daemon/src/main/java/org/damasktiller/daemon/settings/Settings.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/settings/Settings.java
@@ -1,4 +1,4 @@
-package org.damasktiller.daemon.settings;
+package org.damasktiller.lab.settings;
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
--- /dev/null
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/StoreFault.java
@@ -0,0 +1,40 @@
+package org.damasktiller.lab.soak;
+
+import org.damasktiller.standin.metadata.StoreModel;
+
+/** The store forgets its history, or lets every lease end unseen. */
+final class StoreFault implements Fault {
+
+    /** The store. */
+    private final StoreModel store;
+
+    /** Whether leases end, or else the history is forgotten. */
+    private final boolean endsLeases;
+
+    /**
+     * Creates a fault.
+     *
+     * @param store the store
+     * @param endsLeases whether leases end, or else the history is forgotten
+     */
+    StoreFault(StoreModel store, boolean endsLeases) {
+        this.store = store;
+        this.endsLeases = endsLeases;
+    }
+
+    @Override
+    public void begin() {
+        if (endsLeases) {
+            store.endLeases();
+        }
+        store.compact();
+    }
+
+    @Override
+    public void end() {}
+
+    @Override
+    public String describe() {
+        return endsLeases ? "store ends every lease" : "store forgets its history";
+    }
+}
--- a/damasktiller-daemon/src/test/java/org/damasktiller/daemon/command/CommandLineTest.java
+++ b/damasktiller-lab/src/test/java/org/damasktiller/lab/command/CommandLineTest.java
@@ -1,4 +1,4 @@
-package org.damasktiller.daemon.command;
+package org.damasktiller.lab.command;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
@@ -45,7 +45,7 @@
         assertThat(run("fail", "--outcome", "RUN"), is(ExitCode.FAILURE));
         assertThat(
                 errors.toString(StandardCharsets.UTF_8),
-                containsString("OVERLOADED at ADMIT with worker-1, NOT_RUN: full"));
+                containsString("STORE_UNAVAILABLE at COMMIT with store, NOT_RUN: down"));
     }
 
     private ExitCode run(String... arguments) {
@@ -70,7 +70,7 @@
         @Override
         public ExitCode run(PrintStream results) {
             throw new DamasktillerException(
-                    ErrorCode.OVERLOADED, Step.ADMIT, "worker-1", outcome, "full");
+                    ErrorCode.STORE_UNAVAILABLE, Step.COMMIT, "store", outcome, "down");
         }
     }
 }
--- a/damasktiller-daemon/src/test/java/org/damasktiller/daemon/documentation/OperatorsPageTest.java
+++ b/damasktiller-lab/src/test/java/org/damasktiller/lab/documentation/OperatorsPageTest.java
@@ -1,4 +1,4 @@
-package org.damasktiller.daemon.documentation;
+package org.damasktiller.lab.documentation;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
@@ -16,10 +16,9 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
-import org.damasktiller.daemon.settings.EntrySettings;
-import org.damasktiller.daemon.settings.Settings;
 import org.damasktiller.error.ErrorCode;
-import org.damasktiller.standin.http.HttpCodes;
+import org.damasktiller.lab.command.Command;
+import org.damasktiller.lab.command.Main;
 import org.damasktiller.table.OperatorTable;
 import org.damasktiller.table.TableWriter;
 import org.junit.jupiter.api.Test;
@@ -29,25 +28,31 @@
     private final String page = read();
 
     @Test
-    void testSettingsTableMatchesTheCode() {
+    void testFlagsMatchTheCode() {
         Set<String> expected = new TreeSet<>();
-        JCommander parser = JCommander.newBuilder().addObject(new EntrySettings()).build();
-        parser.parse();
-        for (ParameterDescription parameter : parser.getParameters()) {
-            String flag = parameter.getLongestName();
-            expected.add(flag + " " + Settings.variableOf(flag) + " " + defaultOf(parameter));
+        for (Command command : Main.commands()) {
+            JCommander parser = JCommander.newBuilder().addObject(command).build();
+            parser.parseWithoutValidation();
+            for (ParameterDescription parameter : parser.getParameters()) {
+                expected.add(
+                        command.name()
+                                + " "
+                                + parameter.getLongestName()
+                                + " "
+                                + defaultOf(parameter));
+            }
         }
-        Pattern row = Pattern.compile("\\| `(--\\S+)` \\| `(\\S+)` \\| [^|]* \\| (\\S+) \\|");
-        assertThat(rows(section("Settings of"), row), is(expected));
+        Pattern row = Pattern.compile("\\| `(\\S+)` \\| `(--\\S+)` \\| (\\S+) \\|");
+        assertThat(rows(section("Commands"), row), is(expected));
     }
 
     @Test
     void testErrorCodesMatchTheCode() {
         Set<String> expected =
                 Arrays.stream(ErrorCode.values())
-                        .map(code -> code + " " + HttpCodes.statusOf(code))
+                        .map(ErrorCode::toString)
                         .collect(Collectors.toCollection(TreeSet::new));
-        Pattern row = Pattern.compile("\\| `([A-Z_]+)` \\| (\\d+) \\|");
+        Pattern row = Pattern.compile("\\| `([A-Z_]+)` \\|");
         assertThat(rows(section("Error codes"), row), is(expected));
     }
 
@@ -64,11 +69,11 @@
     }
 
     private static String defaultOf(ParameterDescription parameter) {
-        Object value = parameter.getDefault();
-        if (value == null) {
+        if (parameter.getParameter().required()) {
             return "required";
         }
-        return value instanceof List<?> list && list.isEmpty() ? "empty" : value.toString();
+        String value = String.valueOf(parameter.getDefault());
+        return value.isEmpty() ? "empty" : value;
     }
 
     private static Set<String> rows(String text, Pattern row) {
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/call/LeaseRevokedAnswer.java
+++ /dev/null
@@ -1,4 +0,0 @@
-package org.damasktiller.authority.call;
-
-/** Answers the revocation of a lease. */
-public record LeaseRevokedAnswer() implements StoreAnswer {}
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/cell/Tick.java
+++ /dev/null
@@ -1,4 +0,0 @@
-package org.damasktiller.authority.cell;
-
-/** Time has passed. */
-public record Tick() implements CellEvent {}
--- a/damasktiller-library/src/main/java/org/damasktiller/authority/claim/ClaimTick.java
+++ /dev/null
@@ -1,4 +0,0 @@
-package org.damasktiller.authority.claim;
-
-/** Time has passed; to be passed every 10 to 50 milliseconds. */
-public record ClaimTick() implements ClaimEvent {}
--- a/damasktiller-library/src/main/java/org/damasktiller/error/ErrorCode.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/error/ErrorCode.java
@@ -16,30 +16,10 @@
     BAD_SETTING,
     /** The table has no such kind of work. */
     UNKNOWN_KIND,
-    /** A request of an at-most-once kind carries no idempotency key. */
-    MISSING_KEY,
     /** No such job is known. */
     UNKNOWN_JOB,
-    /** No worker of the fleet can ever run the job. */
-    NEVER_RUNNABLE,
-    /** The request was already sent once and must not be sent again. */
-    ALREADY_CLAIMED,
-    /** The system has no free capacity for the request; retry after the stated delay. */
-    OVERLOADED,
-    /** The quota of the tenant is used up. */
-    QUOTA_EXCEEDED,
     /** The key-value service does not answer. */
     STORE_UNAVAILABLE,
-    /** No endpoint is available for the request. */
-    NO_ENDPOINT,
-    /** The endpoint failed while it handled the request. */
-    ENDPOINT_FAILED,
-    /** The deadline passed. */
-    DEADLINE_EXCEEDED,
     /** The peer sent something that the protocol does not allow. */
-    PROTOCOL_ERROR,
-    /** The VM is shutting down and takes no new work. */
-    DRAINING,
-    /** The entry VM does not own the cell or shard any longer. */
-    NOT_OWNER
+    PROTOCOL_ERROR
 }
--- a/damasktiller-library/src/main/java/org/damasktiller/store/StoredValue.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/store/StoredValue.java
@@ -6,7 +6,6 @@
  * @param key the key
  * @param value the bytes of the value, at most one megabyte, not to be changed
  * @param revision the store-wide number of the write that made the value, above zero
- * @param leaseId the lease to which the key is bound, or zero
  */
 @SuppressWarnings("ArrayRecordComponent")
-public record StoredValue(String key, byte[] value, long revision, long leaseId) {}
+public record StoredValue(String key, byte[] value, long revision) {}
--- a/damasktiller-library/src/main/java/org/damasktiller/store/SwapRequest.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/store/SwapRequest.java
@@ -8,8 +8,6 @@
  * @param key the key to write
  * @param expectedRevision the revision that the key must have, or zero if it must be absent
  * @param value the new bytes, or null to delete the key
- * @param leaseId the lease to bind the key to, or zero
  */
 @SuppressWarnings("ArrayRecordComponent")
-public record SwapRequest(
-        String key, long expectedRevision, byte @Nullable [] value, long leaseId) {}
+public record SwapRequest(String key, long expectedRevision, byte @Nullable [] value) {}
--- a/damasktiller-library/src/main/java/org/damasktiller/table/HeadPlanner.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/table/HeadPlanner.java
@@ -116,7 +116,7 @@
      * @return the write
      */
     private static SwapRequest create(String key, byte[] value) {
-        return new SwapRequest(key, 0, value, 0);
+        return new SwapRequest(key, 0, value);
     }
 
     /**
@@ -127,6 +127,6 @@
      * @return the write
      */
     private static SwapRequest swap(long revision, TableHead next) {
-        return new SwapRequest(TableKeys.HEAD, revision, TableCodec.encodeHead(next), 0);
+        return new SwapRequest(TableKeys.HEAD, revision, TableCodec.encodeHead(next));
     }
 }
--- a/damasktiller-library/src/main/java/org/damasktiller/table/RecordWriter.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/table/RecordWriter.java
@@ -91,7 +91,7 @@
             return Promise.complete();
         }
         return store.compareAndSwap(
-                        new SwapRequest(request.key(), current.revision(), request.value(), 0))
+                        new SwapRequest(request.key(), current.revision(), request.value()))
                 .toVoid();
     }
 
@@ -122,7 +122,7 @@
     private void delete(List<StoredValue> records, int kept, TableHead head) {
         for (StoredValue old : records.subList(0, Math.max(0, records.size() - kept))) {
             if (TableKeys.version(old.key()) < head.snapshotVersion()) {
-                store.compareAndSwap(new SwapRequest(old.key(), old.revision(), null, 0));
+                store.compareAndSwap(new SwapRequest(old.key(), old.revision(), null));
             }
         }
     }
--- a/damasktiller-library/src/main/java/org/damasktiller/worker/ProbeCommand.java
+++ /dev/null
@@ -1,4 +0,0 @@
-package org.damasktiller.worker;
-
-/** Asks a worker for its stamp and its capacity; changes nothing. */
-public record ProbeCommand() implements WorkerCommand {}
--- a/damasktiller-library/src/test/java/org/damasktiller/store/FakeStore.java
+++ b/damasktiller-library/src/test/java/org/damasktiller/store/FakeStore.java
@@ -116,31 +116,6 @@
         return fault == Fault.NONE ? Promise.of(apply(request)) : unavailable();
     }
 
-    @Override
-    public Promise<Long> grantLease(long durationMillis) {
-        return Promise.of(1L);
-    }
-
-    @Override
-    public Promise<Boolean> renewLease(long leaseId) {
-        return Promise.of(true);
-    }
-
-    @Override
-    public Promise<Void> revokeLease(long leaseId) {
-        return Promise.complete();
-    }
-
-    @Override
-    public Promise<List<StoredValue>> watch(String prefix, long afterRevision, long timeoutMillis) {
-        return list(prefix)
-                .map(
-                        all ->
-                                all.stream()
-                                        .filter(value -> value.revision() > afterRevision)
-                                        .toList());
-    }
-
     private SwapResult apply(SwapRequest request) {
         StoredValue current = values.get(request.key());
         if ((current == null ? 0 : current.revision()) != request.expectedRevision()) {
@@ -153,7 +128,7 @@
         } else if (bytes.length > 1_000_000) {
             throw new IllegalStateException("value of " + bytes.length + " bytes");
         } else {
-            values.put(request.key(), new StoredValue(request.key(), bytes, revision, 0));
+            values.put(request.key(), new StoredValue(request.key(), bytes, revision));
         }
         return new SwapResult(true, revision, null);
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/model/StepSpec.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/model/StepSpec.java
@@ -51,6 +51,17 @@
         image = image == null ? "" : image;
     }
 
+    /**
+     * Starts to build a step.
+     *
+     * @param count the number of tasks
+     * @param need what each task reserves on a worker
+     * @return a builder of a step without conditions
+     */
+    public static StepSpecBuilder builder(int count, Resources need) {
+        return new StepSpecBuilder(count, need);
+    }
+
     /**
      * Returns what a task takes of the room that a worker guards: a filling task reserves no
      * processors.
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/RunAudit.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/RunAudit.java
@@ -31,6 +31,9 @@
     /** The acknowledged failures by task. */
     private final Map<TaskId, Integer> failures = new HashMap<>();
 
+    /** The failed runs by task, acknowledged or not. */
+    private final Map<TaskId, Integer> failedRuns = new HashMap<>();
+
     /** The number of starts by task. */
     private final Map<TaskId, Integer> starts = new HashMap<>();
 
@@ -65,6 +68,8 @@
         active.merge(task, -1, Integer::sum);
         if (kind == EndKind.DONE) {
             done.add(task);
+        } else if (kind == EndKind.FAILED) {
+            failedRuns.merge(task, 1, Integer::sum);
         }
     }
 
@@ -105,6 +110,16 @@
         return starts.getOrDefault(task, 0);
     }
 
+    /**
+     * Returns how many runs failed of the task that failed most often.
+     *
+     * @param tasks the tasks to look at
+     * @return the number of its failed runs
+     */
+    public int mostFailures(List<TaskId> tasks) {
+        return tasks.stream().mapToInt(task -> failedRuns.getOrDefault(task, 0)).max().orElse(0);
+    }
+
     /**
      * Returns the number of active runs of a task.
      *
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/metadata/StoreModel.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/metadata/StoreModel.java
@@ -217,6 +217,11 @@
         }
     }
 
+    /** Ends every lease at once, as a store may that was away. */
+    public void endLeases() {
+        new ArrayList<>(leases.keySet()).forEach(this::end);
+    }
+
     /** Ends the leases whose time is over. */
     private void expire() {
         List<Long> over = new ArrayList<>();
