Keep ends of a former owner's runs until it is settled, and rely on fresh answers only

A former owner that is cut from the store acts for up to 7 s on what it knows. (1) A worker that crashed has forgotten every fence in its new life, so that a start of the former owner succeeds there, while the successor runs the task elsewhere. (2) The successor acknowledged an end; the worker crashed; the former owner took the run for lost and started the task again at a worker that the successor had not fenced yet. Change: an owner starts nothing at a worker that has not answered for a second, which is less than a new life needs to begin; what it sees of a new life needs a fresh proof of ownership, as before. An end of a former owner's run is acknowledged once that owner is settled. Ends of runs of the present term are acknowledged at once, as before.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -268,6 +268,7 @@
                     "millis",
                     core.now() - core.term.beganMillis());
             core.unsettled.clear();
+            commits.acknowledge();
             planPass();
         }
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitLoop.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitLoop.java
@@ -353,11 +353,11 @@
     }
 
     /** Moves the acknowledgements of the workers and tells of those that moved. */
-    private void acknowledge() {
+    void acknowledge() {
         Collection<WorkerRecord> workers = core.allWorkers();
         for (WorkerRecord worker : workers) {
             if (!worker.pendingEnds.isEmpty()) {
-                worker.advanceAcknowledgement();
+                worker.advanceAcknowledgement(core.settled, core.term.runBase());
                 if (worker.pendingEnds.isEmpty()) {
                     listener.onAcknowledgeable(worker);
                 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobBook.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobBook.java
@@ -89,7 +89,7 @@
         Job job = core.jobs.get(end.task().submission());
         TaskRecord task = find(end.task());
         if (job == null || task == null) {
-            return new PendingEnd(end.sequence(), job, job == null ? 0 : job.version);
+            return new PendingEnd(end.sequence(), end.run(), job, job == null ? 0 : job.version);
         }
         boolean news =
                 end.run() > task.endedRun
@@ -114,7 +114,7 @@
             commits.change(job);
             finishIfOver(job);
         }
-        return new PendingEnd(end.sequence(), job, job.version);
+        return new PendingEnd(end.sequence(), end.run(), job, job.version);
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerLooks.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerLooks.java
@@ -173,7 +173,7 @@
                 worker.pendingEnds.add(book.apply(worker, end));
             }
         }
-        worker.advanceAcknowledgement();
+        worker.advanceAcknowledgement(core.settled, core.term.runBase());
         Set<RunKey> seen = new HashSet<>();
         for (RunView view : inventory.running()) {
             seen.add(new RunKey(view.task(), view.run()));
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
@@ -20,6 +20,12 @@
      */
     private static final long UNLISTED_GRACE_MILLIS = 2_500;
 
+    /**
+     * For how long an answer is relied on for starts, in milliseconds: two waits of a look, and
+     * less than a worker needs to begin a new life, in which it would have forgotten every fence.
+     */
+    private static final long FRESH_ANSWER_MILLIS = 1_000;
+
     /** Its identifier. */
     final String id;
 
@@ -159,10 +165,22 @@
         }
     }
 
-    /** Moves the acknowledged number over the ends whose effects are stored. */
-    void advanceAcknowledgement() {
-        while (!pendingEnds.isEmpty() && pendingEnds.peekFirst().stored()) {
-            acknowledgedSequence = pendingEnds.removeFirst().sequence();
+    /**
+     * Moves the acknowledged number over the ends whose effects are stored. An end of a former
+     * owner's run is kept until that owner can start the task no more: it may act on what it knew,
+     * at a worker that no fence has reached, and a start after an acknowledged end is a second run.
+     *
+     * @param settled whether former owners can start nothing any more
+     * @param runBase the number below the first run of this term
+     */
+    void advanceAcknowledgement(boolean settled, int runBase) {
+        while (!pendingEnds.isEmpty()) {
+            PendingEnd first = pendingEnds.peekFirst();
+            if (!first.stored() || (!settled && first.run() <= runBase)) {
+                return;
+            }
+            acknowledgedSequence = first.sequence();
+            pendingEnds.removeFirst();
         }
     }
 
@@ -176,6 +194,7 @@
         boolean known = listed || nowMillis - unlistedSinceMillis < UNLISTED_GRACE_MILLIS;
         return known
                 && fenced
+                && nowMillis - answeredAtMillis <= FRESH_ANSWER_MILLIS
                 && enrolled
                 && !entry.draining()
                 && provenClockMillis != NO_CLOCK
