--- /dev/null
+++ b/damasktiller-lab/src/test/java/org/damasktiller/lab/explain/TimelineTest.java
@@ -0,0 +1,79 @@
+package org.damasktiller.lab.explain;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Tests the life of a submission as told by the logs of two VMs. */
+class TimelineTest {
+
+    private static final String ID = "fc03fb14264fec1d";
+
+    private static final String FIRST =
+            """
+            a line of the Java machine
+            {"time":1000,"node":"vm-1","event":"submission.answered","id":"fc03fb14264fec1d","status":200}
+            {"time":5000,"node":"vm-1","event":"store.lost","answeredAgo":1800}
+            {"time":9000,"node":"vm-1","event":"submission.answered","id":"0000000000000001","status":200}
+            """;
+
+    private static final String SECOND =
+            """
+            collector: {"time":1100,"node":"vm-2","event":"run.start","task":"fc03fb14264fec1d.0.0.0","run":1,"worker":"w0"}
+            {"time":1500,"node":"vm-2","event":"filler.pause","worker":"w0","overMillis":1700}
+            {"time":1600,"node":"vm-2","event":"filler.pause","worker":"w9","overMillis":1700}
+            {"time":2500,"node":"vm-2","event":"run.lost","task":"fc03fb14264fec1d.0.0.0","run":1,"worker":"w0","reason":"the worker restarted"}
+            {"time":2600,"node":"vm-2","event":"run.start","task":"fc03fb14264fec1d.0.0.0","run":2,"worker":"w1"}
+            {"time":3600,"node":"vm-2","event":"job.closed","id":"fc03fb14264fec1d","state":"SUCCEEDED"}
+            """;
+
+    @TempDir private Path directory;
+
+    @Test
+    void tellsTheLifeOfASubmissionWithWhatItsWorkersMet() throws IOException {
+        Timeline timeline = new Timeline(ID, logs());
+        List<String> lines = timeline.lines();
+        assertThat(lines, hasSize(7));
+        assertThat(lines, hasItem(containsString("filler.pause")));
+        assertThat(lines, not(hasItem(containsString("w9"))));
+        assertThat(
+                lines.get(6),
+                is(
+                        "summary: 2 starts of 1 tasks, 1 runs lost, 0 starts refused; last"
+                                + " job.closed after 2600 ms"));
+    }
+
+    @Test
+    void saysThatNoLineNamesTheSubmission() throws IOException {
+        Timeline timeline = new Timeline("ffffffffffffffff", logs());
+        assertThat(timeline.isEmpty(), is(true));
+        assertThat(timeline.lines(), hasItem(containsString("no line")));
+    }
+
+    /** What comes from outside may be anything; it is left out, and the rest is read. */
+    @Property(tries = 200)
+    void readsLogsWithAnythingInThem(@ForAll String text) throws IOException {
+        Path file = Files.createTempFile("timeline", ".log");
+        Files.writeString(file, text.replace("\\ud800", "") + '\n' + FIRST);
+        assertThat(new Timeline(ID, new LogReader().read(List.of(file))).isEmpty(), is(false));
+        Files.delete(file);
+    }
+
+    private LogLines logs() throws IOException {
+        Path first = Files.writeString(directory.resolve("vm-1.log"), FIRST);
+        Path second = Files.writeString(directory.resolve("vm-2.log"), SECOND);
+        return new LogReader().read(List.of(first, second));
+    }
+}
--- /dev/null
+++ b/damasktiller-lab/src/test/java/org/damasktiller/lab/link/FaultyLinkTest.java
@@ -0,0 +1,123 @@
+package org.damasktiller.lab.link;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.activej.eventloop.Eventloop;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.CompletableFuture;
+import org.damasktiller.platform.http.EventLoops;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests what a link does with the bytes of plain sockets. */
+class FaultyLinkTest {
+
+    private static final int READ_MILLIS = 60_000;
+
+    private final Eventloop eventloop = EventLoops.start("link-test");
+
+    private ServerSocket server;
+
+    private FaultyLink link;
+
+    @BeforeEach
+    void open() throws IOException {
+        server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+        InetSocketAddress target =
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
+        CompletableFuture<FaultyLink> made = new CompletableFuture<>();
+        eventloop.execute(() -> made.complete(new FaultyLink(eventloop, target)));
+        link = made.join();
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        server.close();
+        eventloop.execute(() -> eventloop.keepAlive(false));
+        eventloop.execute(eventloop::breakEventloop);
+    }
+
+    @Test
+    void passesBytesBothWays() throws IOException {
+        try (Socket client = connect();
+                Socket peer = server.accept()) {
+            send(client, "request");
+            assertThat(receive(peer, 7), is("request"));
+            send(peer, "answer");
+            assertThat(receive(client, 6), is("answer"));
+        }
+    }
+
+    @Test
+    void holdsAnswersBackUntilItIsOpenAgain() throws IOException {
+        try (Socket client = connect();
+                Socket peer = server.accept()) {
+            set(LinkState.ANSWERS_HELD);
+            send(client, "request");
+            assertThat(receive(peer, 7), is("request"));
+            send(peer, "answer");
+            set(LinkState.OPEN);
+            assertThat(receive(client, 6), is("answer"));
+        }
+    }
+
+    @Test
+    void resetEndsOpenConnections() throws IOException {
+        try (Socket client = connect();
+                Socket peer = server.accept()) {
+            send(client, "request");
+            assertThat(receive(peer, 7), is("request"));
+            eventloop.submit(link::reset).join();
+            assertThat(client.getInputStream().read(), is(-1));
+        }
+    }
+
+    @Test
+    void refusesNewConnections() throws IOException {
+        eventloop.submit(() -> link.refuse(true)).join();
+        try (Socket client = connect()) {
+            assertThat(client.getInputStream().read(), is(-1));
+        }
+    }
+
+    @Test
+    void silentConnectionStaysSilentAndNewOnesWork() throws IOException {
+        try (Socket client = connect();
+                Socket peer = server.accept()) {
+            send(client, "request");
+            assertThat(receive(peer, 7), is("request"));
+            eventloop.submit(link::silence).join();
+            send(peer, "answer");
+            client.setSoTimeout(300);
+            assertThrows(IOException.class, () -> client.getInputStream().read());
+        }
+        passesBytesBothWays();
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), link.address().getPort());
+        socket.setSoTimeout(READ_MILLIS);
+        return socket;
+    }
+
+    private void set(LinkState state) {
+        eventloop.submit(() -> link.set(state, 0)).join();
+    }
+
+    private static void send(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(UTF_8));
+        socket.getOutputStream().flush();
+    }
+
+    private static String receive(Socket socket, int length) throws IOException {
+        return new String(socket.getInputStream().readNBytes(length), UTF_8);
+    }
+}
--- a/specification/owner.pml
+++ b/specification/owner.pml
@@ -10,8 +10,7 @@
  */
 #define OWNERS 2
 #define WORKERS 2
-#define CALLS 2
-#define AUTHORITY 2
+#define AUTHORITY 1
 
 /* The store: the generation of the present owner, and whether the end of the task is written. */
 byte storeGeneration;
@@ -27,10 +26,10 @@
 bool restarted;
 bool doneNoted;
 
-/* Starts on their way: zero is a free place. */
-byte callRun[CALLS];
-byte callWorker[CALLS];
-byte callLeft[CALLS];
+/* A start on its way, zero if there is none; others arrive at once. */
+byte callRun;
+byte callWorker;
+byte callLeft;
 
 /* The owners: zero is no generation. */
 byte generation[OWNERS];
@@ -143,19 +142,40 @@
   fi
 }
 
-/* Sends a start; its answer may be lost. */
-inline start(o, w, c) {
-  callRun[c] = generation[o];
-  callWorker[c] = w;
-  callLeft[c] = GIVEN(o);
+/* A start arrives at its worker. */
+inline arrive(w, number, left) {
+  if
+  :: PASSES(w, number) && left > 0 && activeRun[w] == 0 && number > refusedRun[w] ->
+       RAISE(w, number);
+       begin(w, number, left)
+  :: else
+  fi
+}
+
+/* An owner orders a start, whose answer may be lost. */
+inline order(o, w) {
   openStart[AT(o, w)] = true;
   stopped[AT(o, w)] = false
 }
 
-/* Whether an owner may start the task at a worker by a call. */
-#define MAY_START(o, w, c) \
+/* Whether an owner may start the task at a worker. */
+#define MAY_START(o, w) \
   (generation[o] != 0 && MAY_GIVE(o) && CLEAR(o, 0) && CLEAR(o, 1) && \
-   clockProven[AT(o, w)] && !seenEnd[o] && !written[o] && callRun[c] == 0)
+   clockProven[AT(o, w)] && !seenEnd[o] && !written[o])
+
+/* A start that is carried out at once. */
+inline startNow(o, w) {
+  order(o, w);
+  arrive(w, generation[o], GIVEN(o))
+}
+
+/* A start that may be carried out later, or never. */
+inline startLate(o, w) {
+  order(o, w);
+  callRun = generation[o];
+  callWorker = w;
+  callLeft = GIVEN(o)
+}
 
 /*
  * Stops the run that it may have started; the worker refuses it from then on. Whether it had ended
@@ -224,10 +244,10 @@
   :: d_step { generation[o] != 0 -> look(o, 0, true) }
   :: d_step { generation[o] != 0 -> look(o, 1, false) }
   :: d_step { generation[o] != 0 -> look(o, 1, true) }
-  :: d_step { MAY_START(o, 0, 0) -> start(o, 0, 0) }
-  :: d_step { MAY_START(o, 1, 0) -> start(o, 1, 0) }
-  :: d_step { callRun[0] != 0 && MAY_START(o, 0, 1) -> start(o, 0, 1) }
-  :: d_step { callRun[0] != 0 && MAY_START(o, 1, 1) -> start(o, 1, 1) }
+  :: d_step { MAY_START(o, 0) -> startNow(o, 0) }
+  :: d_step { MAY_START(o, 1) -> startNow(o, 1) }
+  :: d_step { callRun == 0 && MAY_START(o, 0) -> startLate(o, 0) }
+  :: d_step { callRun == 0 && MAY_START(o, 1) -> startLate(o, 1) }
   :: d_step { generation[o] != 0 -> stop(o, 0) }
   :: d_step { generation[o] != 0 -> stop(o, 1) }
   /* Writes the end, on condition that no other owner has begun. */
@@ -243,31 +263,17 @@
   od
 }
 
-/* Takes a start off the way. */
-inline clear(c) {
-  callRun[c] = 0;
-  callWorker[c] = 0;
-  callLeft[c] = 0
-}
-
-/* A start arrives at its worker. */
-inline arrive(c) {
-  if
-  :: PASSES(callWorker[c], callRun[c]) && callLeft[c] > 0 && activeRun[callWorker[c]] == 0 &&
-       callRun[c] > refusedRun[callWorker[c]] ->
-       RAISE(callWorker[c], callRun[c]);
-       begin(callWorker[c], callRun[c], callLeft[c])
-  :: else
-  fi;
-  clear(c)
+/* Takes the start off the way. */
+inline clear() {
+  callRun = 0;
+  callWorker = 0;
+  callLeft = 0
 }
 
-proctype Calls() {
+proctype Call() {
   do
-  :: d_step { callRun[0] != 0 -> arrive(0) }
-  :: d_step { callRun[1] != 0 -> arrive(1) }
-  :: d_step { callRun[0] != 0 -> clear(0) }
-  :: d_step { callRun[1] != 0 -> clear(1) }
+  :: d_step { callRun != 0 -> arrive(callWorker, callRun, callLeft); clear() }
+  :: d_step { callRun != 0 -> clear() }
   od
 }
 
@@ -280,10 +286,10 @@
        doneListed[w] = true;
        doneStale[w] = false }
   /*
-   * The worker begins a new life, one of them once; calls to the former one are lost with it. That takes longer than
+   * One worker begins a new life once (they are alike); calls to the former one are lost with it. That takes longer than
    * an owner relies on an answer, so that none starts anything there on what it knew before.
    */
-  :: d_step { !restarted ->
+  :: d_step { w == 0 && !restarted ->
        restarted = true;
        token[w] = 0;
        activeRun[w] = 0;
@@ -297,8 +303,7 @@
        clockRead[AT(1, w)] = false;
        clockProven[AT(1, w)] = false;
 #endif
-       if :: callRun[0] != 0 && callWorker[0] == w -> clear(0) :: else fi;
-       if :: callRun[1] != 0 && callWorker[1] == w -> clear(1) :: else fi }
+       if :: callRun != 0 && callWorker == w -> clear() :: else fi }
   od
 }
 
@@ -317,8 +322,7 @@
        true ->
        LAPSE(0);
        LAPSE(1);
-       DOWN(callLeft[0]);
-       DOWN(callLeft[1]);
+       DOWN(callLeft);
        DOWN(authorityLeft[0]);
        DOWN(authorityLeft[1]);
        DOWN(oldLeaseLeft[0]);
@@ -334,7 +338,7 @@
     run Owner(1);
     run Worker(0);
     run Worker(1);
-    run Calls();
+    run Call();
     run Clock()
   }
 }
