Keep leases within the bounds that the deployment's settings give

Cause: the longest lease of a worker and the shortest of the store were read from the settings and used by nothing; a store that grants no lease of 2 s would have refused every session. Change: both bound the times in CellSettings. Measured: CellSettingsTest, failing without the bounds.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/Cluster.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/Cluster.java
@@ -23,9 +23,6 @@
 /** The part of a process in the cluster: it shows that it lives and owns the cells that it wins. */
 public final class Cluster {
 
-    /** How long a silent process keeps its keys, in milliseconds. */
-    private static final long LEASE_MILLIS = 2_000;
-
     /** The time between two looks at vacant cells, in milliseconds. */
     private static final long CONSIDER_MILLIS = 100;
 
@@ -108,7 +105,7 @@
         this.calls = calls;
         this.advice = advice;
         this.formats = formats;
-        StoreSession session = new StoreSession(store, runtime, log, LEASE_MILLIS);
+        StoreSession session = new StoreSession(store, runtime, log, settings.storeLeaseMillis());
         ClusterView view = new ClusterView(store, runtime, log, this::considerAll);
         this.parts = new ClusterParts(store, session, view, runtime, log);
     }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -139,6 +139,8 @@
                 CellSettings.builder()
                         .impactMillis(settings.bounds().harmMillis())
                         .remoteFactor(settings.bounds().remoteFactor())
+                        .longestWorkerLeaseMillis(settings.bounds().longestWorkerLeaseMillis())
+                        .shortestStoreLeaseMillis(settings.bounds().shortestStoreLeaseMillis())
                         .build();
         cluster =
                 new Cluster(
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellSettings.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellSettings.java
@@ -6,6 +6,9 @@
     /** How long a worker may run things without hearing from the owner, in milliseconds. */
     private final long workerLeaseMillis;
 
+    /** How long the keys of a silent process live in the store, in milliseconds. */
+    private final long storeLeaseMillis;
+
     /** How long a proof of ownership lets the owner lengthen leases, in milliseconds. */
     private final long authorityMillis;
 
@@ -43,6 +46,7 @@
      */
     private CellSettings(Builder builder) {
         workerLeaseMillis = builder.workerLeaseMillis;
+        storeLeaseMillis = builder.storeLeaseMillis;
         authorityMillis = builder.authorityMillis;
         lookWaitMillis = builder.lookWaitMillis;
         lookRetryMillis = builder.lookRetryMillis;
@@ -72,6 +76,15 @@
         return workerLeaseMillis;
     }
 
+    /**
+     * Returns how long the keys of a silent process live in the store.
+     *
+     * @return the time, in milliseconds
+     */
+    public long storeLeaseMillis() {
+        return storeLeaseMillis;
+    }
+
     /**
      * Returns how long a proof of ownership lets the owner lengthen leases.
      *
@@ -162,6 +175,9 @@
          */
         private long workerLeaseMillis = 4_500;
 
+        /** See the settings: long enough for two lost renewals, short for a quick takeover. */
+        private long storeLeaseMillis = 2_000;
+
         /** The default time of a proof of ownership: an outage of the store of some seconds. */
         private long authorityMillis = 7_000;
 
@@ -203,6 +219,28 @@
             return this;
         }
 
+        /**
+         * Bounds the lease of workers by the longest that they grant.
+         *
+         * @param millis the longest, in milliseconds
+         * @return this builder
+         */
+        public Builder longestWorkerLeaseMillis(long millis) {
+            workerLeaseMillis = Math.min(workerLeaseMillis, millis);
+            return this;
+        }
+
+        /**
+         * Bounds the lease of a process's keys by the shortest that the store grants.
+         *
+         * @param millis the shortest, in milliseconds
+         * @return this builder
+         */
+        public Builder shortestStoreLeaseMillis(long millis) {
+            storeLeaseMillis = Math.max(storeLeaseMillis, millis);
+            return this;
+        }
+
         /**
          * Sets how long a proof of ownership lets the owner lengthen leases.
          *
--- /dev/null
+++ b/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/cell/CellSettingsTest.java
@@ -0,0 +1,33 @@
+package org.damasktiller.scheduler.cell;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Test;
+
+/** Tests how the bounds of a deployment change the times. */
+class CellSettingsTest {
+
+    @Test
+    void leasesKeepToTheBoundsOfTheDeployment() {
+        CellSettings settings =
+                CellSettings.builder()
+                        .longestWorkerLeaseMillis(3_000)
+                        .shortestStoreLeaseMillis(5_000)
+                        .build();
+        assertThat(settings.workerLeaseMillis(), is(3_000L));
+        assertThat(settings.storeLeaseMillis(), is(5_000L));
+    }
+
+    @Test
+    void widerBoundsChangeNothing() {
+        CellSettings defaults = CellSettings.builder().build();
+        CellSettings settings =
+                CellSettings.builder()
+                        .longestWorkerLeaseMillis(60_000)
+                        .shortestStoreLeaseMillis(1)
+                        .build();
+        assertThat(settings.workerLeaseMillis(), is(defaults.workerLeaseMillis()));
+        assertThat(settings.storeLeaseMillis(), is(defaults.storeLeaseMillis()));
+    }
+}
