Slow fillers later and less, admit fewer, and move runs that stand still

Change: fillers are slowed from the target on, to 0.75 of their share, and get 30 back; a filler may do a harm of 0.2 tasks at once and 0.15 more a second of waiting (0.35 and 0.3 before). The time over 0.9 of a target still counts for the pause of all fillers. Durations of runs that were slowed or resumed no longer count as the size of a task. StragglerControl measures the progress of runs at their full share, moves those that would take twice as long as elsewhere, and takes slow workers last.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -51,6 +51,9 @@
     /** Paces fillers. */
     private final FillerControl fillers;
 
+    /** Moves runs that get on too slowly. */
+    private final StragglerControl stragglers;
+
     /** Moves work off workers that leave. */
     private final DrainControl drains;
 
@@ -97,6 +100,7 @@
         fillers = new FillerControl(core, orders, new PairEffects());
         AdviceDesk advice = new AdviceDesk(core, environment.advice(), this::planPass);
         Placement placement = new Placement(core, fillers, advice);
+        stragglers = new StragglerControl(core, placement, orders, runTimes);
         drains = new DrainControl(core, orders, runTimes);
         pass = new StartPass(core, placement, orders, runTimes, advice, proof);
         inbox = new Inbox(core, new Submissions());
@@ -134,15 +138,6 @@
         core.end(reason);
     }
 
-    /**
-     * Tells whether the term has ended.
-     *
-     * @return whether it has
-     */
-    public boolean over() {
-        return core.over;
-    }
-
     /**
      * Finds the state of an open submission.
      *
@@ -335,6 +330,7 @@
                 proof.renew();
             }
             fillers.judge(worker);
+            stragglers.judge(worker);
             planPass();
         }
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerControl.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerControl.java
@@ -1,5 +1,6 @@
 package org.damasktiller.scheduler.cell;
 
+import java.util.LinkedHashMap;
 import java.util.Map;
 import org.damasktiller.scheduler.model.StepSpec;
 
@@ -24,10 +25,10 @@
     private static final int PAUSED_PERCENT = 0;
 
     /** The part of its share that a slowed filler keeps. */
-    private static final double SLOW_DOWN = 0.4;
+    private static final double SLOW_DOWN = 0.75;
 
     /** What a slowed filler gets back after a look without harm, in percent. */
-    private static final int GIVE_BACK_PERCENT = 20;
+    private static final int GIVE_BACK_PERCENT = 30;
 
     /** The part of the target below which a serving task counts as recovered. */
     private static final double RECOVERED = 0.75;
@@ -38,9 +39,15 @@
     /** The part of the largest contribution from which on a filler is slowed. */
     private static final double CULPRIT = 0.4;
 
-    /** The part of the target from which on a figure counts as over, since figures are rough. */
+    /**
+     * The part of the target from which on the time over it is counted, since figures are rough:
+     * all fillers pause by this time, and it must not be counted too late.
+     */
     private static final double OVER = 0.9;
 
+    /** The part of the target from which on fillers are slowed. */
+    private static final double HARMED = 1;
+
     /**
      * The longest time between looks over which a figure is put down to fillers, in milliseconds.
      */
@@ -160,7 +167,7 @@
             harm.set(true, now);
             core.log.log("filler.pause", "worker", worker.id, "overMillis", longestOver);
         }
-        if (worst >= OVER) {
+        if (worst >= HARMED) {
             slowCulprits(worker);
         } else if (worst < RECOVERED) {
             giveBack(worker);
@@ -173,16 +180,22 @@
      * @param worker the worker
      */
     private void slowCulprits(WorkerRecord worker) {
+        Map<RunRecord, Double> blames = new LinkedHashMap<>();
         double largest = 0;
         for (RunRecord run : worker.runs.values()) {
-            run.blame = run.filling() ? blame(worker, run) : 0;
-            largest = Math.max(largest, run.blame);
-        }
-        for (RunRecord run : worker.runs.values()) {
-            if (run.filling() && run.blame >= Math.max(LEAST_BLAME, largest * CULPRIT)) {
-                run.allowedPercent = (int) (run.allowedPercent * SLOW_DOWN);
+            if (run.filling()) {
+                double blame = blame(worker, run);
+                blames.put(run, blame);
+                largest = Math.max(largest, blame);
             }
         }
+        double culprit = Math.max(LEAST_BLAME, largest * CULPRIT);
+        blames.forEach(
+                (run, blame) -> {
+                    if (blame >= culprit) {
+                        run.allowedPercent = (int) (run.allowedPercent * SLOW_DOWN);
+                    }
+                });
     }
 
     /**
@@ -197,14 +210,11 @@
             return 0;
         }
         StepSpec spec = filler.task.step.spec;
-        double share =
-                (double) spec.need().cpuMillicores()
-                        * Math.max(0, filler.percent)
-                        / RunRecord.FULL_PERCENT
-                        / Math.max(1, worker.entry.capacity().cpuMillicores());
+        double part = (double) Math.max(0, filler.percent) / RunRecord.FULL_PERCENT;
+        double share = part * FillerShares.of(spec, worker);
         double sum = 0;
         for (RunRecord run : worker.runs.values()) {
-            if (run.serving() && run.task != null && run.load >= OVER * run.targetMillis()) {
+            if (run.serving() && run.task != null && run.load >= HARMED * run.targetMillis()) {
                 sum += share * effects.factor(run.task.step.spec.image(), spec.image());
             }
         }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobBook.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobBook.java
@@ -291,7 +291,7 @@
             Job job, WorkerRecord worker, @Nullable RunRecord record, EndView end) {
         if (end.kind() == EndKind.DONE) {
             worker.conduct.done();
-            if (record != null && record.task != null) {
+            if (record != null && record.task != null && record.undisturbed()) {
                 runTimes.observe(record.task.step.spec, core.now() - record.sinceMillis);
             }
         } else if (end.kind() == EndKind.FAILED) {
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Placement.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Placement.java
@@ -29,6 +29,9 @@
     /** The weight of an earlier failure of the same task at a worker. */
     private static final double FAILED_HERE = 1_000;
 
+    /** The weight of a worker on which tasks get on slowly, beside the other parts. */
+    private static final double SLOW_WORKER = 2;
+
     /** The weight of the time that data on another rack costs, beside the other parts. */
     private static final double REMOTE_DATA = 10;
 
@@ -45,10 +48,10 @@
     private static final double EMPTY_SCORE = 0.3;
 
     /** The harm that a filler may do at once, in serving tasks over their target. */
-    private static final double FIRST_HARM = 0.35;
+    private static final double FIRST_HARM = 0.2;
 
     /** What a filler may do more for each second that it waits, in tasks. */
-    private static final double HARM_PER_SECOND = 0.3;
+    private static final double HARM_PER_SECOND = 0.15;
 
     /** The number of milliseconds in a second. */
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -84,8 +87,10 @@
     @Nullable WorkerRecord choose(TaskRecord task) {
         WorkerRecord best = null;
         double bestScore = WORST_SCORE;
+        boolean adviceNeeded = advice.needed(task.step);
         for (WorkerRecord worker : core.allWorkers()) {
-            if (!allowed(task, worker) || !worker.free().covers(task.step.spec.reserved())) {
+            if (!allowed(task, worker, adviceNeeded)
+                    || !worker.free().covers(task.step.spec.reserved())) {
                 continue;
             }
             double score = score(task, worker);
@@ -128,6 +133,7 @@
         List<WorkerRecord> order = new ArrayList<>(core.allWorkers());
         order.sort(Comparator.comparingLong(worker -> -worker.free().cpuMillicores()));
         Resources need = step.spec.reserved();
+        boolean adviceNeeded = advice.needed(step);
         for (TaskRecord task : step.tasks) {
             for (WorkerRecord worker : order) {
                 int here = taken.getOrDefault(worker, 0);
@@ -136,7 +142,7 @@
                 boolean onRack = rack.isEmpty() || worker.entry.labels().contains(rack);
                 if (spread
                         && onRack
-                        && allowed(task, worker)
+                        && allowed(task, worker, adviceNeeded)
                         && worker.free().covers(times(need, here + 1))) {
                     taken.merge(worker, 1, Integer::sum);
                     chosen.add(worker);
@@ -175,9 +181,10 @@
      *
      * @param task the task
      * @param worker the worker
+     * @param adviceNeeded whether only advised workers may run it
      * @return whether it may
      */
-    private boolean allowed(TaskRecord task, WorkerRecord worker) {
+    private boolean allowed(TaskRecord task, WorkerRecord worker, boolean adviceNeeded) {
         long now = core.now();
         StepSpec spec = task.step.spec;
         boolean busy =
@@ -190,7 +197,7 @@
         if (worker.conduct.onProbation() && !worker.runs.isEmpty()) {
             return false;
         }
-        boolean advised = !advice.needed(task.step) || !advice.ticket(task.step, worker).isEmpty();
+        boolean advised = !adviceNeeded || !advice.ticket(task.step, worker).isEmpty();
         return advised && spread(task.step, worker) && roomBeside(task, worker);
     }
 
@@ -329,6 +336,9 @@
         if (remote) {
             score += REMOTE_DATA * (core.settings.remoteFactor() - 1);
         }
+        if (core.now() < worker.slowUntilMillis) {
+            score += SLOW_WORKER;
+        }
         if (spec.filling()) {
             double load = (double) fillerLoad(worker) / Math.max(1, unused(worker));
             double harm = fillers.harm(worker, spec);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunOrders.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunOrders.java
@@ -71,6 +71,7 @@
                         RunPhase.STARTING,
                         now);
         record.checkpoint = task.checkpoint;
+        record.startCheckpoint = task.checkpoint;
         worker.add(record);
         long leaseEnd = core.leases.leaseEnd(worker, now);
         core.leases.noteGrant(worker, leaseEnd, now);
@@ -248,6 +249,7 @@
         record.pacing = true;
         record.pacedAtMillis = core.now();
         int wanted = record.wantedPercent;
+        record.slowed |= wanted < RunRecord.FULL_PERCENT;
         core.calls.pace(
                 record.worker.address(),
                 record.id,
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
@@ -37,11 +37,26 @@
     /** The saved progress seen last. */
     String checkpoint = "";
 
+    /** The saved progress from which the run started, empty for none. */
+    String startCheckpoint = "";
+
     /** How much of its work the run has done, in percent, or UNKNOWN. */
     int progressPercent = UNKNOWN;
 
-    /** When the progress last changed, in milliseconds. */
-    long progressedAtMillis;
+    /** When the present window of measured progress began, in milliseconds, or UNKNOWN. */
+    long windowBeganMillis = UNKNOWN;
+
+    /** The progress at the beginning of that window, in percent. */
+    int windowPercent;
+
+    /** The work done in the last window for the time it took; 1 where the run is on its own. */
+    double rate = 1;
+
+    /** Whether the run is being stopped to go on elsewhere. */
+    boolean moving;
+
+    /** Whether the run was ever let work at less than its full share. */
+    boolean slowed;
 
     /** The share at which the worker lets the run work as far as told, in percent, or UNKNOWN. */
     int percent = FULL_PERCENT;
@@ -58,9 +73,6 @@
     /** The share that the owner allows a filler while not all fillers are paused. */
     int allowedPercent = FULL_PERCENT;
 
-    /** What the run adds to the tails of serving tasks, the figure of the last judgement. */
-    double blame;
-
     /** Whether an order to change the share is on its way. */
     boolean pacing;
 
@@ -108,7 +120,16 @@
         this.reserved = reserved;
         this.phase = phase;
         this.sinceMillis = sinceMillis;
-        this.progressedAtMillis = sinceMillis;
+    }
+
+    /**
+     * Begins a window of measured progress.
+     *
+     * @param nowMillis the time, in milliseconds
+     */
+    void beginWindow(long nowMillis) {
+        windowBeganMillis = nowMillis;
+        windowPercent = progressPercent;
     }
 
     /**
@@ -121,12 +142,12 @@
     }
 
     /**
-     * Tells whether the run is at work or about to be.
+     * Tells whether the run did the whole work of its task at its full share.
      *
-     * @return whether it is
+     * @return whether it did, so that its duration says how large the task is
      */
-    boolean working() {
-        return phase == RunPhase.RUNNING || phase == RunPhase.STARTING;
+    boolean undisturbed() {
+        return !slowed && startCheckpoint.isEmpty();
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecord.java
@@ -19,7 +19,7 @@
     /** The runs that are or may be active. */
     final List<RunRecord> runs = new ArrayList<>(1);
 
-    /** The workers at which a run of the task failed. */
+    /** The workers at which a run of the task failed or got on too slowly. */
     final Set<String> failedAt = new HashSet<>(2);
 
     /** Whether the task is done. */
@@ -43,6 +43,9 @@
     /** Before when the task is not started again, in milliseconds. */
     long notBeforeMillis;
 
+    /** How often a run was stopped to go on elsewhere. */
+    int moves;
+
     /** When the task became ready to start, in milliseconds, or zero. */
     long readySinceMillis;
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerLooks.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerLooks.java
@@ -206,10 +206,7 @@
         }
         record.checkpoint = view.checkpoint();
         record.load = view.load();
-        if (record.progressPercent != view.progressPercent()) {
-            record.progressPercent = view.progressPercent();
-            record.progressedAtMillis = core.now();
-        }
+        record.progressPercent = view.progressPercent();
     }
 
     /**
@@ -233,6 +230,7 @@
                         RunPhase.RUNNING,
                         core.now());
         record.percent = RunRecord.UNKNOWN;
+        record.slowed = true;
         worker.add(record);
         if (task != null) {
             task.lastRun = Math.max(task.lastRun, view.run());
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
@@ -101,6 +101,9 @@
     /** Until when the worker is left alone after it was unhealthy or mute, in milliseconds. */
     long avoidUntilMillis;
 
+    /** Until when the worker counts as slow, in milliseconds. */
+    long slowUntilMillis;
+
     /** When the worker was first seen draining, in milliseconds, or -1. */
     long drainingSinceMillis = -1;
 
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerWorld.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerWorld.java
@@ -78,6 +78,9 @@
     /** How long tasks run, in milliseconds, or LASTS. */
     long workMillis = 400;
 
+    /** How many times as long tasks run on a worker, for those that are slow. */
+    final Map<String, Integer> slowness = new LinkedHashMap<>();
+
     /** The workers that fail all that they start. */
     final Set<String> failing = FleetClient.nothingCut();
 
@@ -262,6 +265,22 @@
         return used;
     }
 
+    /**
+     * Counts the starts ordered at a worker.
+     *
+     * @param id its identifier
+     * @return the number
+     */
+    int starts(String id) {
+        return (int)
+                lines.stream()
+                        .filter(
+                                line ->
+                                        line.contains(" run.start ")
+                                                && line.contains(" " + id + ","))
+                        .count();
+    }
+
     /**
      * Makes a step of short tasks.
      *
@@ -293,7 +312,7 @@
     public long workMillis(String worker, TaskId task) {
         Submission submission = submissions.get(task.submission());
         boolean lasts = submission != null && submission.steps().get(task.step()).lasting();
-        return lasts ? LASTS : workMillis;
+        return lasts ? LASTS : workMillis * slowness.getOrDefault(worker, 1);
     }
 
     @Override
@@ -311,23 +330,11 @@
      * @return the step
      */
     private static StepSpec spec(int count, boolean lasting, List<Integer> after) {
-        return new StepSpec(
-                count,
-                new Resources(2_000, 1_000, 0),
-                400,
-                after,
-                false,
-                false,
-                false,
-                "",
-                "",
-                0,
-                false,
-                lasting,
-                "",
-                0,
-                false,
-                0);
+        return StepSpec.builder(count, new Resources(2_000, 1_000, 0))
+                .estimateMillis(400)
+                .after(after)
+                .lasting(lasting)
+                .build();
     }
 
     /**
