Restart programs in the soak when no fault keeps them down, and find those that ended by themselves

Cause: a program that took longer to stop than its fault lasted stayed down until the faults were over, and an exit of its own was not told from one that was ordered. Change: faults say which program they keep down; the soak restarts the others each second and reports an end that nobody ordered.

--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/EntryProcess.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/EntryProcess.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.damasktiller.node.process.Main;
 import org.damasktiller.platform.emulator.OperatorFormats;
 import org.jspecify.annotations.Nullable;
@@ -21,6 +22,9 @@
     private static final List<String> JAVA_OPTIONS =
             List.of("-Xmx128m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
 
+    /** The signals that tell a program to end. */
+    private static final Set<String> ENDING = Set.of("KILL", "TERM");
+
     /** The name of the VM. */
     private final String name;
 
@@ -36,6 +40,9 @@
     /** The process, null before the first start. */
     private @Nullable Process process;
 
+    /** Whether the program was told to end. */
+    private boolean toldToEnd;
+
     /**
      * Creates a VM whose program is not started yet.
      *
@@ -107,6 +114,7 @@
                 new ProcessBuilder(command)
                         .redirectErrorStream(true)
                         .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        toldToEnd = false;
         try {
             process = builder.start();
         } catch (IOException exception) {
@@ -134,6 +142,15 @@
         return present == null || present.isAlive() ? -1 : present.exitValue();
     }
 
+    /**
+     * Tells whether the program was told to end, so that its end is no fault of its own.
+     *
+     * @return whether it was
+     */
+    public boolean toldToEnd() {
+        return toldToEnd;
+    }
+
     /**
      * Sends a signal to the program.
      *
@@ -144,6 +161,7 @@
         if (present == null || !present.isAlive()) {
             return;
         }
+        toldToEnd |= ENDING.contains(signal);
         try {
             new ProcessBuilder("kill", "-" + signal, Long.toString(present.pid())).start();
         } catch (IOException exception) {
@@ -155,6 +173,7 @@
     public void kill() {
         Process present = process;
         if (present != null) {
+            toldToEnd = true;
             present.destroyForcibly();
         }
     }
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/Fault.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/Fault.java
@@ -1,5 +1,7 @@
 package org.damasktiller.lab.soak;
 
+import org.damasktiller.lab.rig.EntryProcess;
+
 /** A fault that begins and ends. Several may be active at once, also of the same kind. */
 interface Fault {
 
@@ -9,6 +11,16 @@
     /** Ends the fault. */
     void end();
 
+    /**
+     * Tells whether the fault keeps the program of an entry VM from being started again.
+     *
+     * @param entryVm the entry VM
+     * @return whether it does
+     */
+    default boolean keepsDown(EntryProcess entryVm) {
+        return false;
+    }
+
     /**
      * Describes the fault for the report.
      *
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SignalFault.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SignalFault.java
@@ -2,7 +2,7 @@
 
 import org.damasktiller.lab.rig.EntryProcess;
 
-/** Sends a signal to the program of an entry VM; a program that ended is started again. */
+/** Sends a signal to the program of an entry VM, and lets it go on or start again at the end. */
 final class SignalFault implements Fault {
 
     /** The entry VM. */
@@ -30,9 +30,11 @@
     @Override
     public void end() {
         entryVm.signal("CONT");
-        if (!entryVm.alive()) {
-            entryVm.start();
-        }
+    }
+
+    @Override
+    public boolean keepsDown(EntryProcess other) {
+        return other == entryVm;
     }
 
     @Override
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakLoad.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakLoad.java
@@ -106,7 +106,7 @@
         runtime.schedule(random.nextInt(2 * INTERVAL_MILLIS), this::run);
     }
 
-    /** Sends no more, and cancels what lasts on and has no caller that will. */
+    /** Sends no more; what lasts goes on. */
     void stop() {
         over = true;
     }
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakRun.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakRun.java
@@ -207,10 +207,8 @@
         boolean calm = runtime.nowMillis() > faultsEndMillis && active.isEmpty();
         if (calm) {
             load.stop();
-            rig.entryVms().stream()
-                    .filter(entryVm -> !entryVm.alive())
-                    .forEach(EntryProcess::start);
         }
+        found.addAll(restart());
         List<String> unfinished = check.unfinished();
         boolean late = runtime.nowMillis() > faultsEndMillis + FINISH_MILLIS;
         if (late) {
@@ -223,6 +221,25 @@
         runtime.schedule(CHECK_MILLIS, () -> check(result));
     }
 
+    /**
+     * Starts the programs that have ended and that no fault keeps down.
+     *
+     * @return a line for each that had not been told to end
+     */
+    private List<String> restart() {
+        List<String> found = new ArrayList<>();
+        for (EntryProcess entryVm : rig.entryVms()) {
+            if (entryVm.alive() || active.stream().anyMatch(fault -> fault.keepsDown(entryVm))) {
+                continue;
+            }
+            if (!entryVm.toldToEnd()) {
+                found.add(entryVm.name() + ": ended by itself, exit code " + entryVm.exitCode());
+            }
+            entryVm.start();
+        }
+        return found;
+    }
+
     /**
      * Finds unchecked errors in the logs of the entry VMs.
      *
