Acknowledge nothing at the first look after a look that got no answer

A worker crashed and came back under its identifier while a start was on its way; the start was carried out in the new life. The owner's look had broken off, and the next one carried the number of the last end taken note of in the former life. Numbers of ends begin anew with a life, so that the worker forgot an end that the owner had never seen, and the task was stopped, taken for lost and started again. Change: a look that follows one without an answer acknowledges nothing and does not wait; it shows whether the worker has begun a new life. The stand-ins break off calls that wait when their worker begins a new life, as a connection does.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerLooks.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerLooks.java
@@ -18,6 +18,12 @@
  */
 final class WorkerLooks {
 
+    /**
+     * Acknowledges no end. A worker that did not answer may have begun a new life, whose ends have
+     * numbers of their own: acknowledging those of the former life would make it forget new ones.
+     */
+    private static final long NOTHING_ACKNOWLEDGED = 0;
+
     /** From how many listed ends on a list may be cut short, from the platform's pages. */
     private static final int LONGEST_END_LIST = 500;
 
@@ -70,12 +76,13 @@
             leaseEnd = core.leases.leaseEnd(worker, now);
             core.leases.noteGrant(worker, leaseEnd, now);
         }
+        boolean sameLife = worker.missedLooks == 0;
         HoldOrder order =
                 new HoldOrder(
                         leaseEnd,
                         core.term.generation(),
-                        worker.acknowledgedSequence,
-                        worker.fenced ? core.settings.lookWaitMillis() : 0);
+                        sameLife ? worker.acknowledgedSequence : NOTHING_ACKNOWLEDGED,
+                        sameLife && worker.fenced ? core.settings.lookWaitMillis() : 0);
         core.calls.hold(worker.address(), order, reply -> onReply(worker, number, reply));
     }
 
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/FleetClient.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/FleetClient.java
@@ -97,6 +97,7 @@
     public void hold(WorkerAddress worker, HoldOrder order, Consumer<WorkerReply> answer) {
         WorkerModel model = workers.get(worker.id());
         long latest = runtime.nowMillis() + order.waitMillis();
+        long born = model == null ? 0 : model.bornUnixMillis();
         if (model == null || order.waitMillis() == 0) {
             call("hold", worker, target -> target.hold(order), answer);
         } else {
@@ -106,7 +107,7 @@
                     target -> target.hold(order),
                     first -> {
                         if (first.status() == WorkerStatus.OK && !model.hasEnds()) {
-                            await(model, latest, worker, order, answer);
+                            await(model, born, latest, worker, order, answer);
                         } else {
                             answer.accept(first);
                         }
@@ -126,9 +127,11 @@
     }
 
     /**
-     * Waits until a worker has ends or the time is over, and then lists what it runs.
+     * Waits until a worker has ends or the time is over, and then lists what it runs. A worker that
+     * begins a new life breaks the call off.
      *
      * @param model the worker
+     * @param born when the life that was asked began, in milliseconds since 1970
      * @param latestMillis until when to wait, in milliseconds
      * @param worker the worker's name
      * @param order the order
@@ -136,6 +139,7 @@
      */
     private void await(
             WorkerModel model,
+            long born,
             long latestMillis,
             WorkerAddress worker,
             HoldOrder order,
@@ -143,10 +147,16 @@
         if (dead) {
             return;
         }
+        if (model.bornUnixMillis() != born) {
+            answer.accept(
+                    new WorkerReply(WorkerStatus.UNKNOWN, -1, 0, null, "connection broken off"));
+            return;
+        }
         if (model.hasEnds() || runtime.nowMillis() >= latestMillis) {
             call("hold", worker, target -> target.hold(order), answer);
         } else {
-            runtime.schedule(POLL_MILLIS, () -> await(model, latestMillis, worker, order, answer));
+            runtime.schedule(
+                    POLL_MILLIS, () -> await(model, born, latestMillis, worker, order, answer));
         }
     }
 
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerTest.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.is;
 
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.scheduler.model.TaskId;
 import org.damasktiller.standin.metadata.CallFate;
@@ -219,6 +220,35 @@
         assertThat(world.state(JOB), equalTo(SubmissionState.SUCCEEDED));
     }
 
+    /**
+     * Soak seed 235: a start reached the new life of a worker before its owner had heard of that
+     * life, and the next look acknowledged, by the numbers of the former life, an end that the
+     * owner had not seen; the task ran a second time.
+     */
+    @Test
+    void firstLookAtANewLifeAcknowledgesNothing() {
+        OwnerWorld world = new OwnerWorld(1);
+        world.workMillis = 30;
+        AtomicBoolean crashes = new AtomicBoolean();
+        world.own(
+                FatePlan.CALM,
+                call -> {
+                    if (call.equals("start") && crashes.getAndSet(false)) {
+                        world.workers.get("w0").boot();
+                        return CallFate.ANSWER_LOST;
+                    }
+                    return CallFate.ANSWERED;
+                });
+        world.runtime.advance(500);
+        world.submit("00000000000000a1", OwnerWorld.step(3));
+        world.runtime.advance(2_000);
+        crashes.set(true);
+        world.submit(JOB, OwnerWorld.step(1));
+        world.runtime.advance(20_000);
+        assertThat(world.audit.violations(), empty());
+        assertThat(world.state(JOB), equalTo(SubmissionState.SUCCEEDED));
+    }
+
     /** A store that refuses one owner must not leave it sending orders that workers refuse. */
     @Test
     void ownerThatTheStoreRefusesEndsAtTheFirstFence() {
