--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerTest.java
@@ -240,7 +240,7 @@
                     return CallFate.ANSWERED;
                 });
         world.runtime.advance(500);
-        world.submit("00000000000000a1", OwnerWorld.step(3));
+        world.submit("00000000000000a9", OwnerWorld.step(3));
         world.runtime.advance(2_000);
         crashes.set(true);
         world.submit(JOB, OwnerWorld.step(1));
