Find tasks in the soak that nobody submitted

Cause: a start of an unknown task made the emulated worker throw, which the owner saw as no answer and no check reported. Change: such tasks are noted and reported as a broken promise. Measured: PromiseCheckTest.findsATaskThatNobodySubmitted. Conclusion: the soak checks this promise too.

--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/load/PromiseCheck.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/load/PromiseCheck.java
@@ -15,15 +15,20 @@
     /** What the workers ran. */
     private final RunAudit audit;
 
+    /** What callers have submitted. */
+    private final SubmittedWork work;
+
     /**
      * Creates a check.
      *
      * @param load the callers
      * @param audit what the workers ran
+     * @param work what callers have submitted
      */
-    public PromiseCheck(CallerLoad load, RunAudit audit) {
+    public PromiseCheck(CallerLoad load, RunAudit audit, SubmittedWork work) {
         this.load = load;
         this.audit = audit;
+        this.work = work;
     }
 
     /**
@@ -34,6 +39,7 @@
     public List<String> violations() {
         List<String> found = new ArrayList<>(audit.violations());
         found.addAll(load.violations());
+        work.strangers().forEach(task -> found.add(task + ": started and never submitted"));
         for (WorkItem item : load.items()) {
             String id = item.submission().id();
             if (item.refused() && starts(item) > 0) {
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/load/SubmittedWork.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/load/SubmittedWork.java
@@ -1,7 +1,9 @@
 package org.damasktiller.lab.load;
 
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import org.apache.commons.math3.random.RandomGenerator;
 import org.damasktiller.scheduler.model.EndKind;
 import org.damasktiller.scheduler.model.Resources;
@@ -9,6 +11,7 @@
 import org.damasktiller.scheduler.model.Submission;
 import org.damasktiller.scheduler.model.TaskId;
 import org.damasktiller.standin.fleet.TaskBehaviour;
+import org.jspecify.annotations.Nullable;
 
 /** Tells the emulated workers how the tasks of submissions behave, which only the caller knows. */
 public final class SubmittedWork implements TaskBehaviour {
@@ -16,6 +19,9 @@
     /** The submissions that callers have sent, by identifier. */
     private final Map<String, Submission> submissions = new HashMap<>();
 
+    /** The tasks that were started and that nobody has submitted. */
+    private final Set<TaskId> strangers = new LinkedHashSet<>();
+
     /** Draws how runs end. */
     private final RandomGenerator random;
 
@@ -43,24 +49,24 @@
     }
 
     /**
-     * Tells whether a caller has sent a submission.
+     * Returns the tasks that were started and that nobody has submitted.
      *
-     * @param id its identifier
-     * @return whether one has
+     * @return their names
      */
-    public boolean knows(String id) {
-        return submissions.containsKey(id);
+    public Set<TaskId> strangers() {
+        return strangers;
     }
 
     @Override
     public Resources reserved(TaskId task) {
-        return spec(task).reserved();
+        StepSpec spec = spec(task);
+        return spec == null ? Resources.NONE : spec.reserved();
     }
 
     @Override
     public long workMillis(String worker, TaskId task) {
         StepSpec spec = spec(task);
-        return spec.lasting() ? LASTS : spec.estimateMillis();
+        return spec == null || spec.lasting() ? LASTS : spec.estimateMillis();
     }
 
     @Override
@@ -69,15 +75,16 @@
     }
 
     /**
-     * Returns the step of a task.
+     * Returns the step of a task; one that nobody has submitted is noted.
      *
      * @param task the task
-     * @return the step
+     * @return the step, or null if there is none
      */
-    private StepSpec spec(TaskId task) {
+    private @Nullable StepSpec spec(TaskId task) {
         Submission submission = submissions.get(task.submission());
-        if (submission == null) {
-            throw new IllegalArgumentException("nobody has submitted " + task);
+        if (submission == null || task.step() >= submission.steps().size()) {
+            strangers.add(task);
+            return null;
         }
         return submission.steps().get(task.step());
     }
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/local/LocalRun.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/local/LocalRun.java
@@ -76,6 +76,9 @@
     /** What the workers ran. */
     private final RunAudit audit = new RunAudit(ATTEMPTS);
 
+    /** What callers have submitted. */
+    private final SubmittedWork work;
+
     /** The deployment while it runs. */
     private final Rig rig;
 
@@ -102,7 +105,7 @@
         this.loadMillis = seconds * MILLIS_PER_SECOND;
         this.output = output;
         RandomGenerator random = new Well19937c(1);
-        SubmittedWork work = new SubmittedWork(random, 0);
+        work = new SubmittedWork(random, 0);
         loop = new LabLoop("local", output::println);
         RigSettings settings =
                 RigSettings.builder(temporaryDirectory())
@@ -210,7 +213,7 @@
                             .count(),
                     items.stream().filter(WorkItem::refused).count());
         }
-        PromiseCheck check = new PromiseCheck(load, audit);
+        PromiseCheck check = new PromiseCheck(load, audit, work);
         List<String> found =
                 loop.await(
                         result -> {
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakRun.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakRun.java
@@ -136,7 +136,7 @@
                         random,
                         work);
         load = new SoakLoad(runtime, random, callers);
-        check = new PromiseCheck(callers, audit);
+        check = new PromiseCheck(callers, audit, work);
         draw = new FaultDraw(random, rig, manifest);
     }
 
--- a/damasktiller-lab/src/test/java/org/damasktiller/lab/load/PromiseCheckTest.java
+++ b/damasktiller-lab/src/test/java/org/damasktiller/lab/load/PromiseCheckTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
 
 import io.activej.eventloop.Eventloop;
 import java.net.InetAddress;
@@ -37,15 +38,17 @@
 
     private final Eventloop eventloop = EventLoops.create();
 
+    private final SubmittedWork work = new SubmittedWork(new Well19937c(1), 0);
+
     private final CallerLoad load =
             new CallerLoad(
                     new PausedRuntime(),
                     new CallerClient(eventloop, 1_000),
                     List.of(new InetSocketAddress(InetAddress.getLoopbackAddress(), 1)),
                     new Well19937c(1),
-                    new SubmittedWork(new Well19937c(1), 0));
+                    work);
 
-    private final PromiseCheck check = new PromiseCheck(load, audit);
+    private final PromiseCheck check = new PromiseCheck(load, audit, work);
 
     @Test
     void nothingIsFoundOfWorkThatWentWell() {
@@ -81,6 +84,12 @@
         assertThat(check.violations(), contains(containsString("each try was refused")));
     }
 
+    @Test
+    void findsATaskThatNobodySubmitted() {
+        assertThat(work.reserved(TASK), is(Resources.NONE));
+        assertThat(check.violations(), contains(containsString("never submitted")));
+    }
+
     @Test
     void findsAStateThatIsNotTrue() {
         WorkItem item = item(false);
