Keep crashed workers of the soak away for as long as the fault says

The emulated worker crashed and answered in its new life 13 ms later, between two looks that were both answered, and the second look acknowledged an end of the new life by the numbers of the former one. The fault says 'crashes for 6169 ms', and the worker was never away. Change: a crashed worker answers nothing until the fault is over, one that leaves is back after a second. Entry VMs end with the soak, however it ends.

--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/Rig.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/Rig.java
@@ -95,7 +95,7 @@
             InetSocketAddress address =
                     serve(new WorkerServlet(model, runtime, fates, LATE_MILLIS));
             FaultyLink link = new FaultyLink(eventloop, address);
-            RigWorker worker = new RigWorker(model, link, fates, store, settings, number);
+            RigWorker worker = new RigWorker(runtime, model, link, fates, store, settings, number);
             worker.register(false, 0);
             workers.add(worker);
         }
@@ -114,8 +114,9 @@
         runtime.schedule(HISTORY_MILLIS, this::forgetHistory);
     }
 
-    /** Starts the programs of the entry VMs. */
+    /** Starts the programs of the entry VMs; they end with this process, however it ends. */
     public void start() {
+        Runtime.getRuntime().addShutdownHook(new Thread(this::kill, "kill-entry-vms"));
         entryVms.forEach(EntryProcess::start);
     }
 
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/WorkerModel.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/WorkerModel.java
@@ -57,6 +57,9 @@
     /** The ends that have not been acknowledged. */
     private final List<EndView> ends = new ArrayList<>();
 
+    /** Whether the worker is alive. */
+    private boolean alive;
+
     /** The number of the last end. */
     private long lastEnd;
 
@@ -95,13 +98,20 @@
         boot();
     }
 
-    /** Boots again: nothing of before is known. */
-    public void boot() {
+    /** Ends at once, as by a crash: everything that runs is over, and nothing is answered. */
+    public void crash() {
+        alive = false;
         for (Active run : new ArrayList<>(active.values())) {
             run.over = true;
             observer.ended(id, run.task, run.number, null);
         }
         active.clear();
+    }
+
+    /** Begins a new life: nothing of before is known. */
+    public void boot() {
+        crash();
+        alive = true;
         highest.clear();
         ends.clear();
         lastEnd = 0;
@@ -111,6 +121,15 @@
         bornUnixMillis = runtime.unixMillis();
     }
 
+    /**
+     * Tells whether the worker is alive.
+     *
+     * @return whether it is
+     */
+    public boolean alive() {
+        return alive;
+    }
+
     /**
      * Returns the identifier.
      *
