Remove what the change left unused, and start loopback servers in one place

No test changes what it asserts; no class that the program of an entry VM loads is touched. Measured: mvn verify of all modules green.

--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/load/CallerLoad.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/load/CallerLoad.java
@@ -108,9 +108,7 @@
                 item.route(),
                 item.submission().id(),
                 outcome -> {
-                    if (outcome == CallOutcome.DONE || outcome == CallOutcome.UNKNOWN_SUBMISSION) {
-                        item.cancel();
-                    } else {
+                    if (outcome == CallOutcome.NO_ANSWER || outcome == CallOutcome.REFUSED) {
                         runtime.schedule(RETRY_MILLIS, () -> cancel(item));
                     }
                 });
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/load/WorkItem.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/load/WorkItem.java
@@ -29,9 +29,6 @@
     /** Whether a try got no answer, so that it may have been accepted. */
     private boolean unanswered;
 
-    /** Whether its cancelling was acknowledged. */
-    private boolean cancelled;
-
     /** The last state that was told, null before the first. */
     private @Nullable SubmissionState state;
 
@@ -91,15 +88,6 @@
         return cancelAsked;
     }
 
-    /**
-     * Tells whether its cancelling was acknowledged.
-     *
-     * @return whether it was
-     */
-    public boolean cancelled() {
-        return cancelled;
-    }
-
     /**
      * Returns the last state that was told.
      *
@@ -141,11 +129,6 @@
         cancelAsked = true;
     }
 
-    /** Notes that its cancelling was acknowledged. */
-    void cancel() {
-        cancelled = true;
-    }
-
     /**
      * Notes a state.
      *
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/local/LocalRun.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/local/LocalRun.java
@@ -55,9 +55,6 @@
     /** The number of milliseconds in a second. */
     private static final long MILLIS_PER_SECOND = 1_000;
 
-    /** How often a task may fail. */
-    private static final int ATTEMPTS = 3;
-
     /** The deployment. */
     private final Deployment deployment;
 
@@ -74,7 +71,7 @@
     private final LabLoop loop;
 
     /** What the workers ran. */
-    private final RunAudit audit = new RunAudit(ATTEMPTS);
+    private final RunAudit audit = new RunAudit(TableManifest.ATTEMPTS);
 
     /** What callers have submitted. */
     private final SubmittedWork work;
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/Rig.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/Rig.java
@@ -1,19 +1,16 @@
 package org.damasktiller.lab.rig;
 
 import io.activej.eventloop.Eventloop;
-import io.activej.http.AsyncServlet;
-import io.activej.http.HttpServer;
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import org.apache.commons.math3.random.RandomGenerator;
 import org.damasktiller.lab.link.FaultyLink;
+import org.damasktiller.platform.emulator.LoopbackServer;
 import org.damasktiller.platform.emulator.OperatorFormats;
 import org.damasktiller.platform.emulator.StoreServlet;
 import org.damasktiller.platform.emulator.WorkerServlet;
+import org.damasktiller.platform.record.PlatformRecords;
 import org.damasktiller.scheduler.model.Manifest;
 import org.damasktiller.scheduler.model.Route;
 import org.damasktiller.scheduler.port.Commit;
@@ -32,6 +29,9 @@
     /** The name of the workers' service. */
     public static final String SERVICE = "workers";
 
+    /** Names the keys that the operator and the workers write. */
+    static final PlatformRecords RECORDS = new PlatformRecords();
+
     /** How late a late call is carried out, in milliseconds: well after a client gave up. */
     private static final long LATE_MILLIS = 3_000;
 
@@ -82,7 +82,8 @@
         store = new StoreModel(runtime);
         storeFates = new SeededFates(random);
         InetSocketAddress storeAddress =
-                serve(new StoreServlet(store, runtime, storeFates, LATE_MILLIS));
+                LoopbackServer.start(
+                        eventloop, new StoreServlet(store, runtime, storeFates, LATE_MILLIS));
         for (int number = 0; number < settings.workers(); number++) {
             WorkerModel model =
                     new WorkerModel(
@@ -93,7 +94,8 @@
                             observer);
             SeededFates fates = new SeededFates(random);
             InetSocketAddress address =
-                    serve(new WorkerServlet(model, runtime, fates, LATE_MILLIS));
+                    LoopbackServer.start(
+                            eventloop, new WorkerServlet(model, runtime, fates, LATE_MILLIS));
             FaultyLink link = new FaultyLink(eventloop, address);
             RigWorker worker = new RigWorker(runtime, model, link, fates, store, settings, number);
             worker.register(false, 0);
@@ -134,8 +136,7 @@
     public void manifest(Manifest base, List<Route> routes) {
         manifestVersion++;
         Manifest next = new Manifest(manifestVersion, routes, base.services(), base.limits());
-        store.commit(
-                new Commit().put(OperatorFormats.MANIFEST_KEY, OperatorFormats.manifest(next)));
+        store.commit(new Commit().put(RECORDS.manifestKey(), OperatorFormats.manifest(next)));
     }
 
     /**
@@ -188,24 +189,4 @@
         store.compact();
         runtime.schedule(HISTORY_MILLIS, this::forgetHistory);
     }
-
-    /**
-     * Starts a server on a free port.
-     *
-     * @param servlet its servlet
-     * @return its address
-     */
-    private InetSocketAddress serve(AsyncServlet servlet) {
-        HttpServer server =
-                HttpServer.builder(eventloop, servlet)
-                        .withListenAddress(
-                                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
-                        .build();
-        try {
-            server.listen();
-        } catch (IOException exception) {
-            throw new UncheckedIOException(exception);
-        }
-        return server.getBoundAddresses().get(0);
-    }
 }
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/RigWorker.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/RigWorker.java
@@ -149,6 +149,6 @@
      * @return the key
      */
     private String key() {
-        return OperatorFormats.WORKERS_PREFIX + model.id();
+        return Rig.RECORDS.workersPrefix() + model.id();
     }
 }
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakLoad.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakLoad.java
@@ -18,6 +18,9 @@
 /** Sends submissions of every kind at random moments, and cancels some. */
 final class SoakLoad {
 
+    /** How often a task may fail. */
+    static final int ATTEMPTS = 3;
+
     /** The mean time between two submissions, in milliseconds. */
     private static final int INTERVAL_MILLIS = 150;
 
@@ -36,9 +39,6 @@
     /** The longest time until a submission is cancelled, in milliseconds. */
     private static final int LONGEST_CANCEL_MILLIS = 3_000;
 
-    /** How often a task may fail. */
-    private static final int ATTEMPTS = 3;
-
     /** What the objective of the urgent route adds to the chain of work, in milliseconds. */
     private static final long URGENT_TARGET_MILLIS = 600;
 
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakRun.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakRun.java
@@ -54,9 +54,6 @@
     /** The chance that a run fails. */
     private static final double FAILURE_CHANCE = 0.02;
 
-    /** How often a task may fail. */
-    private static final int ATTEMPTS = 3;
-
     /** The number of milliseconds in a second. */
     private static final long MILLIS_PER_SECOND = 1_000;
 
@@ -82,7 +79,7 @@
     private final RandomGenerator random;
 
     /** What the workers ran. */
-    private final RunAudit audit = new RunAudit(ATTEMPTS);
+    private final RunAudit audit = new RunAudit(SoakLoad.ATTEMPTS);
 
     /** The deployment. */
     private final Rig rig;
@@ -93,6 +90,9 @@
     /** The load. */
     private final SoakLoad load;
 
+    /** The manifest without added routes. */
+    private final Manifest manifest = SoakLoad.manifest();
+
     /** The check of the promises. */
     private final PromiseCheck check;
 
@@ -125,7 +125,6 @@
         loop = new LabLoop("soak", ownFaults::add);
         runtime = loop.runtime();
         SubmittedWork work = new SubmittedWork(random, FAILURE_CHANCE);
-        Manifest manifest = SoakLoad.manifest();
         RigSettings size = RigSettings.builder(directory).build();
         rig = loop.await(made -> made.complete(new Rig(loop, size, work, audit, random)));
         callers =
@@ -167,7 +166,6 @@
      * @param result takes the violations
      */
     private void begin(CompletableFuture<List<String>> result) {
-        Manifest manifest = SoakLoad.manifest();
         rig.manifest(manifest, manifest.routes());
         rig.start();
         load.run();
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/table/TableManifest.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/table/TableManifest.java
@@ -16,15 +16,15 @@
  */
 public final class TableManifest {
 
+    /** How often work may fail that can be run again. */
+    public static final int ATTEMPTS = 3;
+
     /** The largest body of a submission, in bytes. */
     private static final int BODY_BYTES = 1 << 20;
 
     /** How long a caller's connection may be idle, in milliseconds. */
     private static final long IDLE_MILLIS = 30_000;
 
-    /** How often work may fail that can be run again. */
-    private static final int ATTEMPTS = 3;
-
     /** The factor on the chain of work in the objective. */
     private static final double EXTENSION = 2;
 
--- a/damasktiller-lab/src/test/java/org/damasktiller/lab/table/TableSessionTest.java
+++ b/damasktiller-lab/src/test/java/org/damasktiller/lab/table/TableSessionTest.java
@@ -6,16 +6,13 @@
 import static org.hamcrest.Matchers.is;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
-import io.activej.http.HttpServer;
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import org.damasktiller.error.DamasktillerException;
 import org.damasktiller.error.ErrorCode;
 import org.damasktiller.identity.KindName;
 import org.damasktiller.lab.rig.Deployment;
 import org.damasktiller.lab.rig.LabLoop;
+import org.damasktiller.platform.emulator.LoopbackServer;
 import org.damasktiller.platform.emulator.OperatorFormats;
 import org.damasktiller.platform.emulator.StoreServlet;
 import org.damasktiller.platform.settings.Addresses;
@@ -90,18 +87,8 @@
 
     private InetSocketAddress serve() {
         StoreModel model = new StoreModel(platform.runtime());
-        HttpServer server =
-                HttpServer.builder(
-                                platform.eventloop(),
-                                new StoreServlet(model, platform.runtime(), FatePlan.CALM, 0))
-                        .withListenAddress(
-                                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
-                        .build();
-        try {
-            server.listen();
-        } catch (IOException exception) {
-            throw new UncheckedIOException(exception);
-        }
-        return Addresses.parse(OperatorFormats.text(server.getBoundAddresses().get(0)));
+        StoreServlet servlet = new StoreServlet(model, platform.runtime(), FatePlan.CALM, 0);
+        return Addresses.parse(
+                OperatorFormats.text(LoopbackServer.start(platform.eventloop(), servlet)));
     }
 }
--- a/damasktiller-library/src/main/java/org/damasktiller/resource/Resources.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/resource/Resources.java
@@ -18,43 +18,4 @@
             throw new IllegalArgumentException("resources must not be negative");
         }
     }
-
-    /**
-     * Adds another amount.
-     *
-     * @param other the amount to add
-     * @return the sum
-     */
-    public Resources plus(Resources other) {
-        return new Resources(
-                milliProcessors + other.milliProcessors,
-                memoryMegabytes + other.memoryMegabytes,
-                accelerators + other.accelerators);
-    }
-
-    /**
-     * Subtracts another amount.
-     *
-     * @param other the amount to subtract, which must fit within this one
-     * @return the difference
-     * @throws IllegalArgumentException if the other amount does not fit within this one
-     */
-    public Resources minus(Resources other) {
-        return new Resources(
-                milliProcessors - other.milliProcessors,
-                memoryMegabytes - other.memoryMegabytes,
-                accelerators - other.accelerators);
-    }
-
-    /**
-     * Tells whether this amount fits within another one in each resource.
-     *
-     * @param available the amount to fit within
-     * @return whether it fits
-     */
-    public boolean fitsWithin(Resources available) {
-        return milliProcessors <= available.milliProcessors
-                && memoryMegabytes <= available.memoryMegabytes
-                && accelerators <= available.accelerators;
-    }
 }
--- a/damasktiller-library/src/main/java/org/damasktiller/table/TableLoader.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/table/TableLoader.java
@@ -44,16 +44,6 @@
         return load().map(LoadedTable::table);
     }
 
-    /**
-     * Assembles the table from a head that a watch brought, and reads what the head does not hold.
-     *
-     * @param head the value of {@link TableKeys#HEAD}
-     * @return the table
-     */
-    public Promise<OperatorTable> loadFrom(StoredValue head) {
-        return Attempt.of(() -> assemble(head, MAXIMUM_TRIES)).map(LoadedTable::table);
-    }
-
     /**
      * Reads head and table.
      *
