Space the passes of an owner, and keep sums and predictions per worker

Cause: a pass over the waiting tasks was asked for a millisecond after each answer of a worker, and looked at every run of every worker for each waiting filler. The cost grew with the square of the workers of a cell. Change: the shortest time between passes is a millisecond for 20 workers; the CPU of fillers and serving tasks is summed as runs come and go; predicted impacts are kept until a run or a report changes them.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -34,6 +34,13 @@
     /** How long a worker gets no new tasks after a failed poll, in milliseconds. */
     private static final long FAILED_POLL_AVOID_MILLIS = 400;
 
+    /**
+     * The number of workers for which the shortest time between two passes grows by a millisecond.
+     * A pass takes longer with more workers, and with more workers there are also more events that
+     * ask for one.
+     */
+    private static final int WORKERS_PER_PASS_MILLISECOND = 20;
+
     /** The shared state of the cell's owner. */
     private final CellContext context;
 
@@ -73,6 +80,9 @@
     /** Whether a pass over the waiting tasks is scheduled. */
     private boolean passScheduled;
 
+    /** When the last pass began, in milliseconds. */
+    private long lastPassMillis;
+
     /** The pending counts published last; a value that matches no counts after a failure. */
     private Map<String, Integer> publishedCounts = Map.of();
 
@@ -290,15 +300,17 @@
 
     /**
      * Schedules a pass over the waiting tasks unless one is scheduled or the cell is not loaded
-     * yet.
+     * yet. The time between passes grows with the number of workers.
      */
     private void schedulePass() {
         if (!passScheduled && loaded && !context.ended) {
             passScheduled = true;
+            long intervalMillis = context.workers.size() / WORKERS_PER_PASS_MILLISECOND;
             context.schedule(
-                    1,
+                    Math.max(1, lastPassMillis + intervalMillis - context.now()),
                     () -> {
                         passScheduled = false;
+                        lastPassMillis = context.now();
                         taskScheduler.runPass();
                     });
         }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerThrottle.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerThrottle.java
@@ -156,6 +156,7 @@
                     Math.max(maxOverTargetMillis, updateOverTarget(run, latencyRatio, now));
         }
         state.evaluatedAtMillis = now;
+        state.predictedImpacts.clear();
         state.lastCpuShares = FillerCpuShares.current(worker);
         updateLimits(worker, maxOverTargetMillis, maxLatencyRatio, now);
         sendLimits(worker);
@@ -330,6 +331,19 @@
      *     target
      */
     double predictImpact(WorkerRecord worker, StepSpec spec) {
+        return worker.throttleState.predictedImpacts.computeIfAbsent(
+                new FillerThrottleState.FillerKind(spec.image(), spec.need().cpuMillicores()),
+                kind -> computeImpact(worker, spec));
+    }
+
+    /**
+     * Computes a prediction that is not known from an earlier call.
+     *
+     * @param worker the worker on which the filler would start
+     * @param spec the step of the filler
+     * @return the expected number of serving tasks
+     */
+    private double computeImpact(WorkerRecord worker, StepSpec spec) {
         Map<String, Double> addedCpuShares = FillerCpuShares.addedBy(worker, spec);
         double cpuShare = FillerCpuShares.atFullLimit(spec, worker);
         double impact = 0;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerThrottleState.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerThrottleState.java
@@ -1,5 +1,6 @@
 package org.damasktiller.scheduler.cell;
 
+import java.util.HashMap;
 import java.util.Map;
 
 /** The throttling state of the fillers of one worker. */
@@ -17,6 +18,12 @@
     /** When the latencies of the worker were last evaluated, in milliseconds. */
     long evaluatedAtMillis;
 
+    /**
+     * The predicted impacts of another filler on the serving tasks of the worker. Cleared when a
+     * run starts or ends and when latencies are evaluated.
+     */
+    final Map<FillerKind, Double> predictedImpacts = new HashMap<>();
+
     /** Creates the state of a worker whose fillers are not paused. */
     FillerThrottleState() {}
 
@@ -30,4 +37,12 @@
         paused = pause;
         changedAtMillis = nowMillis;
     }
+
+    /**
+     * What distinguishes one filler from another in a prediction.
+     *
+     * @param image the image of the filler
+     * @param cpuMillicores the CPU that it requests, in millicores
+     */
+    record FillerKind(String image, long cpuMillicores) {}
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
@@ -29,6 +29,9 @@
      */
     private static final long MAX_ANSWER_AGE_MILLIS = 1_000;
 
+    /** The average CPU use of a serving task, as a fraction of its request. */
+    private static final double SERVING_CPU_USE_FRACTION = 0.35;
+
     /** The identifier of the worker. */
     final String id;
 
@@ -136,6 +139,12 @@
     /** Whether the stored roster of the cell includes the worker. */
     boolean inStoredRoster;
 
+    /** The CPU that the runs of serving tasks reserve, in millicores. */
+    private long servingMillicores;
+
+    /** The CPU that the fillers request, in millicores. */
+    private long fillerMillicores;
+
     /**
      * Creates a record of a worker that has not been polled.
      *
@@ -167,6 +176,38 @@
         return entry.capacity().minus(reserved);
     }
 
+    /**
+     * Returns whether the free resources of the worker cover an amount.
+     *
+     * @param need the amount
+     * @return whether no resource falls short
+     */
+    boolean hasRoomFor(Resources need) {
+        Resources capacity = entry.capacity();
+        return capacity.cpuMillicores() - reserved.cpuMillicores() >= need.cpuMillicores()
+                && capacity.memoryMb() - reserved.memoryMb() >= need.memoryMb()
+                && capacity.accelerators() - reserved.accelerators() >= need.accelerators();
+    }
+
+    /**
+     * Returns the CPU that the fillers request.
+     *
+     * @return the CPU, in millicores
+     */
+    long fillerMillicores() {
+        return fillerMillicores;
+    }
+
+    /**
+     * Estimates the CPU that the tasks other than fillers leave idle.
+     *
+     * @return the CPU, in millicores
+     */
+    long idleMillicores() {
+        long unused = (long) (servingMillicores * (1 - SERVING_CPU_USE_FRACTION));
+        return entry.capacity().cpuMillicores() - reserved.cpuMillicores() + unused;
+    }
+
     /**
      * Adds a run and reserves its resources.
      *
@@ -175,6 +216,7 @@
     void addRun(RunRecord record) {
         if (runs.put(record.key(), record) == null) {
             reserved = reserved.plus(record.reserved);
+            addToSums(record, 1);
         }
         if (record.task != null && !record.task.runs.contains(record)) {
             record.task.runs.add(record);
@@ -189,12 +231,30 @@
     void removeRun(RunRecord record) {
         if (runs.remove(record.key()) != null) {
             reserved = reserved.minus(record.reserved);
+            addToSums(record, -1);
         }
         if (record.task != null) {
             record.task.runs.remove(record);
         }
     }
 
+    /**
+     * Adds a run to the sums over the runs of the worker, or takes it out of them, and discards the
+     * predictions that no longer hold.
+     *
+     * @param record the run
+     * @param sign 1 to add the run, -1 to take it out
+     */
+    private void addToSums(RunRecord record, int sign) {
+        if (record.isServing()) {
+            servingMillicores += sign * record.reserved.cpuMillicores();
+        }
+        if (record.isFiller() && record.task != null) {
+            fillerMillicores += sign * record.task.step.spec.need().cpuMillicores();
+        }
+        throttleState.predictedImpacts.clear();
+    }
+
     /**
      * Advances the acknowledged sequence number past the ends whose changes are stored.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -26,9 +26,6 @@
     /** The fraction of a worker's CPU that new long-running tasks leave free for urgent tasks. */
     private static final double URGENT_RESERVE_FRACTION = 0.06;
 
-    /** The average CPU use of a serving task, as a fraction of its request. */
-    private static final double SERVING_CPU_USE_FRACTION = 0.35;
-
     /** The penalty for a worker on which an earlier run of the task failed or was too slow. */
     private static final double AVOIDED_WORKER_PENALTY = 1_000;
 
@@ -109,9 +106,9 @@
         WorkerRecord best = null;
         double bestScore = REJECTED_SCORE;
         boolean ticketRequired = advice.isRequired(task.step);
+        Resources need = task.step.spec.reserved();
         for (WorkerRecord worker : context.allWorkers()) {
-            if (!isEligible(task, worker, ticketRequired)
-                    || !worker.freeResources().covers(task.step.spec.reserved())) {
+            if (!worker.hasRoomFor(need) || !isEligible(task, worker, ticketRequired)) {
                 continue;
             }
             double score = score(task, worker);
@@ -275,8 +272,8 @@
         long capacity = worker.entry.capacity().cpuMillicores();
         if (spec.filling()) {
             return !worker.throttleState.paused
-                    && fillerRequestMillicores(worker) + spec.need().cpuMillicores()
-                            <= idleMillicores(worker);
+                    && worker.fillerMillicores() + spec.need().cpuMillicores()
+                            <= worker.idleMillicores();
         }
         if (spec.lasting() && !task.everRan) {
             long freeAfterStart =
@@ -286,37 +283,6 @@
         return true;
     }
 
-    /**
-     * Returns the CPU that the fillers of a worker request.
-     *
-     * @param worker the worker
-     * @return the CPU, in millicores
-     */
-    private static long fillerRequestMillicores(WorkerRecord worker) {
-        long requested = 0;
-        for (RunRecord run : worker.runs.values()) {
-            if (run.isFiller() && run.task != null) {
-                requested += run.task.step.spec.need().cpuMillicores();
-            }
-        }
-        return requested;
-    }
-
-    /**
-     * Estimates the CPU that the tasks of a worker other than its fillers leave idle.
-     *
-     * @param worker the worker
-     * @return the CPU, in millicores
-     */
-    private static long idleMillicores(WorkerRecord worker) {
-        long used = 0;
-        for (RunRecord run : worker.runs.values()) {
-            long reserved = run.reserved.cpuMillicores();
-            used += run.isServing() ? (long) (reserved * SERVING_CPU_USE_FRACTION) : reserved;
-        }
-        return worker.entry.capacity().cpuMillicores() - used;
-    }
-
     /**
      * Returns the impact on serving tasks that a filler may have. It grows with the waiting time,
      * so that each pair of images is tried from time to time and its coefficient stays up to date.
@@ -372,7 +338,7 @@
         }
         if (spec.filling()) {
             double fillerLoad =
-                    (double) fillerRequestMillicores(worker) / Math.max(1, idleMillicores(worker));
+                    (double) worker.fillerMillicores() / Math.max(1, worker.idleMillicores());
             double impact = fillerThrottle.predictImpact(worker, spec);
             return impact > allowedImpact(task)
                     ? REJECTED_SCORE
