Let one owner see up to six zones

Cause: above three zones each zone was a cell, and a submission stayed in the cell of the VM that took it. Change: up to six zones form one cell (--max-zones-per-cell); beyond that the zones of a region are divided. A process registers the processor time of its VM, and VMs with more of it take a vacant cell first.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/CellElection.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/CellElection.java
@@ -1,5 +1,6 @@
 package org.damasktiller.node.cluster;
 
+import java.util.Set;
 import org.damasktiller.scheduler.cell.CellKeys;
 import org.damasktiller.scheduler.cell.CellTerm;
 import org.damasktiller.scheduler.cell.HeadRecord;
@@ -31,8 +32,8 @@
     /** The name of the cell. */
     private final String cell;
 
-    /** The availability zone of the cell, empty if the cell spans all zones. */
-    private final String zone;
+    /** The availability zones of the cell. */
+    private final Set<String> zones;
 
     /** The identity of this process. */
     private final NodeIdentity identity;
@@ -71,19 +72,19 @@
      * Creates an election; no attempt is made before {@link #attemptIfVacant} is called.
      *
      * @param cell the name of the cell
-     * @param zone the availability zone of the cell, empty if the cell spans all zones
+     * @param zones the availability zones of the cell
      * @param identity the identity of this process
      * @param context the shared dependencies
      * @param termListener notified when this process becomes the owner
      */
     CellElection(
             String cell,
-            String zone,
+            Set<String> zones,
             NodeIdentity identity,
             ClusterContext context,
             TermListener termListener) {
         this.cell = cell;
-        this.zone = zone;
+        this.zones = zones;
         this.identity = identity;
         this.store = context.store();
         this.session = context.session();
@@ -115,7 +116,8 @@
         if (vacantSinceMillis < 0) {
             vacantSinceMillis = now;
         }
-        int rank = ownedByThisNode ? 0 : ElectionRank.of(cell, zone, view.nodes(), identity.node());
+        int rank =
+                ownedByThisNode ? 0 : ElectionRank.of(cell, zones, view.nodes(), identity.node());
         if (now - vacantSinceMillis >= rank * RANK_DELAY_MILLIS) {
             attemptPending = true;
             long revision = owner == null ? StoreItem.ABSENT : owner.revision();
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
@@ -208,7 +208,7 @@
      */
     private CellElection createElection(String cell) {
         return new CellElection(
-                cell, layout.zoneOf(cell), identity, context, term -> startTerm(cell, term));
+                cell, layout.zonesOf(cell), identity, context, term -> startTerm(cell, term));
     }
 
     /** Tries to win vacant cells at regular intervals. */
@@ -252,7 +252,8 @@
                             identity.node(),
                             identity.process(),
                             identity.zone(),
-                            context.session().fastestRenewalMillis() <= NEAR_STORE_MAX_MILLIS);
+                            context.session().fastestRenewalMillis() <= NEAR_STORE_MAX_MILLIS,
+                            identity.cpuMillicores());
             context.store()
                     .commit(
                             new StoreTransaction()
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ElectionRank.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ElectionRank.java
@@ -3,12 +3,14 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Set;
 
 /**
  * Ranks the processes that may take over a vacant cell, so that they try one after the other: when
  * an owner dies, all processes see it at the same time and would otherwise all write to the store.
- * Processes in the cell's zone rank first, then processes near the store; a hash of cell and VM
- * orders the rest and spreads the cells over the processes.
+ * Processes in the zones of the cell rank first, then processes near the store, then VMs with more
+ * processor time, since the work of an owner grows with the workers of its cell; a hash of cell and
+ * VM orders the rest and spreads the cells over the processes.
  */
 final class ElectionRank {
 
@@ -19,16 +21,16 @@
      * Returns the rank of a process for a cell.
      *
      * @param cell the cell
-     * @param zone the availability zone of the cell, empty if the cell spans all zones
+     * @param zones the availability zones of the cell
      * @param nodes the registered processes
      * @param node the name of the VM to rank
      * @return the rank, 0 for the first; the number of processes if the VM is not among them
      */
-    static int of(String cell, String zone, Collection<NodeRecord> nodes, String node) {
+    static int of(String cell, Set<String> zones, Collection<NodeRecord> nodes, String node) {
         Comparator<NodeRecord> order =
-                Comparator.<NodeRecord, Boolean>comparing(
-                                record -> !zone.isEmpty() && !record.zone().equals(zone))
+                Comparator.<NodeRecord, Boolean>comparing(record -> !zones.contains(record.zone()))
                         .thenComparing(record -> !record.near())
+                        .thenComparingInt(record -> -record.cpuMillicores())
                         .thenComparingInt(record -> (cell + '/' + record.node()).hashCode());
         List<String> ranked = nodes.stream().sorted(order).map(NodeRecord::node).toList();
         int rank = ranked.indexOf(node);
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/NodeIdentity.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/NodeIdentity.java
@@ -6,5 +6,6 @@
  * @param node the name of the VM
  * @param process a random identifier of the process, different after each start
  * @param zone the availability zone of the VM
+ * @param cpuMillicores the processor time of the VM, in thousandths of a core, 0 if it is not known
  */
-public record NodeIdentity(String node, String process, String zone) {}
+public record NodeIdentity(String node, String process, String zone, int cpuMillicores) {}
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/NodeRecord.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/NodeRecord.java
@@ -8,5 +8,7 @@
  * @param process a random identifier of the process, different after each start
  * @param zone the availability zone of the VM
  * @param near whether the round trip to the store is short enough for both to be in one region
+ * @param cpuMillicores the processor time of the VM, in thousandths of a core, 0 if it is not known
  */
-public record NodeRecord(String node, String process, String zone, boolean near) {}
+public record NodeRecord(
+        String node, String process, String zone, boolean near, int cpuMillicores) {}
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/Main.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/Main.java
@@ -31,6 +31,7 @@
                 JCommander.newBuilder().programName("damasktiller-node").addObject(options).build();
         try {
             parser.parse(arguments);
+            options.validate();
         } catch (ParameterException exception) {
             System.err.println(exception.getMessage());
             parser.usage();
@@ -42,7 +43,7 @@
         }
         Path path = Path.of(options.settings);
         try {
-            new NodeProcess(path, SettingsReader.read(path)).run();
+            new NodeProcess(path, SettingsReader.read(path), options.maxZonesPerCell).run();
         } catch (DamasktillerException exception) {
             System.err.println(exception.code() + ": " + exception.getMessage());
             System.exit(EXIT_INVALID_SETTINGS);
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -123,8 +123,10 @@
      *
      * @param settingsPath the path of the settings file, which is read again on SIGHUP
      * @param settings the settings
+     * @param maxZonesPerCell the most availability zones of a cell, at least 1 and the same on all
+     *     entry VMs
      */
-    public NodeProcess(Path settingsPath, PlatformSettings settings) {
+    public NodeProcess(Path settingsPath, PlatformSettings settings, int maxZonesPerCell) {
         this.settingsPath = settingsPath;
         this.settings = settings;
         Clock clock = Clock.systemUTC();
@@ -138,20 +140,16 @@
                         new JsonHttpClient(eventloop, WATCH_TIMEOUT_MILLIS),
                         settings.storeAddress());
         JsonPlatformRecordDecoder records = new JsonPlatformRecordDecoder();
-        CellLayout cellLayout = new CellLayout(settings.zones());
-        CellSettings cellSettings =
-                CellSettings.builder()
-                        .maximumOverTargetMillis(settings.bounds().maximumOverTargetMillis())
-                        .remoteFactor(settings.bounds().remoteFactor())
-                        .maximumWorkerLeaseMillis(settings.bounds().maximumWorkerLeaseMillis())
-                        .minimumStoreLeaseMillis(settings.bounds().minimumStoreLeaseMillis())
-                        .build();
+        CellLayout cellLayout = new CellLayout(settings.regionByZone(), maxZonesPerCell);
         clusterMember =
                 new ClusterMember(
                         new NodeIdentity(
-                                settings.node(), UUID.randomUUID().toString(), settings.zone()),
+                                settings.node(),
+                                UUID.randomUUID().toString(),
+                                settings.zone(),
+                                settings.cpuMillicores()),
                         cellLayout,
-                        cellSettings,
+                        createCellSettings(),
                         store,
                         new HttpWorkerClient(
                                 new JsonHttpClient(eventloop, WORKER_TIMEOUT_MILLIS),
@@ -215,6 +213,20 @@
         eventloop.run();
     }
 
+    /**
+     * Creates the settings of the cells from the limits of the deployment.
+     *
+     * @return the settings
+     */
+    private CellSettings createCellSettings() {
+        return CellSettings.builder()
+                .maximumOverTargetMillis(settings.bounds().maximumOverTargetMillis())
+                .remoteFactor(settings.bounds().remoteFactor())
+                .maximumWorkerLeaseMillis(settings.bounds().maximumWorkerLeaseMillis())
+                .minimumStoreLeaseMillis(settings.bounds().minimumStoreLeaseMillis())
+                .build();
+    }
+
     /**
      * Creates the client of the advice service.
      *
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/Options.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/Options.java
@@ -1,7 +1,9 @@
 package org.damasktiller.node.process;
 
 import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
 import org.damasktiller.platform.settings.SettingsReader;
+import org.damasktiller.scheduler.cell.CellLayout;
 
 /** The command-line options of an entry VM. */
 final class Options {
@@ -14,6 +16,14 @@
                             + " or /etc/damasktiller/local.conf if that is not set")
     String settings = defaultSettings();
 
+    /** The most availability zones whose workers form one cell. */
+    @Parameter(
+            names = "--max-zones-per-cell",
+            description =
+                    "the most availability zones whose workers have a single owner; must be the"
+                            + " same on all entry VMs")
+    int maxZonesPerCell = CellLayout.DEFAULT_MAX_ZONES_PER_CELL;
+
     /** Whether to print the options and exit. */
     @Parameter(names = "--help", help = true, description = "print the options and exit")
     boolean help;
@@ -21,6 +31,18 @@
     /** Creates options with their default values. */
     Options() {}
 
+    /**
+     * Checks the values that the parser does not check.
+     *
+     * @throws ParameterException if a value is out of range
+     */
+    void validate() {
+        if (maxZonesPerCell < 1) {
+            throw new ParameterException(
+                    "--max-zones-per-cell must be at least 1, but is " + maxZonesPerCell);
+        }
+    }
+
     /**
      * Returns the default path of the settings file.
      *
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/SubmissionAcceptorTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/SubmissionAcceptorTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
+import java.util.Map;
 import org.damasktiller.scheduler.cell.CellKeys;
 import org.damasktiller.scheduler.cell.CellLayout;
 import org.damasktiller.scheduler.model.Resources;
@@ -102,7 +103,7 @@
         SubmissionAcceptor acceptor =
                 new SubmissionAcceptor(
                         client,
-                        new CellLayout(List.of("a", "b")),
+                        new CellLayout(Map.of("a", "north", "b", "north"), 2),
                         "a",
                         runtime,
                         (event, fields) -> {});
--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/ElectionRankTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/ElectionRankTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.lessThan;
 
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Tests the order in which processes try to take over a vacant cell. */
@@ -13,23 +14,32 @@
     /** The registered processes. */
     private static final List<NodeRecord> NODES =
             List.of(
-                    new NodeRecord("far-1", "p", "c", false),
-                    new NodeRecord("near-1", "p", "a", true),
-                    new NodeRecord("near-2", "p", "b", true));
+                    new NodeRecord("far-1", "p", "c", false, 750),
+                    new NodeRecord("near-1", "p", "a", true, 750),
+                    new NodeRecord("near-2", "p", "b", true, 360));
+
+    /** The zones of a cell that spans all zones. */
+    private static final Set<String> ALL_ZONES = Set.of("a", "b", "c");
+
+    @Test
+    void vmWithMoreProcessorTimeRanksBeforeItsEquals() {
+        assertThat(ElectionRank.of("cell", ALL_ZONES, NODES, "near-1"), equalTo(0));
+        assertThat(ElectionRank.of("cell", ALL_ZONES, NODES, "near-2"), equalTo(1));
+    }
 
     @Test
     void processesNearTheStoreRankFirst() {
-        assertThat(ElectionRank.of("cell", "", NODES, "far-1"), equalTo(2));
-        assertThat(ElectionRank.of("cell", "", NODES, "near-1"), lessThan(2));
+        assertThat(ElectionRank.of("cell", ALL_ZONES, NODES, "far-1"), equalTo(2));
+        assertThat(ElectionRank.of("cell", ALL_ZONES, NODES, "near-1"), lessThan(2));
     }
 
     @Test
     void processInTheZoneOfTheCellRanksFirst() {
-        assertThat(ElectionRank.of("cell@c", "c", NODES, "far-1"), equalTo(0));
+        assertThat(ElectionRank.of("cell@c", Set.of("c"), NODES, "far-1"), equalTo(0));
     }
 
     @Test
     void unregisteredProcessRanksLast() {
-        assertThat(ElectionRank.of("cell", "", NODES, "new"), equalTo(3));
+        assertThat(ElectionRank.of("cell", ALL_ZONES, NODES, "new"), equalTo(3));
     }
 }
--- /dev/null
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/process/OptionsTest.java
@@ -0,0 +1,28 @@
+package org.damasktiller.node.process;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import org.junit.jupiter.api.Test;
+
+/** Tests the checks of the command-line options. */
+final class OptionsTest {
+
+    @Test
+    void cellWithoutZonesIsRejected() {
+        Options options = new Options();
+        JCommander.newBuilder().addObject(options).build().parse("--max-zones-per-cell", "0");
+        ParameterException error = assertThrows(ParameterException.class, options::validate);
+        assertThat(error.getMessage(), containsString("--max-zones-per-cell must be at least 1"));
+    }
+
+    @Test
+    void valueThatIsNoNumberIsRejected() {
+        JCommander parser = JCommander.newBuilder().addObject(new Options()).build();
+        assertThrows(
+                ParameterException.class, () -> parser.parse("--max-zones-per-cell", "several"));
+    }
+}
