Keep whole workers for urgent tasks

Cause: new long-running tasks left 6% of each worker free, four cores, while route plans of the large deployment need 21 cores a task and up to 63. Change: the same 6% is kept as whole workers without long-running tasks, those that have fewest of them; the reserve follows the recent demand of urgent tasks, up to 15%. Fillers use it meanwhile.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
@@ -186,6 +186,15 @@
         return task != null && task.step.spec.serving();
     }
 
+    /**
+     * Returns whether the run belongs to a long-running task.
+     *
+     * @return whether it does
+     */
+    boolean isLongRunning() {
+        return task != null && task.step.spec.lasting();
+    }
+
     /**
      * Returns the target of the tail latency of the task.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
@@ -108,6 +108,7 @@
                 collectWaitingSteps(occurrence, waitingSteps);
             }
         }
+        workerSelector.updateUrgentReserve(urgentMillicores(waitingSteps));
         waitingSteps.sort(WaitingStep.ORDER);
         for (WaitingStep waiting : waitingSteps) {
             if (startCount >= MAX_STARTS_PER_PASS) {
@@ -121,6 +122,25 @@
         }
     }
 
+    /**
+     * Returns the CPU that the waiting urgent tasks need.
+     *
+     * @param waitingSteps the steps with waiting tasks
+     * @return the CPU, in millicores
+     */
+    private long urgentMillicores(List<WaitingStep> waitingSteps) {
+        long now = context.now();
+        long sum = 0;
+        for (WaitingStep waiting : waitingSteps) {
+            if (waiting.rank == RANK_URGENT) {
+                long count =
+                        waiting.step.tasks.stream().filter(task -> task.isWaiting(now)).count();
+                sum += count * waiting.step.spec.need().cpuMillicores();
+            }
+        }
+        return sum;
+    }
+
     /**
      * Returns whether tasks of a job may start. The job must be open and covered by a check of
      * ownership, and no previous owner may have left a run of it that this owner does not know.
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
@@ -142,6 +142,9 @@
     /** The CPU that the runs of serving tasks reserve, in millicores. */
     private long servingMillicores;
 
+    /** The CPU that the runs of long-running tasks reserve, in millicores. */
+    private long longRunningMillicores;
+
     /** The CPU that the fillers request, in millicores. */
     private long fillerMillicores;
 
@@ -189,6 +192,15 @@
                 && capacity.accelerators() - reserved.accelerators() >= need.accelerators();
     }
 
+    /**
+     * Returns the CPU that long-running tasks reserve.
+     *
+     * @return the CPU, in millicores
+     */
+    long longRunningMillicores() {
+        return longRunningMillicores;
+    }
+
     /**
      * Returns the CPU that the fillers request.
      *
@@ -249,6 +261,9 @@
         if (record.isServing()) {
             servingMillicores += sign * record.reserved.cpuMillicores();
         }
+        if (record.isLongRunning()) {
+            longRunningMillicores += sign * record.reserved.cpuMillicores();
+        }
         if (record.isFiller() && record.task != null) {
             fillerMillicores += sign * record.task.step.spec.need().cpuMillicores();
         }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -9,6 +9,8 @@
 import java.util.TreeSet;
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.StepSpec;
+import org.damasktiller.scheduler.placement.ReserveCandidate;
+import org.damasktiller.scheduler.placement.UrgentReserve;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -23,9 +25,6 @@
     /** The maximum number of start requests in flight to one worker; connections are billed. */
     private static final int MAX_STARTS_IN_FLIGHT = 6;
 
-    /** The fraction of a worker's CPU that new long-running tasks leave free for urgent tasks. */
-    private static final double URGENT_RESERVE_FRACTION = 0.06;
-
     /** The penalty for a worker on which an earlier run of the task failed or was too slow. */
     private static final double AVOIDED_WORKER_PENALTY = 1_000;
 
@@ -70,6 +69,12 @@
     /** The increase of the allowed impact for each second that a filler waits, in serving tasks. */
     private static final double ALLOWED_IMPACT_PER_SECOND = 0.15;
 
+    /** The time between two updates of the reserve for urgent tasks, in milliseconds. */
+    private static final long RESERVE_UPDATE_MILLIS = 250;
+
+    /** The time of an event that has not happened. */
+    private static final long NEVER = -1;
+
     /** The number of milliseconds in a second. */
     private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -82,6 +87,12 @@
     /** Holds the tickets for routes that need advice. */
     private final AdviceTicketProvider advice;
 
+    /** The workers that are kept free of new long-running tasks. */
+    private final UrgentReserve urgentReserve = new UrgentReserve();
+
+    /** When the reserve was last updated, in milliseconds, or {@link #NEVER}. */
+    private long reserveUpdatedAtMillis = NEVER;
+
     /**
      * Creates a selector of workers.
      *
@@ -96,6 +107,33 @@
         this.fillerThrottle = fillerThrottle;
     }
 
+    /**
+     * Adapts the reserve for urgent tasks to their demand, unless it was adapted recently.
+     *
+     * @param waitingMillicores the CPU that waiting urgent tasks need, in millicores
+     */
+    void updateUrgentReserve(long waitingMillicores) {
+        long now = context.now();
+        if (reserveUpdatedAtMillis != NEVER
+                && now - reserveUpdatedAtMillis < RESERVE_UPDATE_MILLIS) {
+            return;
+        }
+        reserveUpdatedAtMillis = now;
+        long urgentMillicores = waitingMillicores;
+        List<ReserveCandidate> candidates = new ArrayList<>();
+        for (WorkerRecord worker : context.allWorkers()) {
+            urgentMillicores += worker.reserved.cpuMillicores() - worker.longRunningMillicores();
+            if (worker.isUsable(now)) {
+                candidates.add(
+                        new ReserveCandidate(
+                                worker.id,
+                                worker.entry.capacity().cpuMillicores(),
+                                worker.longRunningMillicores()));
+            }
+        }
+        urgentReserve.update(candidates, urgentMillicores, now);
+    }
+
     /**
      * Selects the worker with the lowest score for a task.
      *
@@ -260,8 +298,9 @@
     }
 
     /**
-     * Returns whether the CPU of a worker suffices for a filler, or for a new long-running task
-     * that has to leave some of it free for urgent tasks. Other tasks are not restricted here.
+     * Returns whether the CPU of a worker suffices for a filler, and whether a new long-running
+     * task may use a worker that might be kept for urgent tasks. Other tasks are not restricted
+     * here.
      *
      * @param task the task
      * @param worker the worker
@@ -269,16 +308,13 @@
      */
     private boolean hasEnoughCpu(TaskRecord task, WorkerRecord worker) {
         StepSpec spec = task.step.spec;
-        long capacity = worker.entry.capacity().cpuMillicores();
         if (spec.filling()) {
             return !worker.throttleState.paused
                     && worker.fillerMillicores() + spec.need().cpuMillicores()
                             <= worker.idleMillicores();
         }
         if (spec.lasting() && !task.everRan) {
-            long freeAfterStart =
-                    worker.freeResources().cpuMillicores() - spec.need().cpuMillicores();
-            return freeAfterStart >= capacity * URGENT_RESERVE_FRACTION;
+            return !urgentReserve.contains(worker.id);
         }
         return true;
     }
