Reject at once what no worker can hold

Cause: a submission with a task larger than every worker was stored and waited until its caller gave up; its other steps took room from others. Change: an owner publishes the largest workers that its cell has had; an entry VM answers 503 with the code UNSERVABLE if a task fits none of them, after a read that shows that the submission is not stored. While the workers of any cell are not known, everything is accepted.

--- a/damasktiller-library/src/main/java/org/damasktiller/error/ErrorCode.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/error/ErrorCode.java
@@ -18,6 +18,8 @@
     UNKNOWN_KIND,
     /** No job with the given identifier is known. */
     UNKNOWN_JOB,
+    /** No worker is large enough for a task of the submission. */
+    UNSERVABLE,
     /** The key-value service did not answer. */
     STORE_UNAVAILABLE,
     /** The peer sent a message, or the store holds a record, that violates the format. */
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerResponse.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerResponse.java
@@ -39,6 +39,12 @@
     /** The Retry-After value of responses with status 503 or 504, in seconds. */
     private static final int RETRY_AFTER_SECONDS = 1;
 
+    /**
+     * The Retry-After value of a submission that no worker can hold, in seconds: larger workers are
+     * not added at short notice.
+     */
+    private static final int UNSERVABLE_RETRY_AFTER_SECONDS = 60;
+
     /**
      * Creates the response to an accepted submission.
      *
@@ -134,6 +140,19 @@
                 RETRY_AFTER_SECONDS);
     }
 
+    /**
+     * Creates the response to a submission that no worker could run, which was not stored.
+     *
+     * @param message why it can't run
+     * @return status 503 with the error code UNSERVABLE and a Retry-After header
+     */
+    static CallerResponse unservable(String message) {
+        return new CallerResponse(
+                SERVICE_UNAVAILABLE,
+                CallerCodec.encodeError(ErrorCode.UNSERVABLE, message),
+                UNSERVABLE_RETRY_AFTER_SECONDS);
+    }
+
     /**
      * Creates the response to a request that may or may not have taken effect.
      *
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
@@ -1,13 +1,17 @@
 package org.damasktiller.node.caller;
 
+import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.damasktiller.scheduler.cell.CellKeys;
 import org.damasktiller.scheduler.cell.CellLayout;
 import org.damasktiller.scheduler.cell.StoredValueCodec;
 import org.damasktiller.scheduler.model.AcceptedSubmission;
+import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.Submission;
 import org.damasktiller.scheduler.model.SubmissionRecord;
 import org.damasktiller.scheduler.model.SubmissionState;
+import org.damasktiller.scheduler.placement.LargestWorkers;
 import org.damasktiller.scheduler.port.CommitReply;
 import org.damasktiller.scheduler.port.DecisionLog;
 import org.damasktiller.scheduler.port.MetadataStore;
@@ -53,6 +57,9 @@
     /** The availability zone of this process; submissions go to the cell of this zone. */
     private final String zone;
 
+    /** Returns the largest workers of a service by its name, empty if they are not known. */
+    private final Function<String, List<Resources>> largestWorkers;
+
     /** The clock and the timers. */
     private final ProcessRuntime runtime;
 
@@ -65,6 +72,8 @@
      * @param store the store
      * @param layout maps services and zones to cells
      * @param zone the availability zone of this process; submissions go to its cell
+     * @param largestWorkers returns the largest workers of a service by its name, empty if they are
+     *     not known
      * @param runtime the clock and the timers
      * @param log the log
      */
@@ -72,24 +81,79 @@
             MetadataStore store,
             CellLayout layout,
             String zone,
+            Function<String, List<Resources>> largestWorkers,
             ProcessRuntime runtime,
             DecisionLog log) {
         this.store = store;
         this.layout = layout;
         this.zone = zone;
+        this.largestWorkers = largestWorkers;
         this.runtime = runtime;
         this.log = log;
     }
 
     /**
-     * Stores a submission and responds, at the latest shortly before the caller's deadline.
+     * Stores a submission and responds, at the latest shortly before the caller's deadline. A
+     * submission with a task that no worker can hold is rejected, unless it is already stored.
      *
      * @param request the request
      * @param submission the submission to store
      * @param callback the callback for the response, called exactly once
      */
     void accept(CallerRequest request, Submission submission, Consumer<CallerResponse> callback) {
-        new RetryingWrite(request, submission, callback).start();
+        int tooLarge =
+                LargestWorkers.firstStepTooLarge(
+                        submission.steps(), largestWorkers.apply(request.route().service()));
+        if (tooLarge == LargestWorkers.NONE) {
+            new RetryingWrite(request, submission, callback).start();
+        } else {
+            store.read(
+                    CellKeys.submission(request.id()),
+                    result ->
+                            rejectUnlessStored(
+                                    request, tooLarge, submission, result.status(), callback));
+        }
+    }
+
+    /**
+     * Rejects a submission that can never run, unless an earlier request has stored it.
+     *
+     * @param request the request
+     * @param step the number of a step of which no task fits on any worker
+     * @param submission the submission
+     * @param status the result of reading the record of the submission
+     * @param callback the callback for the response
+     */
+    private void rejectUnlessStored(
+            CallerRequest request,
+            int step,
+            Submission submission,
+            StoreStatus status,
+            Consumer<CallerResponse> callback) {
+        CallerResponse response =
+                switch (status) {
+                    case OK -> CallerResponse.accepted();
+                    case ABSENT ->
+                            CallerResponse.unservable("no worker can hold a task of step " + step);
+                    default -> CallerResponse.notExecuted("the store refused the submission");
+                };
+        log.log(
+                "submission.unservable",
+                "id",
+                request.id(),
+                "route",
+                request.route().name(),
+                "step",
+                step,
+                "needs",
+                submission.steps().get(step).reserved(),
+                "largest",
+                largestWorkers.apply(request.route().service()),
+                "store",
+                status,
+                "status",
+                response.status());
+        callback.accept(response);
     }
 
     /** Writes one submission and retries until it is stored or the time is up. */
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
@@ -1,6 +1,7 @@
 package org.damasktiller.node.cluster;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.damasktiller.scheduler.cell.CellEnvironment;
 import org.damasktiller.scheduler.cell.CellLayout;
@@ -9,6 +10,7 @@
 import org.damasktiller.scheduler.cell.CellTerm;
 import org.damasktiller.scheduler.cell.StoredValueCodec;
 import org.damasktiller.scheduler.model.Manifest;
+import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.scheduler.port.AdviceClient;
 import org.damasktiller.scheduler.port.DecisionLog;
@@ -187,6 +189,16 @@
         return context.view().pendingCount(route);
     }
 
+    /**
+     * Returns the largest workers of a service.
+     *
+     * @param service the name of the service
+     * @return the capacities of the largest workers of all its cells, empty if they are not known
+     */
+    public List<Resources> largestWorkers(String service) {
+        return context.view().largestWorkers(layout.cellsOf(service));
+    }
+
     /**
      * Returns the state of an open submission in a cell that this process owns.
      *
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterView.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterView.java
@@ -1,5 +1,6 @@
 package org.damasktiller.node.cluster;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -9,6 +10,7 @@
 import org.damasktiller.scheduler.cell.PendingRecord;
 import org.damasktiller.scheduler.cell.PrefixWatcher;
 import org.damasktiller.scheduler.cell.StoredValueCodec;
+import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.port.DecisionLog;
 import org.damasktiller.scheduler.port.MetadataStore;
 import org.damasktiller.scheduler.port.ProcessRuntime;
@@ -18,7 +20,7 @@
 
 /**
  * Caches the keys that all processes publish in the store: the registered processes, the owner of
- * each cell, and the counts of pending submissions. A watch keeps the cache up to date.
+ * each cell, and what the owners publish about their cells. A watch keeps the cache up to date.
  */
 public final class ClusterView implements PrefixWatcher.Listener {
 
@@ -108,6 +110,24 @@
                 .sum();
     }
 
+    /**
+     * Returns the largest workers of some cells.
+     *
+     * @param cells the names of the cells
+     * @return the capacities, empty if the workers of any of the cells are not known
+     */
+    public List<Resources> largestWorkers(Collection<String> cells) {
+        List<Resources> capacities = new ArrayList<>();
+        for (String cell : cells) {
+            PendingRecord record = pendingByCell.get(cell);
+            if (record == null || record.largestWorkers().isEmpty()) {
+                return List.of();
+            }
+            capacities.addAll(record.largestWorkers());
+        }
+        return capacities;
+    }
+
     @Override
     public void onSnapshot(List<StoreItem> items, long highestRevision) {
         owners.clear();
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -143,11 +143,7 @@
         CellLayout cellLayout = new CellLayout(settings.regionByZone(), maxZonesPerCell);
         clusterMember =
                 new ClusterMember(
-                        new NodeIdentity(
-                                settings.node(),
-                                UUID.randomUUID().toString(),
-                                settings.zone(),
-                                settings.cpuMillicores()),
+                        createIdentity(),
                         cellLayout,
                         createCellSettings(),
                         store,
@@ -163,7 +159,13 @@
         callerServlet =
                 new CallerServlet(
                         manifestWatcher::current,
-                        new SubmissionAcceptor(store, cellLayout, settings.zone(), runtime, log),
+                        new SubmissionAcceptor(
+                                store,
+                                cellLayout,
+                                settings.zone(),
+                                clusterMember::largestWorkers,
+                                runtime,
+                                log),
                         new SubmissionStateHandler(store, clusterMember, runtime, log),
                         clusterMember,
                         runtime,
@@ -213,6 +215,19 @@
         eventloop.run();
     }
 
+    /**
+     * Creates the identity of this process.
+     *
+     * @return the identity, with a new identifier of the process
+     */
+    private NodeIdentity createIdentity() {
+        return new NodeIdentity(
+                settings.node(),
+                UUID.randomUUID().toString(),
+                settings.zone(),
+                settings.cpuMillicores());
+    }
+
     /**
      * Creates the settings of the cells from the limits of the deployment.
      *
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/SubmissionAcceptorTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/SubmissionAcceptorTest.java
@@ -37,6 +37,12 @@
     /** The responses that the acceptor has sent. */
     private final List<CallerResponse> responses = new ArrayList<>();
 
+    /** The largest workers of the service, empty while they are not known. */
+    private List<Resources> largestWorkers = List.of();
+
+    /** What each task of the submission needs. */
+    private Resources need = Resources.NONE;
+
     /** When the last response was sent, on the clock of the test, in milliseconds. */
     private long respondedAtMillis;
 
@@ -85,6 +91,39 @@
         assertThat(respondedAtMillis, lessThan(1_700L));
     }
 
+    /**
+     * Tasks that no worker can hold would otherwise wait until their caller gives up. The rejection
+     * does not wait for a timeout, and nothing is stored.
+     */
+    @Test
+    void submissionThatNoWorkerCanHoldIsRejectedAtOnce() {
+        largestWorkers = List.of(new Resources(64_000, 250_000, 0));
+        need = new Resources(65_000, 1_000, 0);
+        submit(List.of());
+        assertThat(status(), equalTo(503));
+        assertThat(respondedAtMillis, lessThan(100L));
+        assertThat(store.value(CellKeys.submission(ID)), nullValue());
+    }
+
+    @Test
+    void storedSubmissionIsNotRejectedOnceItsWorkersAreGone() {
+        need = new Resources(65_000, 1_000, 0);
+        submit(List.of());
+        largestWorkers = List.of(new Resources(64_000, 250_000, 0));
+        submit(List.of());
+        assertThat(status(), equalTo(200));
+    }
+
+    @Test
+    void submissionThatNoWorkerCanHoldIsNotStoredWhileTheStoreRefuses() {
+        largestWorkers = List.of(new Resources(64_000, 250_000, 0));
+        need = new Resources(65_000, 1_000, 0);
+        submit(repeat(CallFault.REFUSED));
+        assertThat(status(), equalTo(503));
+        runtime.advance(20_000);
+        assertThat(store.value(CellKeys.submission(ID)), nullValue());
+    }
+
     /**
      * Submits the submission and advances the clock by 4 s, 1 s beyond the caller's deadline.
      *
@@ -105,27 +144,14 @@
                         client,
                         new CellLayout(Map.of("a", "north", "b", "north"), 2),
                         "a",
+                        service -> largestWorkers,
                         runtime,
                         (event, fields) -> {});
         Route route = new Route("route", "host", "/", "service", 0, 2, 2, 600, false);
         StepSpec step =
                 new StepSpec(
-                        1,
-                        Resources.NONE,
-                        100,
-                        List.of(),
-                        false,
-                        false,
-                        false,
-                        "",
-                        "",
-                        0,
-                        false,
-                        false,
-                        "",
-                        0,
-                        false,
-                        0);
+                        1, need, 100, List.of(), false, false, false, "", "", 0, false, false, "",
+                        0, false, 0);
         responses.clear();
         acceptor.accept(
                 new CallerRequest(ID, route, 1, runtime.nowMillis() + 3_000),
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -2,12 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.damasktiller.scheduler.model.Manifest;
 import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.scheduler.model.WorkerEntry;
+import org.damasktiller.scheduler.placement.LargestWorkers;
 import org.damasktiller.scheduler.port.StoreEvent;
 import org.damasktiller.scheduler.port.StoreItem;
 import org.damasktiller.scheduler.port.StoreReading;
@@ -83,8 +83,14 @@
     /** When the last pass began, in milliseconds. */
     private long lastPassMillis;
 
-    /** The pending counts published last; a value that matches no counts after a failure. */
-    private Map<String, Integer> publishedCounts = Map.of();
+    /** The largest workers that the cell has had in this term. */
+    private final LargestWorkers largestWorkers = new LargestWorkers();
+
+    /** Whether all entries of workers have been read. */
+    private boolean workersRead;
+
+    /** What was published last, or null if nothing was or the last publication failed. */
+    private @Nullable PendingRecord published;
 
     /**
      * Creates an owner that has not started.
@@ -317,22 +323,24 @@
     }
 
     /**
-     * Publishes the pending counts of the cell if they have changed, and schedules the next check.
+     * Publishes the pending counts and the largest workers of the cell if they have changed, and
+     * schedules the next check.
      */
     private void publishCounts() {
-        Map<String, Integer> counts = jobTracker.countQueuedByRoute();
-        if (!counts.equals(publishedCounts)) {
-            publishedCounts = counts;
+        PendingRecord record =
+                new PendingRecord(
+                        jobTracker.countQueuedByRoute(),
+                        workersRead ? largestWorkers.capacities() : List.of());
+        if (!record.equals(published)) {
+            published = record;
             StoreTransaction commit = new StoreTransaction();
             commit.expectRevision(CellKeys.owner(context.cell), context.term.headRevision());
-            commit.put(
-                    CellKeys.pending(context.cell),
-                    StoredValueCodec.encode(new PendingRecord(counts)));
+            commit.put(CellKeys.pending(context.cell), StoredValueCodec.encode(record));
             context.store.commit(
                     commit,
                     result -> {
                         if (result.status() != StoreStatus.OK) {
-                            publishedCounts = Map.of("", -1);
+                            published = null;
                         }
                     });
         }
@@ -421,17 +429,20 @@
 
         @Override
         public void onSnapshot() {
+            workersRead = true;
             context.log.log("workers.read", "cell", context.cell, "count", context.workers.size());
         }
 
         @Override
         public void onAdded(WorkerRecord worker) {
+            largestWorkers.add(worker.entry.capacity());
             commits.enqueueRoster();
             poller.poll(worker);
         }
 
         @Override
         public void onUpdated(WorkerRecord worker, WorkerEntry previousEntry) {
+            largestWorkers.add(worker.entry.capacity());
             long born = worker.entry.bootUnixMillis();
             if (born != 0 && worker.bootUnixMillis != 0 && born > worker.bootUnixMillis) {
                 poller.resetAfterRestart(worker, born);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PendingRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PendingRecord.java
@@ -1,18 +1,23 @@
 package org.damasktiller.scheduler.cell;
 
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.damasktiller.scheduler.model.Resources;
 
 /**
- * The stored pending counts of a cell: how many submissions of each route wait for their first
- * start.
+ * What the owner of a cell publishes to all entry VMs: how many submissions of each route wait for
+ * their first start, and which tasks the workers can hold.
  *
  * @param byRoute the counts by route name; a route without waiting submissions has no entry
+ * @param largestWorkers the capacities of the largest workers, empty if they are not known
  */
-public record PendingRecord(Map<String, Integer> byRoute) {
+public record PendingRecord(Map<String, Integer> byRoute, List<Resources> largestWorkers) {
 
-    /** Copies the counts, sorted by route name. */
+    /** Copies the counts, sorted by route name, and the capacities, which older records lack. */
+    @SuppressWarnings("ConstantConditions")
     public PendingRecord {
         byRoute = new TreeMap<>(byRoute);
+        largestWorkers = largestWorkers == null ? List.of() : List.copyOf(largestWorkers);
     }
 }
