--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -131,7 +131,22 @@
                                 worker.longRunningMillicores()));
             }
         }
+        int sizeBefore = urgentReserve.size();
         urgentReserve.update(candidates, urgentMillicores, now);
+        if (urgentReserve.size() != sizeBefore) {
+            context.log.log(
+                    "reserve.changed",
+                    "cell",
+                    context.cell,
+                    "workers",
+                    urgentReserve.size(),
+                    "before",
+                    sizeBefore,
+                    "of",
+                    candidates.size(),
+                    "urgentMillicores",
+                    urgentMillicores);
+        }
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/placement/UrgentReserve.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/placement/UrgentReserve.java
@@ -52,6 +52,15 @@
         return members.contains(id);
     }
 
+    /**
+     * Returns the size of the reserve.
+     *
+     * @return the number of workers
+     */
+    public int size() {
+        return members.size();
+    }
+
     /**
      * Adapts the reserve to the demand. Workers with the least CPU reserved for long-running tasks
      * are taken first, and members before others.
--- a/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/placement/UrgentReserveTest.java
+++ b/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/placement/UrgentReserveTest.java
@@ -90,11 +90,12 @@
     }
 
     /**
-     * Returns the size of the reserve.
+     * Returns the size of the reserve, and checks that it counts only known workers.
      *
      * @return the number of workers
      */
     private int memberCount() {
-        return members().size();
+        assertThat(reserve.size(), equalTo(members().size()));
+        return reserve.size();
     }
 }
