--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellKeys.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellKeys.java
@@ -75,6 +75,16 @@
         return "roster/" + cell;
     }
 
+    /**
+     * Returns the key of the estimates of how fillers harm serving tasks in a cell.
+     *
+     * @param cell the name of the cell
+     * @return the key
+     */
+    public static String interference(String cell) {
+        return "interference/" + cell;
+    }
+
     /**
      * Returns the prefix of the open submissions of a cell; the submission identifier follows it.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -56,6 +56,9 @@
     /** Polls the workers. */
     private final WorkerPoller poller;
 
+    /** Hands what was learnt about fillers from owner to owner. */
+    private final InterferenceKeeper interferenceKeeper;
+
     /** Throttles fillers. */
     private final FillerThrottle fillerThrottle;
 
@@ -115,7 +118,9 @@
         commits = new CommitQueue(context, new CommitListener());
         jobTracker = new JobTracker(context, commits, requestSender, runTimes);
         poller = new WorkerPoller(context, jobTracker, requestSender, new PollListener());
-        fillerThrottle = new FillerThrottle(context, requestSender, new InterferenceModel());
+        InterferenceModel interference = new InterferenceModel();
+        interferenceKeeper = new InterferenceKeeper(context, interference);
+        fillerThrottle = new FillerThrottle(context, requestSender, interference);
         AdviceTicketProvider advice =
                 new AdviceTicketProvider(context, environment.adviceClient(), this::schedulePass);
         WorkerSelector workerSelector = new WorkerSelector(context, fillerThrottle, advice);
@@ -142,6 +147,7 @@
                 "headRevision",
                 context.term.headRevision());
         submissionWatcher.start();
+        interferenceKeeper.start();
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/InterferenceModel.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/InterferenceModel.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * Learns how much fillers of one image increase the tail latency of serving tasks of another.
@@ -63,6 +64,12 @@
      */
     private static final double MAX_BASELINE = 0.8;
 
+    /** The most pairs in a record, which keeps it below 64 KB. */
+    private static final int MAX_RECORDED_PAIRS = 1_000;
+
+    /** The precision of recorded values: their smallest difference is one divided by this. */
+    private static final double RECORD_PRECISION = 1_000;
+
     /** The effects by the image of the serving task and then by the image of the filler. */
     private final Map<String, Map<String, Effect>> effects = new HashMap<>();
 
@@ -158,6 +165,65 @@
         return baselines.getOrDefault(servingImage, INITIAL_BASELINE);
     }
 
+    /**
+     * Returns the estimates that are certain enough to be of use to another owner.
+     *
+     * @return the estimates, at most {@link #MAX_RECORDED_PAIRS} pairs
+     */
+    InterferenceRecord toRecord() {
+        Map<String, Map<String, InterferenceRecord.PairRecord>> pairs = new TreeMap<>();
+        int count = 0;
+        for (Map.Entry<String, Map<String, Effect>> serving : effects.entrySet()) {
+            for (Map.Entry<String, Effect> filler : serving.getValue().entrySet()) {
+                Effect effect = filler.getValue();
+                if (effect.variance < INITIAL_VARIANCE && count < MAX_RECORDED_PAIRS) {
+                    count++;
+                    pairs.computeIfAbsent(serving.getKey(), key -> new TreeMap<>())
+                            .put(
+                                    filler.getKey(),
+                                    new InterferenceRecord.PairRecord(
+                                            round(effect.coefficient), round(effect.variance)));
+                }
+            }
+        }
+        Map<String, Double> recordedBaselines = new TreeMap<>();
+        baselines.forEach((image, ratio) -> recordedBaselines.put(image, round(ratio)));
+        return new InterferenceRecord(pairs, recordedBaselines);
+    }
+
+    /**
+     * Adopts the estimates of another owner for pairs and images that were not observed yet. Values
+     * out of range are limited as observations are.
+     *
+     * @param record the estimates
+     */
+    void restore(InterferenceRecord record) {
+        record.effects()
+                .forEach(
+                        (serving, pairs) ->
+                                pairs.forEach(
+                                        (filler, pair) ->
+                                                effects.computeIfAbsent(
+                                                                serving, key -> new HashMap<>())
+                                                        .computeIfAbsent(
+                                                                filler, key -> Effect.of(pair))));
+        record.baselines()
+                .forEach(
+                        (image, ratio) ->
+                                baselines.putIfAbsent(
+                                        image, Math.max(0, Math.min(MAX_BASELINE, ratio))));
+    }
+
+    /**
+     * Rounds a value for the stored record.
+     *
+     * @param value the value
+     * @return the value with three decimal places
+     */
+    private static double round(double value) {
+        return Math.round(value * RECORD_PRECISION) / RECORD_PRECISION;
+    }
+
     /** The effect of fillers of one image on serving tasks of another. */
     private static final class Effect {
 
@@ -170,6 +236,19 @@
         /** Creates an effect without observations. */
         Effect() {}
 
+        /**
+         * Creates an effect from a stored estimate.
+         *
+         * @param pair the estimate
+         * @return the effect, with values within the limits of observed ones
+         */
+        static Effect of(InterferenceRecord.PairRecord pair) {
+            Effect effect = new Effect();
+            effect.coefficient = Math.max(0, Math.min(MAX_COEFFICIENT, pair.coefficient()));
+            effect.variance = Math.max(VARIANCE_DRIFT, Math.min(INITIAL_VARIANCE, pair.variance()));
+            return effect;
+        }
+
         /**
          * Corrects the coefficient by the error of a prediction.
          *
--- a/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/cell/InterferenceModelTest.java
+++ b/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/cell/InterferenceModelTest.java
@@ -1,11 +1,16 @@
 package org.damasktiller.scheduler.cell;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static java.util.Objects.requireNonNull;
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.lessThan;
 
 import java.util.Map;
 import java.util.SplittableRandom;
+import org.damasktiller.scheduler.cell.InterferenceRecord.PairRecord;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -50,4 +55,49 @@
         assertThat(model.coefficient("serving", "new"), greaterThan(0.0));
         assertThat(model.predictLogGrowth("serving", Map.of("new", 0.1)), lessThan(1.0));
     }
+
+    /** The owner changes while pairs run side by side; its successor must not learn them again. */
+    @Test
+    void successorPredictsWhatItsPredecessorLearnt() {
+        InterferenceModel predecessor = new InterferenceModel();
+        for (int observation = 0; observation < 100; observation++) {
+            predecessor.observe("serving", 0.3, Map.of());
+            predecessor.observe("serving", 3, Map.of("harmful", 0.2));
+        }
+        byte[] stored = StoredValueCodec.encode(predecessor.toRecord());
+        InterferenceModel successor = new InterferenceModel();
+        successor.restore(
+                requireNonNull(StoredValueCodec.decode(stored, InterferenceRecord.class)));
+        assertThat(
+                successor.coefficient("serving", "harmful"),
+                closeTo(predecessor.coefficient("serving", "harmful"), 0.01));
+        assertThat(successor.baseline("serving"), closeTo(predecessor.baseline("serving"), 0.01));
+    }
+
+    @Test
+    void observationsPrecedeStoredEstimates() {
+        InterferenceModel model = new InterferenceModel();
+        model.observe("serving", 3, Map.of("filler", 0.2));
+        double learnt = model.coefficient("serving", "filler");
+        model.restore(
+                new InterferenceRecord(
+                        Map.of("serving", Map.of("filler", new PairRecord(1, 1))), Map.of()));
+        assertThat(model.coefficient("serving", "filler"), equalTo(learnt));
+    }
+
+    @Test
+    void storedEstimatesOutOfRangeAreLimited() {
+        String stored =
+                """
+                {"effects":{"serving":{"a":{"coefficient":1e9,"variance":-1},"b":null},"other":null},
+                 "baselines":{"serving":-5,"other":null}}
+                """;
+        InterferenceModel model = new InterferenceModel();
+        model.restore(
+                requireNonNull(
+                        StoredValueCodec.decode(stored.getBytes(UTF_8), InterferenceRecord.class)));
+        assertThat(model.coefficient("serving", "a"), lessThan(100.0));
+        assertThat(model.coefficient("serving", "b"), equalTo(model.coefficient("other", "any")));
+        assertThat(model.baseline("serving"), equalTo(0.0));
+    }
 }
