Fix the cells by what the VMs can carry

A process decided for itself how zones are divided, so that an owner of another opinion would have sent requests to the same workers. An entry VM accepts nothing before it knows the cells. Strong VMs far from the store take a vacant cell before weak ones near it.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.damasktiller.scheduler.cell.CellKeys;
 import org.damasktiller.scheduler.cell.CellLayout;
 import org.damasktiller.scheduler.cell.StoredValueCodec;
@@ -20,6 +21,7 @@
 import org.damasktiller.scheduler.port.StoreResult;
 import org.damasktiller.scheduler.port.StoreStatus;
 import org.damasktiller.scheduler.port.StoreTransaction;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Stores new submissions. Each submission is written by one transaction, on the condition that none
@@ -51,8 +53,8 @@
     /** The store. */
     private final MetadataStore store;
 
-    /** Maps services and zones to cells. */
-    private final CellLayout layout;
+    /** Returns how services and zones are mapped to cells, or null while that is not known. */
+    private final Supplier<@Nullable CellLayout> layout;
 
     /** The availability zone of this process; submissions go to the cell of this zone. */
     private final String zone;
@@ -70,7 +72,8 @@
      * Creates an acceptor.
      *
      * @param store the store
-     * @param layout maps services and zones to cells
+     * @param layout returns how services and zones are mapped to cells, or null while that is not
+     *     known
      * @param zone the availability zone of this process; submissions go to its cell
      * @param largestWorkers returns the largest workers of a service by its name, empty if they are
      *     not known
@@ -79,7 +82,7 @@
      */
     public SubmissionAcceptor(
             MetadataStore store,
-            CellLayout layout,
+            Supplier<@Nullable CellLayout> layout,
             String zone,
             Function<String, List<Resources>> largestWorkers,
             ProcessRuntime runtime,
@@ -101,11 +104,17 @@
      * @param callback the callback for the response, called exactly once
      */
     void accept(CallerRequest request, Submission submission, Consumer<CallerResponse> callback) {
+        CellLayout currentLayout = layout.get();
+        if (currentLayout == null) {
+            callback.accept(CallerResponse.notExecuted("the cells are not known yet"));
+            return;
+        }
         int tooLarge =
                 LargestWorkers.firstStepTooLarge(
                         submission.steps(), largestWorkers.apply(request.route().service()));
         if (tooLarge == LargestWorkers.NONE) {
-            new RetryingWrite(request, submission, callback).start();
+            String cell = currentLayout.cellOf(request.route().service(), zone);
+            new RetryingWrite(request, submission, cell, callback).start();
         } else {
             store.read(
                     CellKeys.submission(request.id()),
@@ -188,15 +197,19 @@
          *
          * @param request the request
          * @param submission the submission to store
+         * @param cell the cell that will run the submission
          * @param callback the callback for the response
          */
         RetryingWrite(
-                CallerRequest request, Submission submission, Consumer<CallerResponse> callback) {
+                CallerRequest request,
+                Submission submission,
+                String cell,
+                Consumer<CallerResponse> callback) {
             this.request = request;
             this.callback = callback;
             this.startMillis = runtime.nowMillis();
             String service = request.route().service();
-            this.cell = layout.cellOf(service, zone);
+            this.cell = cell;
             long unixMillis = runtime.unixMillis();
             String route = request.route().name();
             byte[] record =
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
@@ -53,8 +53,8 @@
     /** The settings of the cells. */
     private final CellSettings settings;
 
-    /** Maps services and zones to cells. */
-    private final CellLayout layout;
+    /** Provides the layout of the cells that all processes share. */
+    private final LayoutCoordinator layouts;
 
     /** The dependencies that all elections share. */
     private final ClusterContext context;
@@ -92,7 +92,7 @@
      * Creates a member that is not started yet.
      *
      * @param identity the identity of this process
-     * @param layout maps services and zones to cells
+     * @param layoutSettings what the layout of the cells depends on
      * @param settings the settings of the cells
      * @param store the store
      * @param workerClient sends requests to workers
@@ -103,7 +103,7 @@
      */
     public ClusterMember(
             NodeIdentity identity,
-            CellLayout layout,
+            LayoutSettings layoutSettings,
             CellSettings settings,
             MetadataStore store,
             WorkerClient workerClient,
@@ -112,7 +112,6 @@
             ProcessRuntime runtime,
             DecisionLog log) {
         this.identity = identity;
-        this.layout = layout;
         this.settings = settings;
         this.workerClient = workerClient;
         this.adviceClient = adviceClient;
@@ -120,6 +119,7 @@
         StoreSession session = new StoreSession(store, runtime, log, settings.storeLeaseMillis());
         ClusterView view = new ClusterView(store, runtime, log, this::attemptElections);
         this.context = new ClusterContext(store, session, view, runtime, log);
+        this.layouts = new LayoutCoordinator(context, layoutSettings);
     }
 
     /** Starts the lease, the view, the registration and the elections. */
@@ -153,6 +153,15 @@
         context.session().close();
     }
 
+    /**
+     * Returns how services and zones are mapped to cells.
+     *
+     * @return the layout, or null while this process does not know it
+     */
+    public @Nullable CellLayout layout() {
+        return layouts.layout();
+    }
+
     /**
      * Applies a new version of the manifest: adds elections for new cells and updates the owners.
      *
@@ -160,11 +169,6 @@
      */
     public void updateManifest(Manifest next) {
         manifest = next;
-        for (String service : next.services()) {
-            for (String cell : layout.cellsOf(service)) {
-                elections.computeIfAbsent(cell, this::createElection);
-            }
-        }
         owners.values().forEach(owner -> owner.updateManifest(next));
         attemptElections();
     }
@@ -196,7 +200,8 @@
      * @return the capacities of the largest workers of all its cells, empty if they are not known
      */
     public List<Resources> largestWorkers(String service) {
-        return context.view().largestWorkers(layout.cellsOf(service));
+        CellLayout layout = layouts.layout();
+        return layout == null ? List.of() : context.view().largestWorkers(layout.cellsOf(service));
     }
 
     /**
@@ -213,14 +218,25 @@
     }
 
     /**
-     * Creates the election of a cell.
+     * Creates the elections of the cells of a manifest that have none yet.
      *
-     * @param cell the cell's name
-     * @return the election
+     * @param layout maps services and zones to cells
+     * @param currentManifest the manifest
      */
-    private CellElection createElection(String cell) {
-        return new CellElection(
-                cell, layout.zonesOf(cell), identity, context, term -> startTerm(cell, term));
+    private void createElections(CellLayout layout, Manifest currentManifest) {
+        for (String service : currentManifest.services()) {
+            for (String cell : layout.cellsOf(service)) {
+                elections.computeIfAbsent(
+                        cell,
+                        key ->
+                                new CellElection(
+                                        cell,
+                                        layout.zonesOf(cell),
+                                        identity,
+                                        context,
+                                        term -> startTerm(layout, cell, term)));
+            }
+        }
     }
 
     /** Tries to win vacant cells at regular intervals. */
@@ -231,16 +247,24 @@
 
     /**
      * Tries to win vacant cells, unless the process is leaving, has no manifest, or registered too
-     * recently.
+     * recently. Proposes a layout of the cells if there is none.
      */
     private void attemptElections() {
         boolean electionsAllowed =
                 registeredMillis >= 0
                         && context.runtime().nowMillis() - registeredMillis
                                 >= FIRST_ELECTION_DELAY_MILLIS;
-        if (electionsAllowed && !leaving && manifest != null) {
-            elections.values().forEach(CellElection::attemptIfVacant);
+        Manifest currentManifest = manifest;
+        if (!electionsAllowed || leaving || currentManifest == null) {
+            return;
         }
+        CellLayout layout = layouts.layout();
+        if (layout == null) {
+            layouts.proposeIfAbsent();
+            return;
+        }
+        createElections(layout, currentManifest);
+        elections.values().forEach(CellElection::attemptIfVacant);
     }
 
     /**
@@ -290,10 +314,11 @@
     /**
      * Starts an owner for a cell that this process has won.
      *
+     * @param layout maps services and zones to cells
      * @param cell the cell's name
      * @param term the term that begins
      */
-    private void startTerm(String cell, CellTerm term) {
+    private void startTerm(CellLayout layout, String cell, CellTerm term) {
         Manifest currentManifest = manifest;
         if (currentManifest == null) {
             return;
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterView.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterView.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import org.damasktiller.scheduler.cell.CellKeys;
+import org.damasktiller.scheduler.cell.CellLayout;
+import org.damasktiller.scheduler.cell.LayoutRecord;
 import org.damasktiller.scheduler.cell.OwnerRecord;
 import org.damasktiller.scheduler.cell.PendingRecord;
 import org.damasktiller.scheduler.cell.PrefixWatcher;
@@ -19,8 +21,9 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Caches the keys that all processes publish in the store: the registered processes, the owner of
- * each cell, and what the owners publish about their cells. A watch keeps the cache up to date.
+ * Caches the keys that all processes publish in the store: the layout of the cells, the registered
+ * processes, the owner of each cell, and what the owners publish about their cells. A watch keeps
+ * the cache up to date.
  */
 public final class ClusterView implements PrefixWatcher.Listener {
 
@@ -45,6 +48,12 @@
     /** The registered processes by the name of the VM. */
     private final Map<String, NodeRecord> nodes = new HashMap<>();
 
+    /** The log. */
+    private final DecisionLog log;
+
+    /** How zones are divided into cells, or null while that is not known. */
+    private @Nullable LayoutRecord layout;
+
     /** Whether all keys have been read once. */
     private boolean synced;
 
@@ -58,6 +67,7 @@
      */
     public ClusterView(
             MetadataStore store, ProcessRuntime runtime, DecisionLog log, Runnable changeListener) {
+        this.log = log;
         this.changeListener = changeListener;
         this.watch =
                 new PrefixWatcher(
@@ -89,6 +99,15 @@
         return owners.get(cell);
     }
 
+    /**
+     * Returns how zones are divided into cells.
+     *
+     * @return the stored layout, or null while none has been read
+     */
+    public @Nullable LayoutRecord layout() {
+        return layout;
+    }
+
     /**
      * Returns the registered processes.
      *
@@ -160,7 +179,9 @@
      */
     private void put(StoreItem item) {
         String key = item.key();
-        if (key.startsWith(CellKeys.OWNER_PREFIX)) {
+        if (key.equals(CellKeys.LAYOUT)) {
+            putLayout(item);
+        } else if (key.startsWith(CellKeys.OWNER_PREFIX)) {
             OwnerRecord record = StoredValueCodec.decode(item.value(), OwnerRecord.class);
             if (record != null) {
                 owners.put(
@@ -180,6 +201,21 @@
         }
     }
 
+    /**
+     * Sets the layout. An unusable value is logged and left in the store; every process then uses
+     * the same default.
+     *
+     * @param item the stored item
+     */
+    private void putLayout(StoreItem item) {
+        LayoutRecord record = StoredValueCodec.decode(item.value(), LayoutRecord.class);
+        if (record == null || record.maxZonesPerCell() < 1) {
+            log.log("layout.unreadable", "key", item.key(), "revision", item.revision());
+            record = new LayoutRecord(CellLayout.DEFAULT_MAX_ZONES_PER_CELL);
+        }
+        layout = record;
+    }
+
     /**
      * Removes the entry of a key.
      *
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ElectionRank.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ElectionRank.java
@@ -8,8 +8,8 @@
 /**
  * Ranks the processes that may take over a vacant cell, so that they try one after the other: when
  * an owner dies, all processes see it at the same time and would otherwise all write to the store.
- * Processes in the zones of the cell rank first, then processes near the store, then VMs with more
- * processor time, since the work of an owner grows with the workers of its cell; a hash of cell and
+ * Processes in the zones of the cell rank first, then VMs with more processor time, since the work
+ * of an owner grows with the workers of its cell, then processes near the store; a hash of cell and
  * VM orders the rest and spreads the cells over the processes.
  */
 final class ElectionRank {
@@ -29,8 +29,8 @@
     static int of(String cell, Set<String> zones, Collection<NodeRecord> nodes, String node) {
         Comparator<NodeRecord> order =
                 Comparator.<NodeRecord, Boolean>comparing(record -> !zones.contains(record.zone()))
-                        .thenComparing(record -> !record.near())
                         .thenComparingInt(record -> -record.cpuMillicores())
+                        .thenComparing(record -> !record.near())
                         .thenComparingInt(record -> (cell + '/' + record.node()).hashCode());
         List<String> ranked = nodes.stream().sorted(order).map(NodeRecord::node).toList();
         int rank = ranked.indexOf(node);
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -19,6 +19,8 @@
 import org.damasktiller.node.caller.SubmissionAcceptor;
 import org.damasktiller.node.caller.SubmissionStateHandler;
 import org.damasktiller.node.cluster.ClusterMember;
+import org.damasktiller.node.cluster.LayoutPolicy;
+import org.damasktiller.node.cluster.LayoutSettings;
 import org.damasktiller.node.cluster.ManifestWatcher;
 import org.damasktiller.node.cluster.NodeIdentity;
 import org.damasktiller.node.log.JsonLineLog;
@@ -31,7 +33,6 @@
 import org.damasktiller.platform.record.JsonPlatformRecordDecoder;
 import org.damasktiller.platform.settings.PlatformSettings;
 import org.damasktiller.platform.settings.SettingsReader;
-import org.damasktiller.scheduler.cell.CellLayout;
 import org.damasktiller.scheduler.cell.CellSettings;
 import org.damasktiller.scheduler.port.AdviceClient;
 import org.damasktiller.scheduler.port.MetadataStore;
@@ -123,8 +124,8 @@
      *
      * @param settingsPath the path of the settings file, which is read again on SIGHUP
      * @param settings the settings
-     * @param maxZonesPerCell the most availability zones of a cell, at least 1 and the same on all
-     *     entry VMs
+     * @param maxZonesPerCell the most availability zones of a cell, or {@link
+     *     LayoutPolicy#AUTOMATIC}
      */
     public NodeProcess(Path settingsPath, PlatformSettings settings, int maxZonesPerCell) {
         this.settingsPath = settingsPath;
@@ -140,11 +141,10 @@
                         new JsonHttpClient(eventloop, WATCH_TIMEOUT_MILLIS),
                         settings.storeAddress());
         JsonPlatformRecordDecoder records = new JsonPlatformRecordDecoder();
-        CellLayout cellLayout = new CellLayout(settings.regionByZone(), maxZonesPerCell);
         clusterMember =
                 new ClusterMember(
                         createIdentity(),
-                        cellLayout,
+                        new LayoutSettings(settings.regionByZone(), maxZonesPerCell),
                         createCellSettings(),
                         store,
                         new HttpWorkerClient(
@@ -161,7 +161,7 @@
                         manifestWatcher::current,
                         new SubmissionAcceptor(
                                 store,
-                                cellLayout,
+                                clusterMember::layout,
                                 settings.zone(),
                                 clusterMember::largestWorkers,
                                 runtime,
@@ -284,13 +284,16 @@
     }
 
     /**
-     * Tells whether the process can accept submissions: it is not shutting down, has a manifest,
-     * and the store is reachable.
+     * Tells whether the process can accept submissions: it is not shutting down, knows the manifest
+     * and the cells, and the store is reachable.
      *
      * @return whether the process is ready for callers
      */
     private boolean isReady() {
-        return !stopping && manifestWatcher.current() != null && clusterMember.isStoreReachable();
+        return !stopping
+                && manifestWatcher.current() != null
+                && clusterMember.layout() != null
+                && clusterMember.isStoreReachable();
     }
 
     /**
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/Options.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/Options.java
@@ -2,8 +2,8 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
+import org.damasktiller.node.cluster.LayoutPolicy;
 import org.damasktiller.platform.settings.SettingsReader;
-import org.damasktiller.scheduler.cell.CellLayout;
 
 /** The command-line options of an entry VM. */
 final class Options {
@@ -20,9 +20,10 @@
     @Parameter(
             names = "--max-zones-per-cell",
             description =
-                    "the most availability zones whose workers have a single owner; must be the"
-                            + " same on all entry VMs")
-    int maxZonesPerCell = CellLayout.DEFAULT_MAX_ZONES_PER_CELL;
+                    "the most availability zones whose workers have a single owner; 0 decides by"
+                        + " the processor time of the entry VMs. The first process stores it; later"
+                        + " values have no effect")
+    int maxZonesPerCell = LayoutPolicy.AUTOMATIC;
 
     /** Whether to print the options and exit. */
     @Parameter(names = "--help", help = true, description = "print the options and exit")
@@ -37,9 +38,9 @@
      * @throws ParameterException if a value is out of range
      */
     void validate() {
-        if (maxZonesPerCell < 1) {
+        if (maxZonesPerCell < 0) {
             throw new ParameterException(
-                    "--max-zones-per-cell must be at least 1, but is " + maxZonesPerCell);
+                    "--max-zones-per-cell must be at least 0, but is " + maxZonesPerCell);
         }
     }
 
