--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/command/EntryCommand.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/command/EntryCommand.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameters;
 import java.io.PrintStream;
 import java.nio.file.Path;
+import org.damasktiller.node.cluster.LayoutPolicy;
 import org.damasktiller.node.process.NodeProcess;
 import org.damasktiller.platform.settings.SettingsReader;
 
@@ -31,7 +32,7 @@
     @Override
     public ExitCode run(PrintStream output) {
         Path path = Path.of(settingsPath);
-        new NodeProcess(path, SettingsReader.read(path)).run();
+        new NodeProcess(path, SettingsReader.read(path), LayoutPolicy.AUTOMATIC).run();
         return ExitCode.SUCCESS;
     }
 }
