Go on writing the log after the output has failed

Cause: the writer thread ended for good at the first IOException, so that a full disk for a moment left a process without a log. Lines that can't be written are now counted in log.left-out. JsonLineLogTest hung on the code before, as the later line was never written.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/log/JsonLineLog.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/log/JsonLineLog.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.damasktiller.scheduler.port.DecisionLog;
 
 /**
@@ -53,6 +54,12 @@
     /** The number of lines dropped since a count was last logged. */
     private int droppedLines;
 
+    /** The number of lines that the output did not take since a count was last logged. */
+    private final AtomicInteger unwrittenLines = new AtomicInteger();
+
+    /** Whether the last write failed; used by the writer thread only. */
+    private boolean outputFails;
+
     /**
      * Creates a log whose lines stay in the queue until it is started. All events must be logged on
      * one thread.
@@ -82,8 +89,8 @@
         if (nowMillis - windowStartMillis >= WINDOW_MILLIS || nowMillis < windowStartMillis) {
             windowStartMillis = nowMillis;
             linesInWindow.clear();
-            if (droppedLines > 0) {
-                int count = droppedLines;
+            int count = droppedLines + unwrittenLines.getAndSet(0);
+            if (count > 0) {
                 droppedLines = 0;
                 enqueue(formatLine(nowMillis, "log.left-out", "lines", count));
             }
@@ -153,7 +160,7 @@
     }
 
     /**
-     * Runs the writer thread: writes queued lines until it is interrupted or the output fails.
+     * Runs the writer thread: writes queued lines until it is interrupted.
      *
      * @param output the stream to write to
      */
@@ -163,14 +170,32 @@
             while (!Thread.currentThread().isInterrupted()) {
                 lines.add(queue.take());
                 queue.drainTo(lines);
-                output.write(String.join("", lines).getBytes(StandardCharsets.UTF_8));
-                output.flush();
+                write(output, lines);
                 lines.clear();
             }
         } catch (InterruptedException exception) {
             Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * Writes lines. Lines that the output does not take are counted as dropped, and the first
+     * failure after a success is reported on the standard error stream.
+     *
+     * @param output the stream to write to
+     * @param lines the lines with their line breaks
+     */
+    private void write(OutputStream output, List<String> lines) {
+        try {
+            output.write(String.join("", lines).getBytes(StandardCharsets.UTF_8));
+            output.flush();
+            outputFails = false;
         } catch (IOException exception) {
-            System.err.println("can't write the log: " + exception);
+            unwrittenLines.addAndGet(lines.size());
+            if (!outputFails) {
+                outputFails = true;
+                System.err.println("can't write the log: " + exception);
+            }
         }
     }
 }
--- a/damasktiller-node/src/test/java/org/damasktiller/node/log/JsonLineLogTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/log/JsonLineLogTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.lessThan;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
@@ -33,6 +34,36 @@
         assertThat(text, containsString("\"node\":\"node-1\""));
     }
 
+    /** The output may fail for a moment, for example on a full disk; later lines are written. */
+    @Test
+    void logGoesOnAfterTheOutputHasFailed() throws InterruptedException {
+        Clock clock = Clock.fixed(Instant.ofEpochMilli(1_000_000), ZoneOffset.UTC);
+        JsonLineLog log = new JsonLineLog("node-1", clock);
+        CapturingOutput output = new CapturingOutput("later");
+        CountDownLatch failed = new CountDownLatch(1);
+        log.log("earlier");
+        log.start(
+                new OutputStream() {
+                    @Override
+                    public void write(int value) throws IOException {
+                        if (failed.getCount() > 0) {
+                            failed.countDown();
+                            throw new IOException("no space left");
+                        }
+                        output.write(value);
+                    }
+
+                    @Override
+                    public void flush() {
+                        output.flush();
+                    }
+                });
+        failed.await();
+        log.log("later");
+        output.expectedTextWritten.await();
+        assertThat(output.text(), containsString("\"event\":\"later\""));
+    }
+
     /** Collects the output and signals when it contains a given text. */
     private static final class CapturingOutput extends OutputStream {
 
