--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/command/SoakCommand.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/command/SoakCommand.java
@@ -67,15 +67,17 @@
      *
      * @return the seeds of the range, or the single seed if no range is given
      * @throws org.damasktiller.error.DamasktillerException with code BAD_SETTING if the range is
-     *     malformed
+     *     malformed or ends before it begins
      */
     private List<Long> selectedSeeds() {
         if (seedRange.isEmpty()) {
             return List.of(seed);
         }
         Matcher matcher = SEED_RANGE.matcher(seedRange);
-        if (!matcher.matches()) {
-            throw Settings.invalidValue("--seeds", seedRange, "a range A-B of whole numbers", null);
+        if (!matcher.matches()
+                || Long.parseLong(matcher.group(1)) > Long.parseLong(matcher.group(2))) {
+            throw Settings.invalidValue(
+                    "--seeds", seedRange, "a range A-B of whole numbers with A up to B", null);
         }
         List<Long> selected = new ArrayList<>();
         for (long nextSeed = Long.parseLong(matcher.group(1));
