Count fillers of unknown limit as running at full speed

Cause: after a takeover, and after a lost reply, the limit of a filler is not known; it counted as paused, so that the harm it did was learnt as the level without fillers, and it was not slowed first. FillerCpuSharesTest failed before.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerCpuShares.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerCpuShares.java
@@ -12,7 +12,7 @@
 
     /**
      * Computes the CPU shares that the fillers of a worker use at the limits that the worker has
-     * confirmed. A filler whose limit is not known counts as paused.
+     * confirmed.
      *
      * @param worker the worker
      * @return the shares by image, as fractions of the worker's CPU
@@ -21,9 +21,7 @@
         Map<String, Double> shares = new HashMap<>();
         for (RunRecord run : worker.runs.values()) {
             if (run.isFiller() && run.task != null) {
-                double limitFraction =
-                        (double) Math.max(0, run.cpuLimitPercent) / RunRecord.FULL_PERCENT;
-                add(shares, run.task.step.spec, worker, limitFraction);
+                add(shares, run.task.step.spec, worker, run.cpuLimitFraction());
             }
         }
         return shares;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerThrottle.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerThrottle.java
@@ -252,9 +252,7 @@
             return 0;
         }
         StepSpec spec = filler.task.step.spec;
-        double limitFraction =
-                (double) Math.max(0, filler.cpuLimitPercent) / RunRecord.FULL_PERCENT;
-        double cpuShare = limitFraction * FillerCpuShares.atFullLimit(spec, worker);
+        double cpuShare = filler.cpuLimitFraction() * FillerCpuShares.atFullLimit(spec, worker);
         double sum = 0;
         for (RunRecord run : worker.runs.values()) {
             if (run.isServing()
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
@@ -168,6 +168,18 @@
         return new RunKey(taskId, runNumber);
     }
 
+    /**
+     * Returns the CPU limit that the worker has confirmed. A run whose limit is not known, such as
+     * one that a previous owner started, counts as not limited: if it counted as paused, its effect
+     * on serving tasks would be ascribed to nothing.
+     *
+     * @return the limit, as a fraction of the request
+     */
+    double cpuLimitFraction() {
+        int percent = cpuLimitPercent == UNKNOWN ? FULL_PERCENT : cpuLimitPercent;
+        return (double) percent / FULL_PERCENT;
+    }
+
     /**
      * Returns whether the run did all the work of its task without ever being throttled.
      *
