Let long-running steps use the reserve while the cell is half empty

Cause: the workers kept for urgent tasks took no new long-running task, however long it waited. Change: a new long-running task that has waited 1.5 s may use them while less than half of the CPU is in use. UrgentLoadTest.longRunningStepAsWideAsTheCellStartsWhole replays it.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -72,6 +72,15 @@
     /** The time between two updates of the reserve for urgent tasks, in milliseconds. */
     private static final long RESERVE_UPDATE_MILLIS = 250;
 
+    /**
+     * How long a new long-running task waits before it may use the reserve for urgent tasks, in
+     * milliseconds.
+     */
+    private static final long RESERVE_YIELD_MILLIS = 1_500;
+
+    /** The fraction of the CPU in use below which long-running tasks may use the reserve. */
+    private static final double RESERVE_YIELD_FRACTION = 0.5;
+
     /** The time of an event that has not happened. */
     private static final long NEVER = -1;
 
@@ -93,6 +102,9 @@
     /** When the reserve was last updated, in milliseconds, or {@link #NEVER}. */
     private long reserveUpdatedAtMillis = NEVER;
 
+    /** The fraction of the CPU of usable workers that was reserved when it was last updated. */
+    private double reservedFraction = 1;
+
     /**
      * Creates a selector of workers.
      *
@@ -120,10 +132,14 @@
         }
         reserveUpdatedAtMillis = now;
         long urgentMillicores = waitingMillicores;
+        long capacity = 0;
+        long reserved = 0;
         List<ReserveCandidate> candidates = new ArrayList<>();
         for (WorkerRecord worker : context.allWorkers()) {
             urgentMillicores += worker.reserved.cpuMillicores() - worker.longRunningMillicores();
             if (worker.isUsable(now)) {
+                capacity += worker.entry.capacity().cpuMillicores();
+                reserved += worker.reserved.cpuMillicores();
                 candidates.add(
                         new ReserveCandidate(
                                 worker.id,
@@ -131,6 +147,7 @@
                                 worker.longRunningMillicores()));
             }
         }
+        reservedFraction = capacity == 0 ? 1 : (double) reserved / capacity;
         int sizeBefore = urgentReserve.size();
         urgentReserve.update(candidates, urgentMillicores, now);
         if (urgentReserve.size() != sizeBefore) {
@@ -329,11 +346,26 @@
                             <= worker.idleMillicores();
         }
         if (spec.lasting() && !task.everRan) {
-            return !urgentReserve.contains(worker.id);
+            return !urgentReserve.contains(worker.id) || mayUseReserve(task);
         }
         return true;
     }
 
+    /**
+     * Returns whether a new long-running task may use the workers that are kept for urgent tasks:
+     * after some time, if the cell is less than half full. Its step may need more workers than the
+     * reserve leaves.
+     *
+     * @param task the task
+     * @return whether it may
+     */
+    private boolean mayUseReserve(TaskRecord task) {
+        boolean waitedLong =
+                task.readySinceMillis != 0
+                        && context.now() - task.readySinceMillis >= RESERVE_YIELD_MILLIS;
+        return waitedLong && reservedFraction < RESERVE_YIELD_FRACTION;
+    }
+
     /**
      * Returns the impact on serving tasks that a filler may have. It grows with the waiting time,
      * so that each pair of images is tried from time to time and its coefficient stays up to date.
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/UrgentLoadTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/UrgentLoadTest.java
@@ -37,6 +37,27 @@
         assertThat(simulation.invariants.violations(), empty());
     }
 
+    /**
+     * A long-running step wants one task on each worker while most room is free. The workers kept
+     * for urgent tasks must not hold it back for good.
+     */
+    @Test
+    void longRunningStepAsWideAsTheCellStartsWhole() {
+        CellSimulation simulation = new CellSimulation(WORKERS);
+        simulation.startOwner();
+        simulation.runtime.advance(500);
+        simulation.submit(
+                "00000000000000b1",
+                StepSpec.builder(WORKERS, new Resources(WORKER_CPU / 4, 100, 0))
+                        .estimateMillis(400)
+                        .lasting(true)
+                        .maximumPerWorker(1)
+                        .build());
+        simulation.runtime.advance(4_000);
+        assertThat(simulation.workersUsed().size(), equalTo(WORKERS));
+        assertThat(simulation.invariants.violations(), empty());
+    }
+
     /**
      * Creates a step.
      *
