--- a/damasktiller-library/src/main/java/org/damasktiller/table/TableReader.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/table/TableReader.java
@@ -60,8 +60,9 @@
      *     table is invalid; the message names the row, column, value and allowed values
      */
     public OperatorTable read(byte[] csv, long version) {
-        List<KindOfWork> rows = readRows(csv);
-        validator.validate(rows);
+        Map<KindName, Integer> rowNumbers = new HashMap<>();
+        List<KindOfWork> rows = readRows(csv, rowNumbers);
+        validator.validate(rows, row -> rowNumbers.getOrDefault(row.name(), 0));
         return OperatorTable.of(version, rows);
     }
 
@@ -81,6 +82,18 @@
      * @return the rows, in the order of the file
      */
     static List<KindOfWork> readRows(byte[] csv) {
+        return readRows(csv, new HashMap<>());
+    }
+
+    /**
+     * Reads rows without validating the table as a whole.
+     *
+     * @param csv the rows as CSV in UTF-8, with the column names in the header row
+     * @param rowNumbers receives the number of each row in the file by its kind; the header row is
+     *     1, and blank rows count
+     * @return the rows, in the order of the file
+     */
+    private static List<KindOfWork> readRows(byte[] csv, Map<KindName, Integer> rowNumbers) {
         if (csv.length > MAXIMUM_BYTES) {
             throw TableErrors.error(
                     ErrorCode.BODY_TOO_LARGE,
@@ -93,7 +106,6 @@
         }
         RowReader reader = new RowReader(lines.get(0));
         List<KindOfWork> rows = new ArrayList<>();
-        Map<KindName, Integer> rowNumbers = new HashMap<>();
         for (int index = 1; index < lines.size(); index++) {
             if (lines.get(index).stream().allMatch(String::isEmpty)) {
                 continue;
--- a/damasktiller-library/src/main/java/org/damasktiller/table/TableValidator.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/table/TableValidator.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.ToIntFunction;
 import org.damasktiller.identity.TenantName;
 import org.damasktiller.identity.ZoneName;
 
@@ -12,6 +13,9 @@
  */
 public final class TableValidator {
 
+    /** The number of the first row below the header row. */
+    private static final int FIRST_ROW_NUMBER = 2;
+
     /** The largest sum of all guaranteed shares, in percent. */
     private static final int MAXIMUM_SHARE_SUM_PERCENT = 100;
 
@@ -28,18 +32,30 @@
     }
 
     /**
-     * Validates a whole table: zones, guaranteed shares and limits of tenants.
+     * Validates a whole table that has no blank rows: zones, guaranteed shares and limits of
+     * tenants.
      *
      * @param rows the rows in the order of the file, each kind once
      * @throws org.damasktiller.error.DamasktillerException with code BAD_TABLE if a row is invalid;
      *     the message names the row, column, value and allowed values
      */
     public void validate(List<KindOfWork> rows) {
+        validate(rows, row -> rows.indexOf(row) + FIRST_ROW_NUMBER);
+    }
+
+    /**
+     * Validates a whole table.
+     *
+     * @param rows the rows in the order of the file, each kind once
+     * @param rowNumber returns the number of a row in the file, for error messages
+     * @throws org.damasktiller.error.DamasktillerException with code BAD_TABLE if a row is invalid;
+     *     the message names the row, column, value and allowed values
+     */
+    void validate(List<KindOfWork> rows, ToIntFunction<KindOfWork> rowNumber) {
         int shareSumPercent = 0;
         Map<TenantName, Integer> limitsByTenant = new HashMap<>();
-        for (int index = 0; index < rows.size(); index++) {
-            KindOfWork row = rows.get(index);
-            String rowLabel = index + 2 + " (" + row.name() + ")";
+        for (KindOfWork row : rows) {
+            String rowLabel = rowNumber.applyAsInt(row) + " (" + row.name() + ")";
             checkZones(rowLabel, row);
             checkShare(rowLabel, row, shareSumPercent);
             shareSumPercent += row.minimumSharePercent();
--- a/damasktiller-library/src/test/java/org/damasktiller/table/TableReaderTest.java
+++ b/damasktiller-library/src/test/java/org/damasktiller/table/TableReaderTest.java
@@ -9,6 +9,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Objects;
@@ -83,6 +84,17 @@
         assertThat(error.getMessage(), startsWith(message));
     }
 
+    /** Spreadsheets show blank rows, so that an error must name the row as they count it. */
+    @Test
+    void testNumbersRowsWithBlankOnes() {
+        String csv = "kind,tenant,place\n\n,,\nbilling,finance,atlantis-1\n";
+        DamasktillerException error =
+                assertThrows(
+                        DamasktillerException.class,
+                        () -> reader.read(csv.getBytes(StandardCharsets.UTF_8), 1));
+        assertThat(error.getMessage(), startsWith("row 4 (billing), column place"));
+    }
+
     @Test
     void testRefusesBrokenEncoding() throws IOException {
         byte[] csv = resource("broken-utf8.csv");
