--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/command/TableCommand.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/command/TableCommand.java
@@ -113,13 +113,14 @@
             printManifest(output, readTable(tablePath, deployment));
             return ExitCode.SUCCESS;
         }
+        EditId resolvedEditId = resolveEditId();
         InetSocketAddress address = Addresses.parse(storeAddress);
         if (address == null) {
             throw Settings.invalidValue("--store", storeAddress, "IP:PORT", null);
         }
         Set<ZoneName> zones = deployment.zones().keySet();
         try (TableSession session = new TableSession(address, zones)) {
-            performAction(session, output);
+            performAction(session, resolvedEditId, output);
         }
         return ExitCode.SUCCESS;
     }
@@ -141,9 +142,10 @@
      * Performs the action on the table in the store.
      *
      * @param session the session with the store
+     * @param resolvedEditId the identifier of the edit, if the action is one
      * @param output the stream for results
      */
-    private void performAction(TableSession session, PrintStream output) {
+    private void performAction(TableSession session, EditId resolvedEditId, PrintStream output) {
         switch (action) {
             case "manifest" -> printManifest(output, session.call(tables -> tables.read()));
             case "get" ->
@@ -151,8 +153,8 @@
                             new String(
                                     TableWriter.write(session.call(tables -> tables.read())),
                                     StandardCharsets.UTF_8));
-            case "put" -> printResult(output, put(session));
-            case "edit" -> printResult(output, edit(session));
+            case "put" -> printResult(output, put(session, resolvedEditId));
+            case "edit" -> printResult(output, edit(session, resolvedEditId));
             case "history" ->
                     session.call(tables -> tables.history(HISTORY_EDIT_COUNT))
                             .forEach(delta -> printEdit(output, delta));
@@ -165,22 +167,24 @@
      * base version are merged; a cell that both have changed to different values is refused.
      *
      * @param session the session with the store
+     * @param resolvedEditId the identifier of the edit
      * @return the new version and the changes
      */
-    private EditResult put(TableSession session) {
+    private EditResult put(TableSession session, EditId resolvedEditId) {
         byte[] csv = readBytes(tablePath);
         long fromVersion =
                 baseVersion == 0 ? session.call(tables -> tables.read()).version() : baseVersion;
-        return session.call(tables -> tables.put(resolveEditId(), operator, fromVersion, csv));
+        return session.call(tables -> tables.put(resolvedEditId, operator, fromVersion, csv));
     }
 
     /**
      * Changes one cell of the table.
      *
      * @param session the session with the store
+     * @param resolvedEditId the identifier of the edit
      * @return the new version and the changes
      */
-    private EditResult edit(TableSession session) {
+    private EditResult edit(TableSession session, EditId resolvedEditId) {
         OperatorTable baseTable =
                 baseVersion == 0
                         ? session.call(tables -> tables.read())
@@ -190,16 +194,23 @@
         return session.call(
                 tables ->
                         tables.edit(
-                                new TableEdit(resolveEditId(), operator, baseTable, editedTable)));
+                                new TableEdit(resolvedEditId, operator, baseTable, editedTable)));
     }
 
     /**
      * Returns the identifier of the edit.
      *
      * @return the given identifier, or a random one if none is given
+     * @throws org.damasktiller.error.DamasktillerException with code BAD_SETTING if the given
+     *     identifier is malformed
      */
     private EditId resolveEditId() {
-        return new EditId(editId.isEmpty() ? UUID.randomUUID().toString() : editId);
+        try {
+            return new EditId(editId.isEmpty() ? UUID.randomUUID().toString() : editId);
+        } catch (IllegalArgumentException exception) {
+            throw Settings.invalidValue(
+                    "--edit-id", editId, "1 to 64 letters, digits or hyphens", exception);
+        }
     }
 
     /**
