--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/LayoutPolicyTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/LayoutPolicyTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -25,6 +26,14 @@
         assertThat(maxZones(AUTOMATIC, 1_500, 1_500, 360, 360), equalTo(6));
     }
 
+    /** With 300 entry VMs one owner had 2,700 workers and 7,994 connections, and lost tasks. */
+    @Test
+    void cellsShrinkAsTheDeploymentGrows() {
+        assertThat(maxZones(AUTOMATIC, Collections.nCopies(120, 1_500)), equalTo(6));
+        assertThat(maxZones(AUTOMATIC, Collections.nCopies(300, 1_500)), equalTo(2));
+        assertThat(maxZones(AUTOMATIC, Collections.nCopies(1_000, 1_500)), equalTo(1));
+    }
+
     @Test
     void weakVmsOwnOneZoneEach() {
         assertThat(maxZones(AUTOMATIC, 120, 120, 120), equalTo(1));
@@ -60,8 +69,19 @@
      * @return the most zones of a cell
      */
     private static int maxZones(LayoutSettings settings, Integer... cpuMillicores) {
+        return maxZones(settings, List.of(cpuMillicores));
+    }
+
+    /**
+     * Asks the policy.
+     *
+     * @param settings the zones and what the operator configured
+     * @param cpuMillicores the processor time of each VM, in millicores
+     * @return the most zones of a cell
+     */
+    private static int maxZones(LayoutSettings settings, List<Integer> cpuMillicores) {
         List<NodeRecord> nodes =
-                List.of(cpuMillicores).stream()
+                cpuMillicores.stream()
                         .map(cpu -> new NodeRecord("node", "process", "a", true, cpu))
                         .toList();
         return LayoutPolicy.maxZonesPerCell(settings, nodes);
