--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
@@ -180,7 +180,8 @@
     }
 
     /**
-     * Returns whether the free resources of the worker cover an amount.
+     * Returns whether the free resources of the worker cover an amount. It creates no object, since
+     * each pass asks it of every worker for every waiting step.
      *
      * @param need the amount
      * @return whether no resource falls short
