Log which workers a new owner waits for

What decides when former owners can start nothing moves into PreviousOwners, unchanged. answeredAgo of a worker that never answered is -1 instead of the age of the clock.

--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/explain/Timeline.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/explain/Timeline.java
@@ -26,6 +26,7 @@
     private static final Set<String> OWNER_EVENTS =
             Set.of(
                     "owner.began",
+                    "owner.awaiting",
                     "owner.settled",
                     "owner.unproven",
                     "owner.ended",
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.damasktiller.scheduler.model.Manifest;
 import org.damasktiller.scheduler.port.DecisionLog;
@@ -60,17 +59,8 @@
      */
     boolean ended;
 
-    /**
-     * The workers that may still run tasks for previous owners: those of the stored roster that
-     * have neither answered a poll with this owner's fencing token nor been removed.
-     */
-    final Set<String> unfencedWorkerIds = new TreeSet<>();
-
-    /**
-     * Whether previous owners can no longer start anything, because each of their workers has seen
-     * this owner's fencing token or because all their leases have expired.
-     */
-    boolean previousOwnersFenced;
+    /** Tracks what the owners of earlier terms may still run or start. */
+    final PreviousOwners previousOwners = new PreviousOwners(this);
 
     /**
      * The submissions that this owner has closed, by identifier. A listing that the store had
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -234,9 +234,7 @@
         StoreItem item = result.status() == StoreStatus.OK ? result.require().item() : null;
         RosterRecord roster =
                 item == null ? null : StoredValueCodec.decode(item.value(), RosterRecord.class);
-        if (roster != null) {
-            context.unfencedWorkerIds.addAll(roster.workers());
-        }
+        context.previousOwners.load(roster == null ? List.of() : roster.workers());
         loaded = true;
         context.log.log(
                 "owner.loaded",
@@ -245,7 +243,7 @@
                 "jobs",
                 context.jobs.size(),
                 "roster",
-                context.unfencedWorkerIds.size(),
+                context.previousOwners.unfencedWorkerIds().size(),
                 "millis",
                 context.now() - context.term.startedAtMillis());
         checkPreviousOwners();
@@ -269,7 +267,7 @@
                     !worker.listed && worker.runs.isEmpty() && now >= worker.leasesExpireAtMillis;
             if (gone) {
                 context.workers.remove(worker.id);
-                context.unfencedWorkerIds.remove(worker.id);
+                context.previousOwners.exclude(worker.id);
                 context.log.log("worker.gone", "worker", worker.id);
                 rosterChanged = true;
             }
@@ -287,24 +285,7 @@
      * from before this term may be scheduled and the run ends of previous owners acknowledged.
      */
     private void checkPreviousOwners() {
-        if (context.previousOwnersFenced || !loaded) {
-            return;
-        }
-        boolean leasesExpired =
-                context.now()
-                        >= context.leases.previousLeasesExpireAtMillis(
-                                context.term.startedAtMillis());
-        if (leasesExpired || context.unfencedWorkerIds.isEmpty()) {
-            context.previousOwnersFenced = true;
-            context.log.log(
-                    "owner.settled",
-                    "cell",
-                    context.cell,
-                    "byTime",
-                    !context.unfencedWorkerIds.isEmpty(),
-                    "millis",
-                    context.now() - context.term.startedAtMillis());
-            context.unfencedWorkerIds.clear();
+        if (context.previousOwners.update()) {
             commits.advanceAcknowledgements();
             schedulePass();
         }
@@ -378,7 +359,7 @@
         @Override
         public void onPollAnswered(WorkerRecord worker, boolean first) {
             if (first) {
-                context.unfencedWorkerIds.remove(worker.id);
+                context.previousOwners.exclude(worker.id);
                 checkPreviousOwners();
                 ownership.verify();
             }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitQueue.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitQueue.java
@@ -156,7 +156,7 @@
      * @param batch the batch
      */
     private void addRoster(Batch batch) {
-        Set<String> ids = new TreeSet<>(context.unfencedWorkerIds);
+        Set<String> ids = new TreeSet<>(context.previousOwners.unfencedWorkerIds());
         for (WorkerRecord worker : context.allWorkers()) {
             ids.add(worker.id);
             batch.rosterWorkers.add(worker);
@@ -371,7 +371,7 @@
         for (WorkerRecord worker : workers) {
             if (!worker.pendingEnds.isEmpty()) {
                 worker.advanceAcknowledgement(
-                        context.previousOwnersFenced, context.term.runNumberBase());
+                        context.previousOwners.areFenced(), context.term.runNumberBase());
                 if (worker.pendingEnds.isEmpty()) {
                     listener.onEndsStored(worker);
                 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
@@ -152,7 +152,8 @@
         if (job.state.isFinal() || !ownership.covers(job.createdRevision)) {
             return false;
         }
-        return context.previousOwnersFenced || job.createdRevision > context.term.headRevision();
+        return context.previousOwners.areFenced()
+                || job.createdRevision > context.term.headRevision();
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerEntryWatcher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerEntryWatcher.java
@@ -173,7 +173,7 @@
                     "runs",
                     worker.runs.size(),
                     "answeredAgo",
-                    context.now() - worker.answeredAtMillis);
+                    worker.answeredAtMillis < 0 ? -1L : context.now() - worker.answeredAtMillis);
         }
     }
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerPoller.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerPoller.java
@@ -194,7 +194,8 @@
                 worker.pendingEnds.add(jobTracker.applyEnd(worker, end));
             }
         }
-        worker.advanceAcknowledgement(context.previousOwnersFenced, context.term.runNumberBase());
+        worker.advanceAcknowledgement(
+                context.previousOwners.areFenced(), context.term.runNumberBase());
         Set<RunKey> listedKeys = new HashSet<>();
         for (ActiveRun view : inventory.running()) {
             listedKeys.add(new RunKey(view.task(), view.run()));
