Rely on expired leases only after a later ownership check

Two tasks of one submission could run at once: an owner that did not know of its successor counted a run as over when the leases that it knew had expired, and started the task again, while the successor had extended the lease at the same worker.

Cause: an ownership check is valid for 7 s and a worker's lease lasts 4.5 s, so that an owner that is cut off from the store and from a worker may start tasks for 2.5 s after it has given up the worker's runs. The wait for workers of previous owners has the same fault with a third owner.

Change: leases count as over once their time has passed and an ownership check that was sent after that has succeeded. If it has succeeded, no successor had been elected before the leases ended, so that none can have extended them. The check is sent at once where something waits for it. The price: without the store, tasks of a lost worker start again only when it is back.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
@@ -59,6 +59,12 @@
      */
     boolean ended;
 
+    /**
+     * When the last successful ownership check was sent, in milliseconds. A successor may have
+     * extended leases since then.
+     */
+    long ownershipCheckedAtMillis = Long.MIN_VALUE;
+
     /** Tracks what the owners of earlier terms may still run or start. */
     final PreviousOwners previousOwners = new PreviousOwners(this);
 
@@ -119,6 +125,18 @@
         return runtime.nowMillis();
     }
 
+    /**
+     * Returns whether leases that this or a previous owner has granted are over. Their time must
+     * have passed, and an ownership check that was sent after that must have succeeded; otherwise a
+     * successor may have extended them.
+     *
+     * @param expireAtMillis when their time has passed, in milliseconds
+     * @return whether nothing can be active under them
+     */
+    boolean areLeasesOver(long expireAtMillis) {
+        return now() >= expireAtMillis && ownershipCheckedAtMillis >= expireAtMillis;
+    }
+
     /**
      * Schedules an action, which is skipped if the term has ended when it is due.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -268,17 +268,20 @@
      */
     private void tick() {
         long now = context.now();
+        boolean checkNeeded = context.previousOwners.awaitOwnershipCheck();
         for (WorkerRecord worker : new ArrayList<>(context.allWorkers())) {
-            poller.expireRuns(worker);
+            checkNeeded |= poller.expireRuns(worker);
             drainController.update(worker);
             boolean gone =
                     !worker.listed && worker.runs.isEmpty() && now >= worker.leasesExpireAtMillis;
             if (gone) {
                 context.workers.remove(worker.id);
-                context.previousOwners.exclude(worker.id);
                 context.log.log("worker.gone", "worker", worker.id);
             }
         }
+        if (checkNeeded) {
+            ownership.verify();
+        }
         checkPreviousOwners();
         if (now >= rosterCheckDueMillis) {
             rosterCheckDueMillis = now + ROSTER_CHECK_INTERVAL_MILLIS;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/OwnershipVerifier.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/OwnershipVerifier.java
@@ -25,6 +25,9 @@
     /** The store revision of the last successful check; newer changes may belong to a successor. */
     private long verifiedRevision;
 
+    /** When the last read was sent, in milliseconds. */
+    private long readSentAtMillis;
+
     /** Whether a read is in flight. */
     private boolean readInFlight;
 
@@ -62,6 +65,7 @@
             return;
         }
         readInFlight = true;
+        readSentAtMillis = context.now();
         for (WorkerRecord worker : context.allWorkers()) {
             worker.candidateClockMillis = worker.clockMillis;
         }
@@ -123,6 +127,7 @@
             return;
         }
         failing = false;
+        context.ownershipCheckedAtMillis = readSentAtMillis;
         verifiedRevision =
                 Math.max(verifiedRevision, Math.max(reading.storeRevision(), item.revision()));
         for (WorkerRecord worker : context.allWorkers()) {
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PreviousOwners.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PreviousOwners.java
@@ -91,20 +91,38 @@
         return entry == null || recent ? entry : entry.withRemainingMillis(remainingMillis(entry));
     }
 
+    /**
+     * Returns whether the remaining time of a worker is over but an ownership check has to show it.
+     *
+     * @return whether a check should be sent now
+     */
+    boolean awaitOwnershipCheck() {
+        long now = context.now();
+        return unfencedEntries.values().stream().anyMatch(entry -> expireAtMillis(entry) <= now);
+    }
+
     /**
      * Returns how long previous owners may still have something active on a worker.
      *
      * @param entry the entry of the worker in the roster that was read
-     * @return the time, in milliseconds, not positive if it is over
+     * @return the time, in milliseconds, not positive if it has passed
      */
     private long remainingMillis(RosterEntry entry) {
+        return expireAtMillis(entry) - context.now();
+    }
+
+    /**
+     * Returns when nothing of previous owners can be active on a worker any more.
+     *
+     * @param entry the entry of the worker in the roster that was read
+     * @return the time, in milliseconds
+     */
+    private long expireAtMillis(RosterEntry entry) {
         long startedAtMillis = context.term.startedAtMillis();
-        long longestMillis =
-                context.leases.previousLeasesExpireAtMillis(startedAtMillis) - context.now();
-        long ageMillis = context.now() - startedAtMillis;
+        long latestMillis = context.leases.previousLeasesExpireAtMillis(startedAtMillis);
         return entry.allowsLeases()
-                ? longestMillis
-                : Math.min(longestMillis, entry.remainingMillis() - ageMillis);
+                ? latestMillis
+                : Math.min(latestMillis, startedAtMillis + entry.remainingMillis());
     }
 
     /**
@@ -138,7 +156,7 @@
     }
 
     /**
-     * Excludes the workers whose remaining time is over, and checks whether previous owners can no
+     * Excludes the workers on which all leases are over, and checks whether previous owners can no
      * longer start anything. Logs the outcome, and while they can, the workers that have not
      * answered.
      *
@@ -151,7 +169,9 @@
         long now = context.now();
         long ageMillis = now - context.term.startedAtMillis();
         int unansweredCount = unfencedEntries.size();
-        if (unfencedEntries.values().removeIf(entry -> remainingMillis(entry) <= 0)) {
+        if (unfencedEntries
+                .values()
+                .removeIf(entry -> context.areLeasesOver(expireAtMillis(entry)))) {
             updateHeldTasks();
             context.log.log(
                     "owner.expired",
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerPoller.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerPoller.java
@@ -312,14 +312,18 @@
     }
 
     /**
-     * Marks the runs of a worker as lost if all of its leases have certainly expired. Runs whose
-     * start request may still arrive are kept.
+     * Marks the runs of a worker as lost if all of its leases are certainly over. Runs whose start
+     * request may still arrive are kept.
      *
      * @param worker the worker
+     * @return whether an ownership check has to show that the leases are over
      */
-    void expireRuns(WorkerRecord worker) {
-        if (context.now() < worker.leasesExpireAtMillis) {
-            return;
+    boolean expireRuns(WorkerRecord worker) {
+        if (worker.runs.isEmpty() || context.now() < worker.leasesExpireAtMillis) {
+            return false;
+        }
+        if (!context.areLeasesOver(worker.leasesExpireAtMillis)) {
+            return true;
         }
         for (RunRecord record : new ArrayList<>(worker.runs.values())) {
             if (!record.mayArrive()
@@ -328,6 +332,7 @@
                 jobTracker.applyLoss(record, "the lease of the worker expired");
             }
         }
+        return false;
     }
 
     /** Called after each answered or failed poll. */
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -217,6 +217,21 @@
      * @return the process of the owner
      */
     OwnerProcess startOwner(FaultPlan storeFaults, FaultPlan workerFaults) {
+        return startOwner(storeFaults, workerFaults, unreachable);
+    }
+
+    /**
+     * Starts an owner with a new generation that cannot reach some workers. Owners that run already
+     * are not stopped.
+     *
+     * @param storeFaults the faults of the owner's calls to the store
+     * @param workerFaults the faults of the owner's calls to workers
+     * @param cutOffWorkers the identifiers of the workers that this owner cannot reach; may change
+     *     later
+     * @return the process of the owner
+     */
+    OwnerProcess startOwner(
+            FaultPlan storeFaults, FaultPlan workerFaults, Set<String> cutOffWorkers) {
         generation++;
         OwnerRecord record = new OwnerRecord("node" + generation, "process", generation);
         HeadRecord head = new HeadRecord(generation, 0, record.node());
@@ -232,7 +247,7 @@
         FaultInjectingStoreClient storeClient =
                 new FaultInjectingStoreClient(store, clock, storeFaults);
         FaultInjectingWorkerClient workerClient =
-                new FaultInjectingWorkerClient(workers, unreachable, clock, workerFaults);
+                new FaultInjectingWorkerClient(workers, cutOffWorkers, clock, workerFaults);
         CellEnvironment environment =
                 new CellEnvironment(
                         CellSettings.builder().build(),
--- /dev/null
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/TakeoverMatrixTest.java
@@ -0,0 +1,277 @@
+package org.damasktiller.verification.owner;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.damasktiller.scheduler.model.SubmissionState;
+import org.damasktiller.scheduler.model.TaskId;
+import org.damasktiller.standin.fleet.FaultInjectingWorkerClient;
+import org.damasktiller.standin.metadata.CallFault;
+import org.damasktiller.standin.metadata.FaultPlan;
+import org.damasktiller.verification.owner.CellSimulation.OwnerProcess;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Changes the owner of a cell many times in short succession, from fixed seeds, while workers
+ * drain, leave, are cut off or crash. Some owners live on without the store or without some of the
+ * workers after they were replaced. No task may run twice, and in the end everything runs.
+ */
+final class TakeoverMatrixTest {
+
+    /** The number of cases; their seeds count from 0. */
+    private static final int SEED_COUNT = 100;
+
+    /** How long the faults of a case last, in milliseconds. */
+    private static final long FAULTS_MILLIS = 24_000;
+
+    /** The time after the faults in which everything must finish or run, in milliseconds. */
+    private static final long SETTLE_MILLIS = 30_000;
+
+    /** The time between two draws of faults, in milliseconds. */
+    private static final long STEP_MILLIS = 100;
+
+    /** The number of workers at the beginning. */
+    private static final int WORKER_COUNT = 8;
+
+    /** The number of long-running submissions, each of two tasks. */
+    private static final int LONG_RUNNING_COUNT = 5;
+
+    /** The shortest time that a worker is away after a crash, in milliseconds. */
+    private static final int MIN_CRASH_MILLIS = 3_000;
+
+    @Test
+    void ownersThatFollowEachOtherRunNothingTwiceAndLoseNothing() {
+        List<String> violations = new ArrayList<>();
+        for (int seed = 0; seed < SEED_COUNT; seed++) {
+            violations.addAll(new Case(seed).run());
+        }
+        assertThat(violations, empty());
+    }
+
+    /** A case with its cell and its owners. */
+    private static final class Case {
+
+        /** The seed, for the messages. */
+        private final int seed;
+
+        /** Selects the faults. */
+        private final SplittableRandom random;
+
+        /** The cell. */
+        private final CellSimulation simulation = new CellSimulation(WORKER_COUNT);
+
+        /** The processes of all owners, the present one last. */
+        private final List<OwnerProcess> owners = new ArrayList<>();
+
+        /** The owners that have lost the store. */
+        private final Set<OwnerProcess> ownersWithoutStore = new HashSet<>();
+
+        /** The identifiers of the workers that have neither left nor a fault in progress. */
+        private final List<String> soundWorkers = new ArrayList<>();
+
+        /** The identifiers of the submissions of short tasks. */
+        private final List<String> shortSubmissions = new ArrayList<>();
+
+        /**
+         * Creates a case.
+         *
+         * @param seed the seed
+         */
+        Case(int seed) {
+            this.seed = seed;
+            this.random = new SplittableRandom(seed);
+            soundWorkers.addAll(simulation.workers.keySet());
+        }
+
+        /**
+         * Runs the case.
+         *
+         * @return a line for each violation
+         */
+        List<String> run() {
+            startOwner(simulation.unreachable);
+            for (int number = 0; number < LONG_RUNNING_COUNT; number++) {
+                simulation.submit(longRunningId(number), CellSimulation.longRunningStep(2));
+            }
+            for (long elapsed = 0; elapsed < FAULTS_MILLIS; elapsed += STEP_MILLIS) {
+                drawFaults();
+                simulation.runtime.advance(STEP_MILLIS);
+            }
+            simulation.unreachable.clear();
+            owners.forEach(OwnerProcess::kill);
+            simulation.startOwner();
+            simulation.runtime.advance(SETTLE_MILLIS);
+            return violations();
+        }
+
+        /** Draws whether a submission comes, the owner changes and a fault of a worker begins. */
+        private void drawFaults() {
+            if (random.nextInt(5) == 0) {
+                String id = String.format("%016x", 0x1000 + shortSubmissions.size());
+                shortSubmissions.add(id);
+                simulation.submit(id, CellSimulation.shortStep(2), CellSimulation.shortStep(1, 0));
+            }
+            if (random.nextInt(15) == 0) {
+                changeOwner();
+            }
+            if (random.nextInt(12) == 0 && soundWorkers.size() > WORKER_COUNT / 2) {
+                String id = soundWorkers.remove(random.nextInt(soundWorkers.size()));
+                switch (random.nextInt(3)) {
+                    case 0 -> drain(id);
+                    case 1 -> cutOff(id);
+                    default -> crash(id);
+                }
+            }
+        }
+
+        /**
+         * Replaces the owner. The former one is killed, or lives on without the store, for some
+         * cases after a freeze; the next one may be cut off from some workers for some seconds.
+         */
+        private void changeOwner() {
+            OwnerProcess former = owners.get(owners.size() - 1);
+            Set<String> cutOffWorkers = FaultInjectingWorkerClient.newIdSet();
+            cutOffWorkers.addAll(simulation.unreachable);
+            for (String id : simulation.workers.keySet()) {
+                if (random.nextInt(8) == 0) {
+                    cutOffWorkers.add(id);
+                }
+            }
+            if (random.nextInt(3) > 0) {
+                former.kill();
+            } else {
+                ownersWithoutStore.add(former);
+                if (random.nextBoolean()) {
+                    former.clock.freeze();
+                    after(random.nextInt(200, 6_000), former.clock::unfreeze);
+                }
+            }
+            startOwner(cutOffWorkers);
+            after(
+                    random.nextInt(500, 9_000),
+                    () -> {
+                        cutOffWorkers.clear();
+                        cutOffWorkers.addAll(simulation.unreachable);
+                    });
+        }
+
+        /**
+         * Starts an owner.
+         *
+         * @param cutOffWorkers the identifiers of the workers that it cannot reach
+         */
+        private void startOwner(Set<String> cutOffWorkers) {
+            int number = owners.size();
+            FaultPlan storeFaults =
+                    call ->
+                            number < owners.size()
+                                            && ownersWithoutStore.contains(owners.get(number))
+                                    ? CallFault.LOST
+                                    : CallFault.ANSWERED;
+            owners.add(simulation.startOwner(storeFaults, FaultPlan.NO_FAULTS, cutOffWorkers));
+        }
+
+        /**
+         * Drains a worker, which then leaves, and adds another one.
+         *
+         * @param id the identifier of the worker
+         */
+        private void drain(String id) {
+            simulation.register(id, true);
+            String next = "w" + simulation.workers.size();
+            simulation.addWorker(next);
+            soundWorkers.add(next);
+            after(
+                    random.nextInt(1_500, 6_000),
+                    () -> {
+                        simulation.workers.get(id).crash();
+                        simulation.unreachable.add(id);
+                        simulation.unregister(id);
+                    });
+        }
+
+        /**
+         * Cuts a worker off from all owners; its entry goes and comes back.
+         *
+         * @param id the identifier of the worker
+         */
+        private void cutOff(String id) {
+            simulation.unreachable.add(id);
+            after(random.nextInt(500, 3_300), () -> simulation.unregister(id));
+            after(
+                    random.nextInt(3_400, 9_000),
+                    () -> {
+                        simulation.unreachable.remove(id);
+                        simulation.register(id, false);
+                        soundWorkers.add(id);
+                    });
+        }
+
+        /**
+         * Crashes a worker, which boots again under its identifier.
+         *
+         * @param id the identifier of the worker
+         */
+        private void crash(String id) {
+            simulation.workers.get(id).crash();
+            simulation.unreachable.add(id);
+            after(
+                    random.nextInt(MIN_CRASH_MILLIS, 9_000),
+                    () -> {
+                        simulation.workers.get(id).boot();
+                        simulation.unreachable.remove(id);
+                        simulation.register(id, false);
+                        soundWorkers.add(id);
+                    });
+        }
+
+        /**
+         * Schedules an action.
+         *
+         * @param delayMillis the delay, in milliseconds
+         * @param action the action
+         */
+        private void after(int delayMillis, Runnable action) {
+            simulation.runtime.schedule(delayMillis, action);
+        }
+
+        /**
+         * Returns what is wrong at the end of the case.
+         *
+         * @return a line for each violation
+         */
+        private List<String> violations() {
+            List<String> lines = new ArrayList<>();
+            simulation.invariants.violations().forEach(line -> lines.add(seed + ": " + line));
+            for (String id : shortSubmissions) {
+                if (simulation.submissionState(id) != SubmissionState.SUCCEEDED) {
+                    lines.add(seed + ": " + id + " is " + simulation.submissionState(id));
+                }
+            }
+            for (int number = 0; number < LONG_RUNNING_COUNT; number++) {
+                for (int index = 0; index < 2; index++) {
+                    TaskId task = new TaskId(longRunningId(number), 0, 0, index);
+                    if (simulation.invariants.activeRunCount(task) != 1) {
+                        lines.add(seed + ": " + task + " does not run");
+                    }
+                }
+            }
+            return lines;
+        }
+
+        /**
+         * Returns the identifier of a long-running submission.
+         *
+         * @param number the number of the submission, from 0
+         * @return the identifier
+         */
+        private static String longRunningId(int number) {
+            return String.format("%016x", 0xa0 + number);
+        }
+    }
+}
