Take a roster that can't be read for one of unknown workers

An owner that could not decode the stored roster counted it as empty, without a log line, and started the tasks of workers that it did not reach a second time. Not seen by callers; found while the roster was extended. Now the owner logs roster.unreadable and waits for the longest lease, and the entry of unknown workers stays in the roster for its successors until that is over.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.damasktiller.scheduler.model.Manifest;
@@ -239,11 +238,7 @@
             return;
         }
         StoreItem item = result.status() == StoreStatus.OK ? result.require().item() : null;
-        RosterRecord roster =
-                item == null ? null : StoredValueCodec.decode(item.value(), RosterRecord.class);
-        Map<String, RosterEntry> entries = roster == null ? Map.of() : roster.entries();
-        context.roster.load(entries);
-        context.previousOwners.load(entries);
+        context.roster.load(item);
         loaded = true;
         context.log.log(
                 "owner.loaded",
@@ -252,7 +247,7 @@
                 "jobs",
                 context.jobs.size(),
                 "roster",
-                entries.size(),
+                context.previousOwners.unfencedWorkerIds().size(),
                 "millis",
                 context.now() - context.term.startedAtMillis());
         checkPreviousOwners();
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Roster.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Roster.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.damasktiller.scheduler.model.TaskId;
+import org.damasktiller.scheduler.port.StoreItem;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -15,6 +16,9 @@
  */
 final class Roster {
 
+    /** Stands for the workers of a roster that can't be read; no worker has this identifier. */
+    private static final String UNKNOWN_WORKERS = "";
+
     /** The shared state of the cell's owner. */
     private final CellContext context;
 
@@ -31,12 +35,28 @@
     }
 
     /**
-     * Takes over the roster that the previous owner has stored.
+     * Takes over the roster that the previous owner has stored. One that can't be read may have
+     * named any worker, which its successors have to know as well.
      *
-     * @param stored the entries by the identifier of the worker
+     * @param item the stored roster, or null if there is none
      */
-    void load(Map<String, RosterEntry> stored) {
-        entries = new HashMap<>(stored);
+    void load(@Nullable StoreItem item) {
+        RosterRecord stored =
+                item == null ? null : StoredValueCodec.decode(item.value(), RosterRecord.class);
+        if (stored != null) {
+            entries = new HashMap<>(stored.entries());
+        } else if (item != null) {
+            entries.put(UNKNOWN_WORKERS, RosterEntry.OPEN);
+            context.log.log(
+                    "roster.unreadable",
+                    "cell",
+                    context.cell,
+                    "revision",
+                    item.revision(),
+                    "bytes",
+                    item.value().length);
+        }
+        context.previousOwners.load(entries);
     }
 
     /**
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerTest.java
@@ -6,10 +6,13 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.damasktiller.scheduler.cell.CellKeys;
 import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.scheduler.model.TaskId;
+import org.damasktiller.scheduler.port.StoreTransaction;
 import org.damasktiller.standin.metadata.CallFault;
 import org.damasktiller.standin.metadata.FaultPlan;
 import org.damasktiller.verification.owner.CellSimulation.OwnerProcess;
@@ -189,6 +192,39 @@
         assertThat(simulation.invariants.violations(), empty());
     }
 
+    /**
+     * A roster that can't be read may name any worker. The owner must not take it for an empty one
+     * while a worker that it does not reach runs the tasks of its predecessor.
+     */
+    @Test
+    void unreadableRosterCountsAsOneOfUnknownWorkers() {
+        CellSimulation simulation = new CellSimulation(2);
+        OwnerProcess first = simulation.startOwner();
+        simulation.submit(SUBMISSION, CellSimulation.longRunningStep(2));
+        simulation.runtime.advance(1_000);
+        first.kill();
+        simulation.store.commit(
+                new StoreTransaction()
+                        .put(
+                                CellKeys.roster(CellSimulation.CELL),
+                                "{\"workers\":7".getBytes(StandardCharsets.UTF_8)));
+        simulation.unreachable.add("w0");
+        simulation.unregister("w0");
+        simulation.startOwner();
+        simulation.runtime.advance(12_000);
+        assertThat(simulation.invariants.violations(), empty());
+        assertThat(
+                simulation.logLines.stream()
+                        .filter(line -> line.contains(" roster.unreadable "))
+                        .count(),
+                equalTo(1L));
+        for (int index = 0; index < 2; index++) {
+            assertThat(
+                    simulation.invariants.activeRunCount(new TaskId(SUBMISSION, 0, 0, index)),
+                    equalTo(1));
+        }
+    }
+
     /**
      * An owner resumes after a freeze and can still reach a worker that its successor does not know
      * and that has not seen the successor's fencing token. It must not extend that worker's lease
