Let workers of a local deployment leave for good and new ones come

So far a worker that drained always came back under its own identifier. A worker that has left never registers or boots again, whatever faults on it end later; a new one has a new identifier and address.

--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalDeployment.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalDeployment.java
@@ -12,6 +12,7 @@
 import org.damasktiller.platform.emulator.WorkerServlet;
 import org.damasktiller.platform.record.JsonPlatformRecordDecoder;
 import org.damasktiller.scheduler.model.Manifest;
+import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.Route;
 import org.damasktiller.scheduler.port.ProcessRuntime;
 import org.damasktiller.scheduler.port.StoreTransaction;
@@ -55,9 +56,24 @@
     /** Decides which faults affect calls to the store. */
     private final RandomFaultPlan storeFaultPlan;
 
-    /** The emulated workers. */
+    /** The size of the deployment and the directory of its files. */
+    private final LocalDeploymentSettings settings;
+
+    /** Determines the resources, the duration and the outcome of runs. */
+    private final TaskBehaviour behaviour;
+
+    /** Notified of each start, end and acknowledgement of a run. */
+    private final RunObserver observer;
+
+    /** Selects the faults of calls. */
+    private final RandomGenerator random;
+
+    /** The emulated workers that have not left for good. */
     private final List<LocalWorker> workers = new ArrayList<>();
 
+    /** The number of workers that were ever added. */
+    private int addedWorkers;
+
     /** The processes of the entry VMs. */
     private final List<EntryVmProcess> entryVms = new ArrayList<>();
 
@@ -82,6 +98,10 @@
             TaskBehaviour behaviour,
             RunObserver observer,
             RandomGenerator random) {
+        this.settings = settings;
+        this.behaviour = behaviour;
+        this.observer = observer;
+        this.random = random;
         eventloop = loop.eventloop();
         runtime = loop.runtime();
         store = new InMemoryStore(runtime);
@@ -90,26 +110,8 @@
                 LoopbackServer.start(
                         eventloop,
                         new StoreServlet(store, runtime, storeFaultPlan, LATE_CALL_DELAY_MILLIS));
-        for (int number = 0; number < settings.workers(); number++) {
-            SimulatedWorker simulatedWorker =
-                    new SimulatedWorker(
-                            String.format("worker-%03d", number),
-                            settings.capacity(),
-                            runtime,
-                            behaviour,
-                            observer);
-            RandomFaultPlan faultPlan = new RandomFaultPlan(random);
-            InetSocketAddress address =
-                    LoopbackServer.start(
-                            eventloop,
-                            new WorkerServlet(
-                                    simulatedWorker, runtime, faultPlan, LATE_CALL_DELAY_MILLIS));
-            FaultyLink link = new FaultyLink(eventloop, address);
-            LocalWorker worker =
-                    new LocalWorker(
-                            runtime, simulatedWorker, link, faultPlan, store, settings, number);
-            worker.register(false, 0);
-            workers.add(worker);
+        while (addedWorkers < settings.workers()) {
+            addWorker();
         }
         List<String> zones = List.copyOf(settings.zones().keySet());
         for (int number = 0; number < settings.entryVms(); number++) {
@@ -137,6 +139,61 @@
         entryVms.forEach(EntryVmProcess::kill);
     }
 
+    /**
+     * Starts and registers a worker. Its identifier and its address are different from those of all
+     * other workers, also of those that have left.
+     */
+    public void addWorker() {
+        SimulatedWorker simulatedWorker =
+                new SimulatedWorker(
+                        String.format("worker-%03d", addedWorkers),
+                        settings.capacity(),
+                        runtime,
+                        behaviour,
+                        observer);
+        RandomFaultPlan faultPlan = new RandomFaultPlan(random);
+        InetSocketAddress address =
+                LoopbackServer.start(
+                        eventloop,
+                        new WorkerServlet(
+                                simulatedWorker, runtime, faultPlan, LATE_CALL_DELAY_MILLIS));
+        FaultyLink link = new FaultyLink(eventloop, address);
+        LocalWorker worker =
+                new LocalWorker(
+                        runtime, simulatedWorker, link, faultPlan, store, settings, addedWorkers);
+        worker.register(false, 0);
+        workers.add(worker);
+        addedWorkers++;
+    }
+
+    /**
+     * Removes a worker for good. Its active runs end.
+     *
+     * @param worker the worker
+     */
+    public void removeWorker(LocalWorker worker) {
+        worker.leave();
+        workers.remove(worker);
+    }
+
+    /**
+     * Returns how often a demand fits into the free resources of the workers that may get new work.
+     * A worker counts at most twice.
+     *
+     * @param demand the resources of one task
+     * @return the number of tasks
+     */
+    public int roomFor(Resources demand) {
+        int room = 0;
+        for (LocalWorker worker : workers) {
+            Resources free = worker.simulatedWorker().freeResources();
+            if (worker.isUsable() && free.covers(demand)) {
+                room += free.covers(demand.plus(demand)) ? 2 : 1;
+            }
+        }
+        return room;
+    }
+
     /**
      * Publishes a manifest under a higher version than all earlier ones; the version of the
      * argument is ignored.
@@ -173,9 +230,9 @@
     }
 
     /**
-     * Returns the emulated workers.
+     * Returns the emulated workers, except those that have left for good.
      *
-     * @return the workers
+     * @return the live list of workers
      */
     public List<LocalWorker> workers() {
         return workers;
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalWorker.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalWorker.java
@@ -46,6 +46,12 @@
     /** The label of the rack that holds the worker. */
     private final String rack;
 
+    /** Whether the worker was last registered as draining. */
+    private boolean draining;
+
+    /** Whether the worker has left for good. */
+    private boolean left;
+
     /**
      * Creates a worker that is not registered in the store yet.
      *
@@ -105,13 +111,27 @@
     }
 
     /**
-     * Writes the registration of the worker to the store, replacing an earlier one.
+     * Returns whether the worker may get new work.
      *
-     * @param draining whether the worker is about to leave and must not get new work
+     * @return true if it is running and not draining
+     */
+    public boolean isUsable() {
+        return simulatedWorker.isAlive() && !draining;
+    }
+
+    /**
+     * Writes the registration of the worker to the store, replacing an earlier one. Has no effect
+     * if the worker has left for good.
+     *
+     * @param isDraining whether the worker is about to leave and must not get new work
      * @param remainingMillis the minimum time until a draining worker leaves, in milliseconds; 0 if
      *     it is not draining
      */
-    public void register(boolean draining, long remainingMillis) {
+    public void register(boolean isDraining, long remainingMillis) {
+        if (left) {
+            return;
+        }
+        draining = isDraining;
         WorkerEntry entry =
                 new WorkerEntry(
                         simulatedWorker.id(),
@@ -140,16 +160,22 @@
 
     /**
      * Boots a crashed worker under its previous identifier and registers it. Has no effect if the
-     * worker is running.
+     * worker is running or has left for good.
      */
     public void bootIfCrashed() {
-        if (!simulatedWorker.isAlive()) {
+        if (!left && !simulatedWorker.isAlive()) {
             simulatedWorker.boot();
             link.setRefusing(false);
             register(false, 0);
         }
     }
 
+    /** Ends the worker for good: it crashes, and never boots or registers again. */
+    void leave() {
+        crash();
+        left = true;
+    }
+
     /** Crashes the worker and boots it again after the time that a restart takes. */
     public void restart() {
         crash();
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/SimulatedWorker.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/SimulatedWorker.java
@@ -167,6 +167,15 @@
         return activeRuns.size();
     }
 
+    /**
+     * Returns the resources that no active run reserves.
+     *
+     * @return the difference between the capacity and the reserved resources
+     */
+    public Resources freeResources() {
+        return capacity.minus(reservedResources());
+    }
+
     /**
      * Starts a run and extends the lease. Repeating the call for an active run has no effect.
      *
@@ -190,7 +199,7 @@
             return reply(WorkerStatus.OLD_RUN);
         }
         Resources reserved = behaviour.reserved(request.task());
-        if (!capacity.minus(reservedResources()).covers(reserved)) {
+        if (!freeResources().covers(reserved)) {
             return reply(WorkerStatus.NO_ROOM);
         }
         SimulatedRun run =
