--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/load/GuaranteeChecker.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/load/GuaranteeChecker.java
@@ -102,7 +102,7 @@
      * @param tracked the submission
      * @return the tasks, by step and index
      */
-    private static List<TaskId> tasksOf(TrackedSubmission tracked) {
+    static List<TaskId> tasksOf(TrackedSubmission tracked) {
         List<TaskId> tasks = new ArrayList<>();
         for (int step = 0; step < tracked.submission().steps().size(); step++) {
             for (int task = 0; task < tracked.submission().steps().get(step).count(); task++) {
