Play planned work in the soak: owners restart in series, workers are replaced

So far the signals of the soak were single and random, and each worker came back under its own identifier.

--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/command/SoakCommand.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/command/SoakCommand.java
@@ -35,6 +35,14 @@
     @Parameter(names = "--for", description = "How long faults are injected, in seconds")
     private long faultSeconds = 30;
 
+    /** Whether the only faults are planned work. */
+    @Parameter(
+            names = "--planned",
+            description =
+                    "Only restart owners in series and replace workers, and check how long"
+                            + " long-running tasks are interrupted")
+    private boolean planned;
+
     /** The directory under which the settings and logs of each seed are written. */
     @Parameter(
             names = "--directory",
@@ -54,7 +62,8 @@
         Settings.requireInRange("--for", faultSeconds, 1, MAXIMUM_FAULT_SECONDS);
         List<Long> failedSeeds = new ArrayList<>();
         for (long nextSeed : selectedSeeds()) {
-            if (!new SoakRun(new SoakSettings(nextSeed, faultSeconds, directory), output).run()) {
+            SoakSettings settings = new SoakSettings(nextSeed, faultSeconds, planned, directory);
+            if (!new SoakRun(settings, output).run()) {
                 failedSeeds.add(nextSeed);
             }
         }
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakLoad.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakLoad.java
@@ -21,6 +21,12 @@
     /** The number of failed runs of a task after which its submission fails. */
     static final int MAX_ATTEMPTS = 3;
 
+    /** The probability that a submission is long-running, 0 to 1. */
+    static final double LONG_RUNNING_PROBABILITY = 0.05;
+
+    /** The same probability while there is planned work only, which moves long-running tasks. */
+    static final double PLANNED_LONG_RUNNING_PROBABILITY = 0.15;
+
     /**
      * The mean interval between two submissions, in milliseconds; also the interval at which the
      * acceptance of a submission to cancel is checked.
@@ -33,9 +39,6 @@
     /** The maximum number of tasks in a step; also the number of different images. */
     private static final int MAX_TASK_COUNT = 4;
 
-    /** The probability that a submission is long-running. */
-    private static final double LONG_RUNNING_PROBABILITY = 0.05;
-
     /** The probability that a submission is cancelled, also of one that is long-running. */
     private static final double CANCEL_PROBABILITY = 0.1;
 
@@ -75,6 +78,9 @@
     /** The manifest with the routes of the submissions. */
     private final Manifest manifest = createManifest();
 
+    /** The probability that a submission is long-running, 0 to 1. */
+    private final double longRunningProbability;
+
     /** Whether the load has stopped. */
     private boolean stopped;
 
@@ -84,11 +90,17 @@
      * @param runtime the clock and timers of the event loop
      * @param random the random number generator that draws the load
      * @param callers sends the submissions and tracks their states
+     * @param longRunningProbability the probability that a submission is long-running, 0 to 1
      */
-    SoakLoad(ProcessRuntime runtime, RandomGenerator random, CallerSimulator callers) {
+    SoakLoad(
+            ProcessRuntime runtime,
+            RandomGenerator random,
+            CallerSimulator callers,
+            double longRunningProbability) {
         this.runtime = runtime;
         this.random = random;
         this.callers = callers;
+        this.longRunningProbability = longRunningProbability;
     }
 
     /**
@@ -125,7 +137,7 @@
 
     /** Draws and sends a submission, and schedules its cancellation if one is drawn. */
     private void sendNext() {
-        boolean longRunning = random.nextDouble() < LONG_RUNNING_PROBABILITY;
+        boolean longRunning = random.nextDouble() < longRunningProbability;
         Route route = manifest.routes().get(random.nextInt(manifest.routes().size()));
         Submission submission =
                 new Submission(
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakRun.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakRun.java
@@ -13,6 +13,7 @@
 import org.apache.commons.math3.random.Well19937c;
 import org.damasktiller.lab.load.CallerSimulator;
 import org.damasktiller.lab.load.GuaranteeChecker;
+import org.damasktiller.lab.load.InterruptionChecker;
 import org.damasktiller.lab.load.SubmittedTaskBehaviour;
 import org.damasktiller.lab.rig.EntryVmProcess;
 import org.damasktiller.lab.rig.LabEventLoop;
@@ -45,6 +46,27 @@
      */
     private static final int EXTRA_DURATION_BOUND_MILLIS = 8_000;
 
+    /** The number of entry VMs of a run with planned work only; each restart takes about 5 s. */
+    private static final int PLANNED_ENTRY_VMS = 6;
+
+    /**
+     * The minimum time before planned work begins among other faults, in milliseconds; longer than
+     * the regression runs of older seeds, whose faults stay the same.
+     */
+    private static final long MIN_PLANNED_GAP_MILLIS = 8_000;
+
+    /** The exclusive upper bound of the random time added to this minimum, in milliseconds. */
+    private static final int EXTRA_PLANNED_GAP_BOUND_MILLIS = 12_000;
+
+    /** The minimum duration of planned work among other faults, in milliseconds. */
+    private static final long MIN_PLANNED_DURATION_MILLIS = 5_000;
+
+    /** The exclusive upper bound of the random time added to this duration, in milliseconds. */
+    private static final int EXTRA_PLANNED_DURATION_BOUND_MILLIS = 15_000;
+
+    /** The interval between two checks for interrupted tasks, in milliseconds. */
+    private static final long INTERRUPTION_CHECK_INTERVAL_MILLIS = 100;
+
     /** The interval between two checks of the guarantees, in milliseconds. */
     private static final long CHECK_INTERVAL_MILLIS = 1_000;
 
@@ -86,6 +108,9 @@
      */
     private final RandomGenerator random;
 
+    /** The random number generator of planned work, apart from those of the other faults. */
+    private final RandomGenerator plannedRandom;
+
     /** Records the runs of the workers and detects violations. */
     private final RunInvariantChecker invariantChecker =
             new RunInvariantChecker(SoakLoad.MAX_ATTEMPTS);
@@ -105,6 +130,9 @@
     /** Checks the guarantees of the scheduler. */
     private final GuaranteeChecker guaranteeChecker;
 
+    /** Checks how long long-running tasks are interrupted. */
+    private final InterruptionChecker interruptionChecker;
+
     /** Generates the faults. */
     private final FaultGenerator faultGenerator;
 
@@ -131,19 +159,23 @@
         this.output = output;
         this.directory = createDirectory(settings);
         random = new Well19937c(settings.seed());
+        plannedRandom = new Well19937c(~settings.seed());
         loop = new LabEventLoop("soak", uncheckedExceptions::add);
         runtime = loop.runtime();
         SubmittedTaskBehaviour taskBehaviour =
                 new SubmittedTaskBehaviour(random, FAILURE_PROBABILITY);
-        LocalDeploymentSettings deploymentSettings =
-                LocalDeploymentSettings.builder(directory).build();
+        LocalDeploymentSettings.Builder deploymentSettings =
+                LocalDeploymentSettings.builder(directory);
+        if (settings.planned()) {
+            deploymentSettings.entryVms(PLANNED_ENTRY_VMS);
+        }
         deployment =
                 loop.await(
                         created ->
                                 created.complete(
                                         new LocalDeployment(
                                                 loop,
-                                                deploymentSettings,
+                                                deploymentSettings.build(),
                                                 taskBehaviour,
                                                 invariantChecker,
                                                 random)));
@@ -154,8 +186,18 @@
                         deployment.entryVms().stream().map(EntryVmProcess::callerAddress).toList(),
                         random,
                         taskBehaviour);
-        load = new SoakLoad(runtime, random, callers);
+        load =
+                new SoakLoad(
+                        runtime,
+                        random,
+                        callers,
+                        settings.planned()
+                                ? SoakLoad.PLANNED_LONG_RUNNING_PROBABILITY
+                                : SoakLoad.LONG_RUNNING_PROBABILITY);
         guaranteeChecker = new GuaranteeChecker(callers, invariantChecker, taskBehaviour);
+        interruptionChecker =
+                new InterruptionChecker(
+                        runtime, callers, invariantChecker, taskBehaviour, deployment::roomFor);
         faultGenerator = new FaultGenerator(random, deployment, manifest);
     }
 
@@ -176,12 +218,17 @@
         output.printf(
                 "seed %d: %d faults, %d submissions, %d violations%n",
                 settings.seed(), faultCount, callers.submissions().size(), violations.size());
+        if (settings.planned()) {
+            output.printf(
+                    "  %d interruptions of long-running tasks, the longest for %d ms%n",
+                    interruptionChecker.count(), interruptionChecker.longestMillis());
+        }
         violations.forEach(line -> output.println("  violation: " + line));
         return violations.isEmpty();
     }
 
     /**
-     * Starts the deployment and the load, and schedules the first fault and the first check.
+     * Starts the deployment and the load, and schedules the first faults and the first checks.
      *
      * @param result completed with the violations at the end of the soak
      */
@@ -191,7 +238,14 @@
         load.run();
         faultsEndMillis =
                 runtime.nowMillis() + WARM_UP_MILLIS + settings.seconds() * MILLIS_PER_SECOND;
-        runtime.schedule(WARM_UP_MILLIS, this::beginNextFault);
+        if (settings.planned()) {
+            runtime.schedule(
+                    WARM_UP_MILLIS, () -> beginPlannedWork(settings.seconds() * MILLIS_PER_SECOND));
+            checkInterruptions();
+        } else {
+            runtime.schedule(WARM_UP_MILLIS, this::beginNextFault);
+            runtime.schedule(WARM_UP_MILLIS + drawPlannedGap(), this::beginNextPlannedWork);
+        }
         runtime.schedule(CHECK_INTERVAL_MILLIS, () -> checkGuarantees(result));
     }
 
@@ -200,11 +254,54 @@
         if (runtime.nowMillis() >= faultsEndMillis) {
             return;
         }
-        Fault fault = faultGenerator.nextFault();
+        beginFault(
+                faultGenerator.nextFault(),
+                MIN_FAULT_DURATION_MILLIS + random.nextInt(EXTRA_DURATION_BOUND_MILLIS));
+        runtime.schedule(random.nextInt(FAULT_GAP_BOUND_MILLIS), this::beginNextFault);
+    }
+
+    /** Begins planned work among other faults, and schedules its end and the next such work. */
+    private void beginNextPlannedWork() {
+        if (runtime.nowMillis() >= faultsEndMillis) {
+            return;
+        }
+        long durationMillis =
+                MIN_PLANNED_DURATION_MILLIS
+                        + plannedRandom.nextInt(EXTRA_PLANNED_DURATION_BOUND_MILLIS);
+        beginPlannedWork(durationMillis);
+        runtime.schedule(durationMillis + drawPlannedGap(), this::beginNextPlannedWork);
+    }
+
+    /**
+     * Begins to restart owners in series and to replace workers.
+     *
+     * @param durationMillis the duration of the work, in milliseconds
+     */
+    private void beginPlannedWork(long durationMillis) {
+        RandomGenerator restartRandom = new Well19937c(plannedRandom.nextLong());
+        RandomGenerator workerRandom = new Well19937c(plannedRandom.nextLong());
+        beginFault(new OwnerRestartFault(runtime, restartRandom, deployment), durationMillis);
+        beginFault(new WorkerReplacementFault(runtime, workerRandom, deployment), durationMillis);
+    }
+
+    /**
+     * Draws the time before planned work begins.
+     *
+     * @return the time, in milliseconds
+     */
+    private long drawPlannedGap() {
+        return MIN_PLANNED_GAP_MILLIS + plannedRandom.nextInt(EXTRA_PLANNED_GAP_BOUND_MILLIS);
+    }
+
+    /**
+     * Begins a fault and schedules its end.
+     *
+     * @param fault the fault
+     * @param durationMillis the duration of the fault, in milliseconds
+     */
+    private void beginFault(Fault fault, long durationMillis) {
         faultCount++;
         activeFaults.add(fault);
-        long durationMillis =
-                MIN_FAULT_DURATION_MILLIS + random.nextInt(EXTRA_DURATION_BOUND_MILLIS);
         output.printf("  %s for %d ms%n", fault.describe(), durationMillis);
         fault.begin();
         runtime.schedule(
@@ -213,7 +310,12 @@
                     fault.end();
                     activeFaults.remove(fault);
                 });
-        runtime.schedule(random.nextInt(FAULT_GAP_BOUND_MILLIS), this::beginNextFault);
+    }
+
+    /** Checks for tasks that are interrupted for too long, and schedules the next check. */
+    private void checkInterruptions() {
+        interruptionChecker.check();
+        runtime.schedule(INTERRUPTION_CHECK_INTERVAL_MILLIS, this::checkInterruptions);
     }
 
     /**
@@ -224,6 +326,7 @@
      */
     private void checkGuarantees(CompletableFuture<List<String>> result) {
         List<String> violations = guaranteeChecker.violations();
+        violations.addAll(interruptionChecker.violations());
         boolean allFaultsEnded = runtime.nowMillis() > faultsEndMillis && activeFaults.isEmpty();
         if (allFaultsEnded) {
             load.stop();
