--- a/specification/roster.pml
+++ b/specification/roster.pml
@@ -10,8 +10,9 @@
  * does not poll it. Times are countdowns, so that the clock needs no bound.
  *
  * The model is bounded as follows:
- *   - Only the entry of worker 0 changes; that of worker 1 stays OPEN with the full remaining time.
- *   - The last owner only opens an entry, since nobody inherits its roster.
+ *   - Only the entry of worker 0 changes, unless the symbol BOTH_ENTRIES is defined; that of
+ *     worker 1 stays OPEN with the full remaining time.
+ *   - The last owner only opens entries, since nobody inherits its roster.
  *   - At most one start request at a time is delayed, and only to worker 0.
  *   - A start is resolved by a poll that lists its run or by the end of the leases, not by a stop.
  *   - A poll is answered, and extends the lease whenever the owner may grant one.
@@ -70,19 +71,19 @@
 /* The kind of a write that does not exist. */
 #define NO_WRITE 4
 
-/* The store: the generation of the current owner, the entry of worker 0, and the end of the task. */
+/* The store: the generation of the current owner, the roster, and whether the end is stored. */
 byte storedGeneration;
-byte storedKind = OPEN;
-byte storedRemaining = LONGEST_LEASE;
+byte storedKind[WORKERS] = OPEN;
+byte storedRemaining[WORKERS] = LONGEST_LEASE;
 bool endStored;
 
 /*
- * The write of the current owner that is on its way to the store. The owner learns that a write is
- * stored at once, since it may do less while the write is on its way. A write of a former owner
- * fails because of its condition.
+ * The write of the current owner that is on its way to the store, for each worker. The owner learns
+ * that a write is stored at once, since it may do less while the write is on its way. A write of a
+ * former owner fails because of its condition.
  */
-byte sentKind = NO_WRITE;
-byte sentRemaining;
+byte sentKind[WORKERS] = NO_WRITE;
+byte sentRemaining[WORKERS];
 
 /*
  * The workers: the highest fencing token accepted, the generation of the owner that started the
@@ -111,7 +112,7 @@
  * run, whether a start may be unanswered, whether an end was seen that is not stored, the time until
  * all leases that this or a former owner has granted are expired, and the kind of the inherited
  * entry for which the owner waits (ABSENT for none). The last two are whether a former owner still
- * believes that it may start the task at worker 0 and grant leases there.
+ * believes that it may start the task there and grant leases there.
  */
 bool isOwner[OWNERS];
 byte ownershipLeft[OWNERS];
@@ -121,8 +122,8 @@
 bool seenEnd[OWNERS * WORKERS];
 byte leaseBound[OWNERS * WORKERS];
 byte heldKind[OWNERS * WORKERS];
-bool mayStartLate[OWNERS];
-bool mayGrantLate[OWNERS];
+bool mayStartLate[OWNERS * WORKERS];
+bool mayGrantLate[OWNERS * WORKERS];
 
 /* The index of an owner and a worker in the arrays of all pairs. */
 #define INDEX(o, w) ((o) * WORKERS + (w))
@@ -143,7 +144,7 @@
 #ifdef REACH_TERM_AGE
 /* The time until LONGEST_LEASE has passed since the current term began. */
 byte termLeft;
-/* The remaining time of the entry when the current owner inherited it. */
+/* The remaining time of the entry of worker 0 when the current owner inherited it. */
 byte inheritedRemaining;
 #endif
 #ifdef REACH_REOPENED
@@ -151,42 +152,42 @@
 bool closedInTerm;
 #endif
 
-/* Whether the current owner may start the task at worker 0 according to the roster. */
+/* Whether the current owner may start the task at a worker according to the roster. */
 #ifdef NO_OPEN_TO_START
-#define KIND_ALLOWS_START true
+#define KIND_ALLOWS_START(w) true
 #else
-#define KIND_ALLOWS_START (storedKind == OPEN)
+#define KIND_ALLOWS_START(w) (storedKind[w] == OPEN)
 #endif
 #ifdef NO_FULL_TO_START
-#define REMAINING_ALLOWS_START true
+#define REMAINING_ALLOWS_START(w) true
 #else
-#define REMAINING_ALLOWS_START (storedRemaining == LONGEST_LEASE)
+#define REMAINING_ALLOWS_START(w) (storedRemaining[w] == LONGEST_LEASE)
 #endif
 #ifdef NO_START_STOP
-#define NO_WRITE_AGAINST_START true
+#define NO_WRITE_AGAINST_START(w) true
 #else
-#define NO_WRITE_AGAINST_START (sentKind == NO_WRITE)
+#define NO_WRITE_AGAINST_START(w) (sentKind[w] == NO_WRITE)
 #endif
-#define ROSTER_ALLOWS_START \
-  (KIND_ALLOWS_START && REMAINING_ALLOWS_START && NO_WRITE_AGAINST_START)
+#define ROSTER_ALLOWS_START(w) \
+  (KIND_ALLOWS_START(w) && REMAINING_ALLOWS_START(w) && NO_WRITE_AGAINST_START(w))
 
 /*
- * Whether the current owner may extend the lease of worker 0 according to the roster. It needs no
+ * Whether the current owner may extend the lease of a worker according to the roster. It needs no
  * entry while nothing runs there.
  */
 #ifdef NO_RESET_TO_GRANT
-#define REMAINING_ALLOWS_GRANT(o) true
+#define REMAINING_ALLOWS_GRANT(o, w) true
 #else
-#define REMAINING_ALLOWS_GRANT(o) \
-  (storedRemaining == LONGEST_LEASE || \
-   (storedKind == ABSENT && !seenRun[INDEX(o, 0)] && !unresolvedStart[INDEX(o, 0)]))
+#define REMAINING_ALLOWS_GRANT(o, w) \
+  (storedRemaining[w] == LONGEST_LEASE || \
+   (storedKind[w] == ABSENT && !seenRun[INDEX(o, w)] && !unresolvedStart[INDEX(o, w)]))
 #endif
 #ifdef NO_GRANT_STOP
-#define NO_WRITE_AGAINST_GRANT true
+#define NO_WRITE_AGAINST_GRANT(w) true
 #else
-#define NO_WRITE_AGAINST_GRANT (sentKind == NO_WRITE || sentRemaining == LONGEST_LEASE)
+#define NO_WRITE_AGAINST_GRANT(w) (sentKind[w] == NO_WRITE || sentRemaining[w] == LONGEST_LEASE)
 #endif
-#define ROSTER_ALLOWS_GRANT(o) (REMAINING_ALLOWS_GRANT(o) && NO_WRITE_AGAINST_GRANT)
+#define ROSTER_ALLOWS_GRANT(o, w) (REMAINING_ALLOWS_GRANT(o, w) && NO_WRITE_AGAINST_GRANT(w))
 
 /* Sets the state of an owner for a worker to that of an owner without knowledge. */
 inline forgetWorker(o, w) {
@@ -195,7 +196,9 @@
   unresolvedStart[INDEX(o, w)] = false;
   seenEnd[INDEX(o, w)] = false;
   leaseBound[INDEX(o, w)] = 0;
-  heldKind[INDEX(o, w)] = ABSENT
+  heldKind[INDEX(o, w)] = ABSENT;
+  mayStartLate[INDEX(o, w)] = false;
+  mayGrantLate[INDEX(o, w)] = false
 }
 
 /* Ceases to be an owner. */
@@ -203,25 +206,23 @@
   isOwner[o] = false;
   ownershipLeft[o] = 0;
   forgetWorker(o, 0);
-  forgetWorker(o, 1);
-  mayStartLate[o] = false;
-  mayGrantLate[o] = false
+  forgetWorker(o, 1)
 }
 
 /* Whether an inherited entry delays the task. */
 #ifdef NO_OPEN_HELD
-#define OPEN_IS_HELD false
+#define OPEN_IS_HELD(w) false
 #else
-#define OPEN_IS_HELD (storedKind == OPEN)
+#define OPEN_IS_HELD(w) (storedKind[w] == OPEN)
 #endif
 #ifdef NO_TASK_HELD
-#define CLOSED_TASK_IS_HELD false
+#define CLOSED_TASK_IS_HELD(w) false
 #else
-#define CLOSED_TASK_IS_HELD (storedKind == CLOSED_TASK)
+#define CLOSED_TASK_IS_HELD(w) (storedKind[w] == CLOSED_TASK)
 #endif
-#define IS_HELD (storedRemaining > 0 && (OPEN_IS_HELD || CLOSED_TASK_IS_HELD))
+#define IS_HELD(w) (storedRemaining[w] > 0 && (OPEN_IS_HELD(w) || CLOSED_TASK_IS_HELD(w)))
 
-/* Whether a former owner uses its bound of the leases. It does not if it needs an ownership check. */
+/* Whether a former owner uses its bound of the leases. With all rules, it needs a check for that. */
 #ifdef NO_CHECK_AFTER_WAIT
 #define FORMER_USES_BOUND
 #endif
@@ -229,20 +230,33 @@
 #define FORMER_USES_BOUND
 #endif
 
-/* Becomes a former owner, which may go on as far as it knew the roster. */
-inline becomeFormer(o) {
-  mayStartLate[o] = ROSTER_ALLOWS_START;
-  mayGrantLate[o] = ROSTER_ALLOWS_GRANT(o);
+/* Limits what a former owner may do at a worker. It may go on as far as it knew the roster. */
+inline limitFormer(o, w) {
+  mayStartLate[INDEX(o, w)] = ROSTER_ALLOWS_START(w);
+  mayGrantLate[INDEX(o, w)] = ROSTER_ALLOWS_GRANT(o, w);
 #ifndef FORMER_USES_BOUND
-  leaseBound[INDEX(o, 0)] = 0;
-  leaseBound[INDEX(o, 1)] = 0;
+  leaseBound[INDEX(o, w)] = 0;
 #endif
+}
+
+/* Becomes a former owner. */
+inline becomeFormer(o) {
+  limitFormer(o, 0);
+  limitFormer(o, 1);
   if
   :: ownershipLeft[o] == 0 || endStored -> cease(o)
   :: else
   fi
 }
 
+/* Inherits the entry of a worker. */
+inline inheritEntry(o, w) {
+  sentKind[w] = NO_WRITE;
+  sentRemaining[w] = 0;
+  leaseBound[INDEX(o, w)] = storedRemaining[w];
+  heldKind[INDEX(o, w)] = (IS_HELD(w) -> storedKind[w] : ABSENT)
+}
+
 /* The owner before another; the first owner has none. */
 #define PREVIOUS(o) ((o) - ((o) > 0))
 
@@ -252,15 +266,11 @@
   storedGeneration++;
   isOwner[o] = true;
   ownershipLeft[o] = LONGEST_LEASE;
-  sentKind = NO_WRITE;
-  sentRemaining = 0;
-  leaseBound[INDEX(o, 0)] = storedRemaining;
-  heldKind[INDEX(o, 0)] = (IS_HELD -> storedKind : ABSENT);
-  leaseBound[INDEX(o, 1)] = LONGEST_LEASE;
-  heldKind[INDEX(o, 1)] = OPEN;
+  inheritEntry(o, 0);
+  inheritEntry(o, 1);
 #ifdef REACH_TERM_AGE
   termLeft = LONGEST_LEASE;
-  inheritedRemaining = storedRemaining;
+  inheritedRemaining = storedRemaining[0];
 #endif
 #ifdef REACH_REOPENED
   closedInTerm = false;
@@ -291,10 +301,10 @@
   (isOwner[o] && ownershipLeft[o] > 0 && RUN_EXCLUDED(o, 0) && RUN_EXCLUDED(o, 1) && \
    !seenEnd[INDEX(o, 0)] && !seenEnd[INDEX(o, 1)] && !(IS_CURRENT(o) && endStored) && \
    fenced[INDEX(o, w)] && \
-   ((w) == 1 || (IS_CURRENT(o) -> ROSTER_ALLOWS_START : mayStartLate[o])))
+   (IS_CURRENT(o) -> ROSTER_ALLOWS_START(w) : mayStartLate[INDEX(o, w)]))
 #define MAY_GRANT(o, w) \
   (fenced[INDEX(o, w)] && ownershipLeft[o] > 0 && \
-   ((w) == 1 || (IS_CURRENT(o) -> ROSTER_ALLOWS_GRANT(o) : mayGrantLate[o])))
+   (IS_CURRENT(o) -> ROSTER_ALLOWS_GRANT(o, w) : mayGrantLate[INDEX(o, w)]))
 
 /* Raises a value to another one if that is higher. */
 #define RAISE(x, y) x = ((y) > x -> (y) : x)
@@ -314,8 +324,8 @@
 #define TOKEN_ACCEPTED(w, g) ((g) >= fencingToken[w])
 
 /*
- * Polls a worker: raises its fencing token, lists its run and end, and extends its lease if the owner
- * may grant one. An owner that is rejected because of its token ceases to be the owner.
+ * Polls a worker: raises its fencing token, lists its run and end, and extends its lease if the
+ * owner may grant one. An owner that is rejected because of its token ceases to be the owner.
  */
 inline poll(o, w) {
   if
@@ -346,11 +356,11 @@
   RAISE(leaseLeft[w], lease);
 #ifdef REACH_EARLY_START
   assert(!(w == 1 && runNumber == storedGeneration && runNumber > 1 && termLeft > 0 &&
-           storedKind == CLOSED && storedRemaining > 0 && !fenced[INDEX(runNumber - 1, 0)]));
+           storedKind[0] == CLOSED && storedRemaining[0] > 0 && !fenced[INDEX(runNumber - 1, 0)]));
 #endif
 #ifdef REACH_REMAINING
   assert(!(w == 1 && runNumber == OWNERS && termLeft > 0 && inheritedRemaining > 0 &&
-           storedKind == CLOSED_TASK && !fenced[INDEX(OWNERS - 1, 0)]));
+           storedKind[0] == CLOSED_TASK && !fenced[INDEX(OWNERS - 1, 0)]));
 #endif
 }
 
@@ -400,80 +410,80 @@
   unresolvedStart[INDEX(o, w)] = false
 }
 
-/* Whether the list of worker 0, when it is closed now, includes the task. */
+/* Whether the list of a worker that is closed now includes the task. */
 #ifdef NO_UNRESOLVED_LISTED
-#define LISTS_START(o) false
+#define LISTS_START(o, w) false
 #else
-#define LISTS_START(o) unresolvedStart[INDEX(o, 0)]
+#define LISTS_START(o, w) unresolvedStart[INDEX(o, w)]
 #endif
 #ifdef NO_ENDS_LISTED
-#define LISTS_END(o) false
+#define LISTS_END(o, w) false
 #else
-#define LISTS_END(o) seenEnd[INDEX(o, 0)]
+#define LISTS_END(o, w) seenEnd[INDEX(o, w)]
 #endif
-#define LISTS_TASK(o) (seenRun[INDEX(o, 0)] || LISTS_START(o) || LISTS_END(o))
-#define CLOSED_KIND(o) (LISTS_TASK(o) -> CLOSED_TASK : CLOSED)
+#define LISTS_TASK(o, w) (seenRun[INDEX(o, w)] || LISTS_START(o, w) || LISTS_END(o, w))
+#define CLOSED_KIND(o, w) (LISTS_TASK(o, w) -> CLOSED_TASK : CLOSED)
 
 /* Whether the owner may send a write of the entry. */
-#define MAY_WRITE(o) (IS_CURRENT(o) && sentKind == NO_WRITE)
+#define MAY_WRITE(o, w) (IS_CURRENT(o) && sentKind[w] == NO_WRITE)
 /* Whether a successor may inherit the entry. The last owner only opens, so that it may start. */
-#define MAY_HAND_OVER(o) (MAY_WRITE(o) && GENERATION(o) < OWNERS)
-/* Whether worker 0 may be opened, closed or omitted. An absent one may be opened unfenced. */
-#define MAY_OPEN(o) \
-  (MAY_WRITE(o) && (fenced[INDEX(o, 0)] || storedKind == ABSENT) && \
-   !(storedKind == OPEN && storedRemaining == LONGEST_LEASE))
+#define MAY_HAND_OVER(o, w) (MAY_WRITE(o, w) && GENERATION(o) < OWNERS)
+/* Whether a worker may be opened, closed or omitted. An absent one may be opened unfenced. */
+#define MAY_OPEN(o, w) \
+  (MAY_WRITE(o, w) && (fenced[INDEX(o, w)] || storedKind[w] == ABSENT) && \
+   !(storedKind[w] == OPEN && storedRemaining[w] == LONGEST_LEASE))
 #ifdef NO_FENCED_TO_CLOSE
-#define MAY_CLOSE(o) MAY_HAND_OVER(o)
+#define MAY_CLOSE(o, w) MAY_HAND_OVER(o, w)
 #else
-#define MAY_CLOSE(o) (MAY_HAND_OVER(o) && fenced[INDEX(o, 0)])
+#define MAY_CLOSE(o, w) (MAY_HAND_OVER(o, w) && fenced[INDEX(o, w)])
 #endif
 /* An inherited entry has expired only once an ownership check has succeeded after its time. */
-#define INHERITED_EXPIRED(o) (leaseBound[INDEX(o, 0)] == 0 && heldKind[INDEX(o, 0)] == ABSENT)
+#define INHERITED_EXPIRED(o, w) (leaseBound[INDEX(o, w)] == 0 && heldKind[INDEX(o, w)] == ABSENT)
 #ifdef NO_FENCED_TO_OMIT
-#define MAY_OMIT(o) (MAY_HAND_OVER(o) && storedKind != ABSENT && !LISTS_TASK(o))
+#define MAY_OMIT(o, w) (MAY_HAND_OVER(o, w) && storedKind[w] != ABSENT && !LISTS_TASK(o, w))
 #else
-#define MAY_OMIT(o) \
-  (MAY_HAND_OVER(o) && storedKind != ABSENT && !LISTS_TASK(o) && \
-   (fenced[INDEX(o, 0)] || INHERITED_EXPIRED(o)))
+#define MAY_OMIT(o, w) \
+  (MAY_HAND_OVER(o, w) && storedKind[w] != ABSENT && !LISTS_TASK(o, w) && \
+   (fenced[INDEX(o, w)] || INHERITED_EXPIRED(o, w)))
 #endif
 /* Whether the entry may be written again with a reduced remaining time while unfenced. */
-#define MAY_REDUCE_INHERITED(o) \
-  (MAY_HAND_OVER(o) && !fenced[INDEX(o, 0)] && storedKind != ABSENT && \
-   REDUCED_INHERITED(o) < storedRemaining)
+#define MAY_REDUCE_INHERITED(o, w) \
+  (MAY_HAND_OVER(o, w) && !fenced[INDEX(o, w)] && storedKind[w] != ABSENT && \
+   REDUCED_INHERITED(o, w) < storedRemaining[w])
 #ifdef NO_ELAPSED_BOUND
-#define REDUCED_INHERITED(o) 0
+#define REDUCED_INHERITED(o, w) 0
 #else
-#define REDUCED_INHERITED(o) leaseBound[INDEX(o, 0)]
+#define REDUCED_INHERITED(o, w) leaseBound[INDEX(o, w)]
 #endif
 #ifdef NO_LIST_INHERITED
-#define INHERITED_KIND (storedKind == CLOSED_TASK -> CLOSED : storedKind)
+#define INHERITED_KIND(w) (storedKind[w] == CLOSED_TASK -> CLOSED : storedKind[w])
 #else
-#define INHERITED_KIND storedKind
+#define INHERITED_KIND(w) storedKind[w]
 #endif
 
 /* Sends the write of the entry. */
-inline sendEntry(kind, remaining) {
-  sentKind = kind;
-  sentRemaining = remaining
+inline sendEntry(w, kind, remaining) {
+  sentKind[w] = kind;
+  sentRemaining[w] = remaining
 }
 
-/* Sends the write that omits worker 0. */
-inline sendOmission(o) {
+/* Sends the write that omits a worker. */
+inline sendOmission(o, w) {
 #ifdef REACH_EXPIRED_OMITTED
-  assert(fenced[INDEX(o, 0)]);
+  assert(fenced[INDEX(o, w)]);
 #endif
-  sendEntry(ABSENT, 0)
+  sendEntry(w, ABSENT, 0)
 }
 
 /* Carries out the write of the entry. */
-inline storeEntry() {
+inline storeEntry(w) {
 #ifdef REACH_REOPENED
-  closedInTerm = closedInTerm || sentKind != OPEN;
+  closedInTerm = closedInTerm || (w == 0 && sentKind[w] != OPEN);
 #endif
-  storedKind = sentKind;
-  storedRemaining = sentRemaining;
-  sentKind = NO_WRITE;
-  sentRemaining = 0
+  storedKind[w] = sentKind[w];
+  storedRemaining[w] = sentRemaining[w];
+  sentKind[w] = NO_WRITE;
+  sentRemaining[w] = 0
 }
 
 /* Whether no former owner can still begin a run at a worker. */
@@ -520,6 +530,16 @@
   :: d_step { MAY_EXPIRE_RUNS(o, w) -> expireRuns(o, w) } \
   :: d_step { MAY_ACKNOWLEDGE(o, w) -> acknowledge(o, w) }
 
+/* The writes of an owner to the entry of one worker. */
+#define WRITES_FOR_WORKER(o, w) \
+  :: d_step { MAY_OPEN(o, w) -> sendEntry(w, OPEN, LONGEST_LEASE) } \
+  :: d_step { MAY_CLOSE(o, w) -> sendEntry(w, CLOSED_KIND(o, w), LONGEST_LEASE) } \
+  :: d_step { MAY_CLOSE(o, w) && leaseBound[INDEX(o, w)] < LONGEST_LEASE -> \
+       sendEntry(w, CLOSED_KIND(o, w), leaseBound[INDEX(o, w)]) } \
+  :: d_step { MAY_OMIT(o, w) -> sendOmission(o, w) } \
+  :: d_step { MAY_REDUCE_INHERITED(o, w) -> \
+       sendEntry(w, INHERITED_KIND(w), REDUCED_INHERITED(o, w)) }
+
 /* Each owner's number is that of its process, from 0. They are elected in this order. */
 active [OWNERS] proctype Owner() {
   do
@@ -530,13 +550,10 @@
   :: d_step { delayedStartRun == 0 && MAY_START(_pid, 0) -> sendDelayedStart(_pid) }
   :: d_step { IS_CURRENT(_pid) && !endStored &&
        (seenEnd[INDEX(_pid, 0)] || seenEnd[INDEX(_pid, 1)]) -> storeEnd(_pid) }
-  :: d_step { MAY_OPEN(_pid) -> sendEntry(OPEN, LONGEST_LEASE) }
-  :: d_step { MAY_CLOSE(_pid) -> sendEntry(CLOSED_KIND(_pid), LONGEST_LEASE) }
-  :: d_step { MAY_CLOSE(_pid) && leaseBound[INDEX(_pid, 0)] < LONGEST_LEASE ->
-       sendEntry(CLOSED_KIND(_pid), leaseBound[INDEX(_pid, 0)]) }
-  :: d_step { MAY_OMIT(_pid) -> sendOmission(_pid) }
-  :: d_step { MAY_REDUCE_INHERITED(_pid) ->
-       sendEntry(INHERITED_KIND, REDUCED_INHERITED(_pid)) }
+  WRITES_FOR_WORKER(_pid, 0)
+#ifdef BOTH_ENTRIES
+  WRITES_FOR_WORKER(_pid, 1)
+#endif
   od
 }
 
@@ -586,8 +603,8 @@
  */
 inline forgetAnswer(o) {
   fenced[INDEX(o, 0)] = false;
-  mayStartLate[o] = false;
-  mayGrantLate[o] = false
+  mayStartLate[INDEX(o, 0)] = false;
+  mayGrantLate[INDEX(o, 0)] = false
 }
 inline restart() {
   restarted = true;
@@ -607,8 +624,9 @@
 
 active proctype Environment() {
   do
-  /* The store carries out the write of the current owner; the next election discards it. */
-  :: d_step { sentKind != NO_WRITE -> storeEntry() }
+  /* The store carries out a write of the current owner; the next election discards all. */
+  :: d_step { sentKind[0] != NO_WRITE -> storeEntry(0) }
+  :: d_step { sentKind[1] != NO_WRITE -> storeEntry(1) }
   /* The delayed start request arrives; the end of its lease discards it. */
   :: d_step { delayedStartRun != 0 ->
        deliverStart(0, delayedStartRun, delayedStartLease);
