Allow starts only by a roster that is certainly stored

A task could run twice: while the store refused writes and served reads, a new worker that was listed, unlisted and listed again got a start, although no stored roster named it; a successor that did not reach it started the task again.

Cause: what the owner may do on a worker was derived from the roster sent last, also for a record of a worker that was created while that roster was not stored.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Roster.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Roster.java
@@ -22,9 +22,15 @@
     /** The shared state of the cell's owner. */
     private final CellContext context;
 
-    /** The entries that were read or written last, by the identifier of the worker. */
+    /**
+     * The entries that were read or sent last, by the identifier of the worker; they may not be
+     * stored yet.
+     */
     private Map<String, RosterEntry> entries = new HashMap<>();
 
+    /** The entries that were certainly stored last, by the identifier of the worker. */
+    private Map<String, RosterEntry> storedEntries = entries;
+
     /**
      * Creates an empty roster.
      *
@@ -56,35 +62,15 @@
                     "bytes",
                     item.value().length);
         }
+        storedEntries = entries;
         context.previousOwners.load(entries);
     }
 
-    /**
-     * Returns whether the roster that was read or written last allows starts on a worker.
-     *
-     * @param workerId the identifier of the worker
-     * @return whether it does
-     */
-    boolean allowsStarts(String workerId) {
-        return RosterEntry.OPEN.equals(entries.get(workerId));
-    }
-
-    /**
-     * Returns whether the roster that was read or written last allows leases for a worker.
-     *
-     * @param workerId the identifier of the worker
-     * @return whether a successor would wait for the longest lease if anything runs there
-     */
-    boolean allowsLeases(String workerId) {
-        RosterEntry entry = entries.get(workerId);
-        return entry == null || entry.allowsLeases();
-    }
-
     /**
      * Returns whether the roster has to be written because of a worker.
      *
      * @param worker the worker
-     * @return whether its entry differs from the one that was read or written last
+     * @return whether its entry differs from the one that was read or sent last
      */
     boolean isOutdated(WorkerRecord worker) {
         RosterEntry wanted = wantedEntry(worker);
@@ -95,7 +81,7 @@
     /**
      * Returns whether the roster has to be written.
      *
-     * @return whether the entry of any worker differs from the one that was read or written last
+     * @return whether the entry of any worker differs from the one that was read or sent last
      */
     boolean isOutdated() {
         return context.allWorkers().stream().anyMatch(this::isOutdated)
@@ -120,25 +106,36 @@
         }
         entries = next;
         for (WorkerRecord worker : context.allWorkers()) {
-            worker.rosterAllowsStarts &= allowsStarts(worker.id);
-            worker.rosterAllowsLeases &= allowsLeases(worker.id);
+            apply(worker);
         }
         return RosterRecord.of(next);
     }
 
     /** Records that the record created last is stored, so that the owner may rely on it. */
     void onStored() {
+        storedEntries = entries;
+        context.allWorkers().forEach(this::apply);
+    }
+
+    /** Records that the record created last is not stored and will not be sent again. */
+    void onDiscarded() {
+        entries = storedEntries;
         context.allWorkers().forEach(this::apply);
     }
 
     /**
-     * Sets what the roster that was read or written last allows for a worker.
+     * Sets what the owner may do on a worker: what the stored roster allows, and the one that was
+     * sent last, since that may be stored at any moment.
      *
      * @param worker the worker
      */
     void apply(WorkerRecord worker) {
-        worker.rosterAllowsStarts = allowsStarts(worker.id);
-        worker.rosterAllowsLeases = allowsLeases(worker.id);
+        RosterEntry stored = storedEntries.get(worker.id);
+        RosterEntry sent = entries.get(worker.id);
+        worker.rosterAllowsStarts =
+                RosterEntry.OPEN.equals(stored) && RosterEntry.OPEN.equals(sent);
+        worker.rosterAllowsLeases =
+                (stored == null || stored.allowsLeases()) && (sent == null || sent.allowsLeases());
     }
 
     /**
@@ -157,7 +154,7 @@
 
     /**
      * Returns whether the remaining time of a worker that previous owners may still use has changed
-     * since it was read or written last.
+     * since it was read or sent last.
      *
      * @param workerId the identifier of the worker
      * @return whether it has
