Discard a roster that the store has refused

Runs of a worker that had been silent for more than a second lapsed although it answered again: the roster that withdraws its leases was sent again and again while the store refused writes, and nothing newer could replace it.

Evidence: UnstoredRosterTest.shortSilenceOfAWorkerWhileWritesAreRefusedEndsNoRun: two starts instead of one before. A batch with a roster that was only refused, and so is certainly not stored, is now discarded and built anew. One without an answer is still sent again, since it may be stored at any moment: with an outage of the store and a silence of the worker at once, its runs may lapse after 4.5 s.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitQueue.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitQueue.java
@@ -213,11 +213,36 @@
         switch (result.status()) {
             case OK -> completeBatch(batch, result.require().revision());
             case CONFLICT -> handleConflict(batch, result.value());
-            case UNKNOWN -> context.schedule(RETRY_MILLIS, () -> readHead(batch));
-            default -> context.schedule(RETRY_MILLIS, this::sendBatch);
+            case UNKNOWN -> {
+                batch.mayBeStored = true;
+                context.schedule(RETRY_MILLIS, () -> readHead(batch));
+            }
+            default -> {
+                if (batch.hasRoster && !batch.mayBeStored) {
+                    discardBatch(batch);
+                } else {
+                    context.schedule(RETRY_MILLIS, this::sendBatch);
+                }
+            }
         }
     }
 
+    /**
+     * Discards a batch that the store has refused, and queues its changes for another one. What its
+     * roster withdraws from workers that answer again must not be withdrawn until the store accepts
+     * writes.
+     *
+     * @param batch the batch, which is certainly not stored
+     */
+    private void discardBatch(Batch batch) {
+        batchInFlight = null;
+        queuedJobs.addAll(batch.jobVersions.keySet());
+        rosterQueued = true;
+        context.roster.onDiscarded();
+        sendScheduled = true;
+        context.schedule(RETRY_MILLIS, this::sendNext);
+    }
+
     /**
      * Handles a conflict. If the head key is unchanged, the record of a finished job has changed.
      * The jobs of the batch are then queued again, a finished job only if its own record is
@@ -251,7 +276,10 @@
                 queuedJobs.add(job);
             }
         }
-        rosterQueued = rosterQueued || batch.hasRoster;
+        if (batch.hasRoster) {
+            rosterQueued = true;
+            context.roster.onDiscarded();
+        }
         advanceAcknowledgements();
         scheduleSend();
     }
@@ -415,6 +443,9 @@
         /** Whether the batch stores the roster. */
         private boolean hasRoster;
 
+        /** Whether a call with the batch got no answer, so that it may be carried out later. */
+        private boolean mayBeStored;
+
         /**
          * Creates an empty batch.
          *
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/UnstoredRosterTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/UnstoredRosterTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.equalTo;
 
 import java.util.Set;
+import org.damasktiller.scheduler.model.TaskId;
 import org.damasktiller.standin.metadata.CallFault;
 import org.damasktiller.standin.metadata.FaultPlan;
 import org.junit.jupiter.api.Test;
@@ -43,6 +44,21 @@
         assertThat(simulation.invariants.violations(), empty());
     }
 
+    /** The leases of the worker must go on as soon as it answers again. */
+    @Test
+    void shortSilenceOfAWorkerWhileWritesAreRefusedEndsNoRun() {
+        startOwnerRefusedForMillis(6_000);
+        simulation.submit(SUBMISSION, CellSimulation.longRunningStep(1));
+        advanceTo(REFUSED_FROM_MILLIS);
+        simulation.unreachable.add("w0");
+        simulation.runtime.advance(2_000);
+        simulation.unreachable.remove("w0");
+        simulation.runtime.advance(6_000);
+        TaskId task = new TaskId(SUBMISSION, 0, 0, 0);
+        assertThat(simulation.invariants.activeRunCount(task), equalTo(1));
+        assertThat(simulation.startCount("w0"), equalTo(1));
+    }
+
     /**
      * Lists a new worker twice while writes are refused, and submits a task that fits there only.
      */
