Hand over a roster of closed workers when a term ends in order

Waits for workers that are lost shortly before a change of owner still added up: they were open in the roster, so that each owner of a series of restarts held back all earlier tasks, and what it had waited in its first second and since its last write was lost.

Change: on SIGTERM the owner first stores a roster that has all workers closed, each with the tasks that may run there and the time of its present leases, starts and grants nothing after that, and then gives up the cell; if the store does not answer within 300 ms, it gives it up without. Remaining times are written in steps of 200 ms from 400 ms of the term on (500 ms and 1 s before). Ownership checks for leases that are over are at least 200 ms apart; they were sent each 50 ms while the store refused them. The publication of the counts moves from CellOwner into CountPublisher, unchanged.

Left: owners that are killed in series (not after SIGTERM) hand over nothing, and each vacancy counts anew.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
@@ -130,22 +130,31 @@
         attemptElectionsPeriodically();
     }
 
-    /** Ends the terms of all owned cells, removes their owner keys, and stops taking new cells. */
+    /**
+     * Hands over all owned cells, removes their owner keys once that is done, and stops taking new
+     * cells.
+     */
     public void leave() {
         leaving = true;
-        Map<String, CellOwner> ownersToStop = new HashMap<>(owners);
-        ownersToStop.forEach(
-                (cell, owner) -> {
-                    // Read before stop, which removes the term.
-                    CellTerm term = terms.get(cell);
-                    owner.stop("the process is leaving the cluster");
-                    CellElection election = elections.get(cell);
-                    if (term != null && election != null) {
-                        // One transaction wrote the owner key and the head key, so that both had
-                        // this revision when the term began.
-                        election.resign(term.headRevision());
-                    }
-                });
+        new HashMap<>(owners).forEach(this::handOver);
+    }
+
+    /**
+     * Ends the term of a cell in order and removes its owner key.
+     *
+     * @param cell the cell's name
+     * @param owner the owner of the cell
+     */
+    private void handOver(String cell, CellOwner owner) {
+        CellTerm term = terms.get(cell);
+        CellElection election = elections.get(cell);
+        if (term != null && election != null) {
+            // One transaction wrote the owner key and the head key, so that both had this revision
+            // when the term began.
+            owner.handOver(
+                    "the process is leaving the cluster",
+                    () -> election.resign(term.headRevision()));
+        }
     }
 
     /** Ends the lease of the process, which removes all keys written under it. */
@@ -345,7 +354,7 @@
         owner.start();
         // The process may have begun to leave while the attempt was pending.
         if (leaving) {
-            leave();
+            handOver(cell, owner);
         }
     }
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -7,13 +7,11 @@
 import org.damasktiller.scheduler.model.Manifest;
 import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.scheduler.model.WorkerEntry;
-import org.damasktiller.scheduler.placement.LargestWorkers;
 import org.damasktiller.scheduler.port.StoreEvent;
 import org.damasktiller.scheduler.port.StoreItem;
 import org.damasktiller.scheduler.port.StoreReading;
 import org.damasktiller.scheduler.port.StoreResult;
 import org.damasktiller.scheduler.port.StoreStatus;
-import org.damasktiller.scheduler.port.StoreTransaction;
 import org.damasktiller.scheduler.port.WorkerReply;
 import org.damasktiller.scheduler.port.WorkerStatus;
 import org.jspecify.annotations.Nullable;
@@ -28,12 +26,14 @@
     /** The delay before a failed read is tried again, in milliseconds. */
     private static final long READ_RETRY_MILLIS = 100;
 
-    /** The time between two publications of the pending counts, in milliseconds. */
-    private static final long PUBLISH_INTERVAL_MILLIS = 500;
-
     /** The time between two checks of the whole roster, in milliseconds. */
     private static final long ROSTER_CHECK_INTERVAL_MILLIS = 200;
 
+    /**
+     * The longest time for which an owner that ends its term waits for the store, in milliseconds.
+     */
+    private static final long HAND_OVER_TIMEOUT_MILLIS = 300;
+
     /** How long a worker gets no new tasks after a failed poll, in milliseconds. */
     private static final long FAILED_POLL_AVOID_MILLIS = 400;
 
@@ -74,6 +74,9 @@
     /** Starts waiting tasks. */
     private final TaskScheduler taskScheduler;
 
+    /** Publishes the pending counts and the largest workers. */
+    private final CountPublisher counts;
+
     /** Watches the open submissions. */
     private final SubmissionWatcher submissionWatcher;
 
@@ -92,15 +95,6 @@
     /** When the last pass began, in milliseconds. */
     private long lastPassMillis;
 
-    /** The largest workers that the cell has had in this term. */
-    private final LargestWorkers largestWorkers = new LargestWorkers();
-
-    /** Whether all entries of workers have been read. */
-    private boolean workersRead;
-
-    /** What was published last, or null if nothing was or the last publication failed. */
-    private @Nullable PendingRecord published;
-
     /**
      * Creates an owner that has not started.
      *
@@ -136,6 +130,7 @@
         taskScheduler =
                 new TaskScheduler(
                         context, workerSelector, requestSender, runTimes, advice, ownership);
+        counts = new CountPublisher(context, jobTracker);
         submissionWatcher = new SubmissionWatcher(context, new SubmissionListener());
         workerWatcher =
                 new WorkerEntryWatcher(
@@ -174,6 +169,29 @@
         context.endTerm(reason);
     }
 
+    /**
+     * Ends the term in order: stores what a successor has to wait for, then ends. If the store does
+     * not answer in time, the term ends without that.
+     *
+     * @param reason why the term ends, for the log
+     * @param onEnded called when the term has ended
+     */
+    public void handOver(String reason, Runnable onEnded) {
+        Runnable end =
+                () -> {
+                    if (!context.ended) {
+                        context.endTerm(reason);
+                        onEnded.run();
+                    }
+                };
+        if (loaded && !context.ended) {
+            commits.handOver(end);
+            context.schedule(HAND_OVER_TIMEOUT_MILLIS, end);
+        } else {
+            end.run();
+        }
+    }
+
     /**
      * Returns the state of an open submission.
      *
@@ -254,7 +272,7 @@
         workerWatcher.start();
         ownership.start();
         tick();
-        publishCounts();
+        counts.start();
     }
 
     /**
@@ -275,7 +293,7 @@
             }
         }
         if (checkNeeded) {
-            ownership.verify();
+            ownership.verifySoon();
         }
         checkPreviousOwners();
         if (now >= rosterCheckDueMillis) {
@@ -317,31 +335,6 @@
         }
     }
 
-    /**
-     * Publishes the pending counts and the largest workers of the cell if they have changed, and
-     * schedules the next check.
-     */
-    private void publishCounts() {
-        PendingRecord record =
-                new PendingRecord(
-                        jobTracker.countQueuedByRoute(),
-                        workersRead ? largestWorkers.capacities() : List.of());
-        if (!record.equals(published)) {
-            published = record;
-            StoreTransaction commit = new StoreTransaction();
-            commit.expectRevision(CellKeys.owner(context.cell), context.term.headRevision());
-            commit.put(CellKeys.pending(context.cell), StoredValueCodec.encode(record));
-            context.store.commit(
-                    commit,
-                    result -> {
-                        if (result.status() != StoreStatus.OK) {
-                            published = null;
-                        }
-                    });
-        }
-        context.schedule(PUBLISH_INTERVAL_MILLIS, this::publishCounts);
-    }
-
     /** Applies the effects of commits. */
     private final class CommitListener implements CommitQueue.Listener {
 
@@ -428,20 +421,20 @@
 
         @Override
         public void onSnapshot() {
-            workersRead = true;
+            counts.onWorkersRead();
             context.log.log("workers.read", "cell", context.cell, "count", context.workers.size());
         }
 
         @Override
         public void onAdded(WorkerRecord worker) {
-            largestWorkers.add(worker.entry.capacity());
+            counts.addWorker(worker.entry.capacity());
             context.roster.apply(worker);
             poller.poll(worker);
         }
 
         @Override
         public void onUpdated(WorkerRecord worker, WorkerEntry previousEntry) {
-            largestWorkers.add(worker.entry.capacity());
+            counts.addWorker(worker.entry.capacity());
             long born = worker.entry.bootUnixMillis();
             if (born != 0 && worker.bootUnixMillis != 0 && born > worker.bootUnixMillis) {
                 poller.resetAfterRestart(worker, born);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitQueue.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitQueue.java
@@ -64,6 +64,9 @@
     /** Whether the roster has changed since the last batch that contains it. */
     private boolean rosterQueued;
 
+    /** Called when the roster that has all workers closed is stored, null before it is queued. */
+    private @Nullable Runnable handedOverListener;
+
     /**
      * Creates an empty queue.
      *
@@ -93,6 +96,18 @@
         scheduleSend();
     }
 
+    /**
+     * Sends a roster that has all workers closed, with the changes that are queued. Nothing may be
+     * started or granted after the listener has been called.
+     *
+     * @param onStored called when such a roster is stored
+     */
+    void handOver(Runnable onStored) {
+        handedOverListener = onStored;
+        context.roster.closeAll();
+        enqueueRoster();
+    }
+
     /**
      * Discards the unstored changes of a job whose record was changed by another process. They
      * count as stored, so that the run ends they contain can be acknowledged.
@@ -158,6 +173,7 @@
                 CellKeys.roster(context.cell),
                 StoredValueCodec.encode(context.roster.createRecord()));
         batch.hasRoster = true;
+        batch.handsOver = handedOverListener != null;
     }
 
     /**
@@ -381,6 +397,10 @@
         if (batch.hasRoster) {
             context.roster.onStored();
         }
+        if (batch.handsOver && handedOverListener != null) {
+            handedOverListener.run();
+            return;
+        }
         advanceAcknowledgements();
         if (!queuedJobs.isEmpty() || rosterQueued) {
             scheduleSend();
@@ -443,6 +463,9 @@
         /** Whether the batch stores the roster. */
         private boolean hasRoster;
 
+        /** Whether the roster of the batch has all workers closed. */
+        private boolean handsOver;
+
         /** Whether a call with the batch got no answer, so that it may be carried out later. */
         private boolean mayBeStored;
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/OwnershipVerifier.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/OwnershipVerifier.java
@@ -13,6 +13,9 @@
  */
 final class OwnershipVerifier {
 
+    /** The shortest time between two checks for leases that are over, in milliseconds. */
+    private static final long LEASE_CHECK_INTERVAL_MILLIS = 200;
+
     /** The shared state of the cell's owner. */
     private final CellContext context;
 
@@ -72,6 +75,13 @@
         context.store.read(CellKeys.owner(context.cell), this::onReading);
     }
 
+    /** Checks the ownership now unless the last check was sent a short time ago. */
+    void verifySoon() {
+        if (!readInFlight && context.now() - readSentAtMillis >= LEASE_CHECK_INTERVAL_MILLIS) {
+            verify();
+        }
+    }
+
     /**
      * Returns whether a revision is no newer than the last successful check, so that no successor
      * can have written it.
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PreviousOwners.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PreviousOwners.java
@@ -28,7 +28,7 @@
      * milliseconds. If their remaining time were reduced at once, each worker that answers later
      * would have to wait for another write before it gets leases and starts.
      */
-    private static final long ANSWER_GRACE_MILLIS = 1_000;
+    private static final long ANSWER_GRACE_MILLIS = 400;
 
     /** The shared state of the cell's owner. */
     private final CellContext context;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Roster.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Roster.java
@@ -28,6 +28,9 @@
      */
     private Map<String, RosterEntry> entries = new HashMap<>();
 
+    /** Whether the owner ends its term in order, so that it needs no worker any more. */
+    private boolean handingOver;
+
     /** The entries that were certainly stored last, by the identifier of the worker. */
     private Map<String, RosterEntry> storedEntries = entries;
 
@@ -111,6 +114,11 @@
         return RosterRecord.of(next);
     }
 
+    /** Closes all workers with the next record that is created. */
+    void closeAll() {
+        handingOver = true;
+    }
+
     /** Records that the record created last is stored, so that the owner may rely on it. */
     void onStored() {
         storedEntries = entries;
@@ -190,15 +198,15 @@
         if (!worker.fenced && !context.previousOwners.areFenced()) {
             return entries.get(worker.id);
         }
-        if (worker.isReachable(context.now()) && !worker.entry.draining()) {
+        if (!handingOver && worker.isReachable(context.now()) && !worker.entry.draining()) {
             return RosterEntry.OPEN;
         }
         return closedEntry(worker);
     }
 
     /**
-     * Creates the entry of a worker that gets no starts. If the worker does not answer, it gets no
-     * leases either, and the remaining time is that of the present ones.
+     * Creates the entry of a worker that gets no starts. If the worker does not answer or the owner
+     * ends its term, it gets no leases either, and the remaining time is that of the present ones.
      *
      * @param worker the worker
      * @return the entry, or null if no task can have a run on the worker
@@ -217,7 +225,8 @@
             return null;
         }
         RosterEntry entry = RosterEntry.closed(tasks);
-        return worker.isAnswering(context.now()) || !endsStored
+        boolean leasesGoOn = worker.isAnswering(context.now()) && !handingOver;
+        return leasesGoOn || !endsStored
                 ? entry
                 : entry.withRemainingMillis(worker.runsExpireAtMillis() - context.now());
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RosterEntry.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RosterEntry.java
@@ -22,7 +22,7 @@
     static final RosterEntry OPEN = new RosterEntry(true, Set.of(), LONGEST_LEASE);
 
     /** The unit to which remaining times are rounded up, in milliseconds; bounds the writes. */
-    private static final long REMAINING_UNIT_MILLIS = 500;
+    private static final long REMAINING_UNIT_MILLIS = 200;
 
     /** Copies the tasks. */
     RosterEntry {
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -434,6 +434,13 @@
             this.clock = clock;
         }
 
+        /** Lets the owner end its term in order, as after SIGTERM. */
+        void leave() {
+            if (owner != null) {
+                owner.handOver("the process is leaving the cluster", () -> {});
+            }
+        }
+
         /** Kills the process: the owner stops, and its connections are closed. */
         void kill() {
             storeClient.kill();
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/TakeoverSeriesTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/TakeoverSeriesTest.java
@@ -33,6 +33,9 @@
     /** How long the cell has no owner at each change, in milliseconds. */
     private static final long VACANCY_MILLIS = 300;
 
+    /** How long the cell has no owner if its election takes long, in milliseconds. */
+    private static final long LONG_VACANCY_MILLIS = 550;
+
     /** The time between two workers that begin to leave, in milliseconds. */
     private static final long LEAVE_INTERVAL_MILLIS = 700;
 
@@ -68,6 +71,29 @@
         assertThat(longestWaitMillis, lessThanOrEqualTo(MAX_WAIT_MILLIS));
     }
 
+    /** Two workers crash just before an owner ends its term in order; each term is 1.45 s long. */
+    @Test
+    void tasksOfWorkersLostAtAHandOverRestartWhileOwnersChangeInSeries() {
+        OwnerProcess owner = submitAndStartOwner();
+        for (int takeover = 0; takeover < 8; takeover++) {
+            if (takeover == 0) {
+                simulation.workers.get("w0").crash();
+                simulation.workers.get("w1").crash();
+                simulation.unreachable.addAll(Set.of("w0", "w1"));
+                simulation.unregister("w0");
+                simulation.unregister("w1");
+                advance(100);
+            }
+            owner.leave();
+            advance(LONG_VACANCY_MILLIS);
+            owner.kill();
+            owner = simulation.startOwner();
+            advance(TERM_MILLIS - LONG_VACANCY_MILLIS);
+        }
+        assertThat(simulation.invariants.violations(), empty());
+        assertThat(longestWaitMillis, lessThanOrEqualTo(MAX_WAIT_AFTER_LOSS_MILLIS));
+    }
+
     /** One worker is cut off and goes on running, another one crashes. */
     @Test
     void tasksOfLostWorkersRestartWhileOwnersChangeInSeries() {
@@ -92,11 +118,7 @@
      * @param faults called at each step with the time since the faults began, in milliseconds
      */
     private void runSeries(int takeoverCount, LongConsumer faults) {
-        OwnerProcess owner = simulation.startOwner();
-        for (int number = 0; number < SUBMISSION_COUNT; number++) {
-            simulation.submit(submissionId(number), CellSimulation.longRunningStep(2));
-        }
-        simulation.runtime.advance(FAULTS_BEGIN_MILLIS);
+        OwnerProcess owner = submitAndStartOwner();
         long endMillis = (takeoverCount + 1) * TERM_MILLIS;
         for (long elapsed = 0; elapsed < endMillis; elapsed += STEP_MILLIS) {
             faults.accept(elapsed);
@@ -106,6 +128,31 @@
             } else if (elapsed >= TERM_MILLIS && termMillis == VACANCY_MILLIS) {
                 owner = simulation.startOwner();
             }
+            advance(STEP_MILLIS);
+        }
+    }
+
+    /**
+     * Starts the first owner and waits until the long-running submissions run.
+     *
+     * @return the process of the owner
+     */
+    private OwnerProcess submitAndStartOwner() {
+        OwnerProcess owner = simulation.startOwner();
+        for (int number = 0; number < SUBMISSION_COUNT; number++) {
+            simulation.submit(submissionId(number), CellSimulation.longRunningStep(2));
+        }
+        simulation.runtime.advance(FAULTS_BEGIN_MILLIS);
+        return owner;
+    }
+
+    /**
+     * Advances the clock and records the waits.
+     *
+     * @param millis the time, in milliseconds
+     */
+    private void advance(long millis) {
+        for (long elapsed = 0; elapsed < millis; elapsed += STEP_MILLIS) {
             simulation.runtime.advance(STEP_MILLIS);
             recordWaits();
         }
