Stop a start without an answer again after a restart of its worker

A task could run twice: a start got no answer and a stop of it was sent; the worker restarted under its identifier, the owner counted the run as lost and started the task elsewhere, and then the late start arrived at the new boot, on whose clock its lease is not over.

Cause: a run counted as one that may still arrive only until a stop was sent. Left: a stop that the former boot has acknowledged before it restarted; nothing in a start names the boot (DESIGN.md).

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
@@ -37,6 +37,9 @@
     /** When the start request was sent or a poll first listed the run, in milliseconds. */
     final long trackedSinceMillis;
 
+    /** Whether the worker has confirmed the run, so that its start request has arrived. */
+    boolean confirmed;
+
     /** The state of the run as known to this owner. */
     RunPhase phase;
 
@@ -152,10 +155,10 @@
     /**
      * Returns whether the start request of the run may still arrive at its worker.
      *
-     * @return whether the request is in flight or was not answered
+     * @return whether the request is in flight or was not answered, also if a stop was sent since
      */
     boolean mayArrive() {
-        return phase == RunPhase.STARTING || phase == RunPhase.UNCERTAIN;
+        return !confirmed;
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRequestSender.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRequestSender.java
@@ -128,6 +128,7 @@
             return;
         }
         if (reply.status() == WorkerStatus.OK) {
+            record.confirmed = true;
             if (record.phase == RunPhase.STARTING) {
                 record.phase = RunPhase.RUNNING;
                 record.firstConclusivePoll = worker.lastPollNumber + 1;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerPoller.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerPoller.java
@@ -221,6 +221,7 @@
         if (record == null) {
             record = adoptRun(worker, view);
         }
+        record.confirmed = true;
         if (record.phase == RunPhase.STARTING || record.phase == RunPhase.UNCERTAIN) {
             record.phase = RunPhase.RUNNING;
         }
