Let the workers of the takeover matrix be away for every owner, and calls fail

The cut-off workers of an owner were copied when its term began, so that later cuts, crashes and leaves did not affect it, and a crashed stand-in went on answering.

--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/TakeoverMatrixTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/TakeoverMatrixTest.java
@@ -3,8 +3,10 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
 
+import java.util.AbstractSet;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -44,13 +46,72 @@
     /** The shortest time that a worker is away after a crash, in milliseconds. */
     private static final int MIN_CRASH_MILLIS = 3_000;
 
+    /** The number of calls of which one has a fault in the cases with such faults. */
+    private static final int CALLS_PER_FAULT = 20;
+
     @Test
     void ownersThatFollowEachOtherRunNothingTwiceAndLoseNothing() {
+        assertThat(runCases(false), empty());
+    }
+
+    @Test
+    void ownersThatFollowEachOtherWithFaultyCallsRunNothingTwiceAndLoseNothing() {
+        assertThat(runCases(true), empty());
+    }
+
+    /**
+     * Runs the cases.
+     *
+     * @param callFaults whether calls to the store and to workers have faults, too
+     * @return a line for each violation
+     */
+    private static List<String> runCases(boolean callFaults) {
         List<String> violations = new ArrayList<>();
         for (int seed = 0; seed < SEED_COUNT; seed++) {
-            violations.addAll(new Case(seed).run());
+            violations.addAll(new Case(seed, callFaults).run());
+        }
+        return violations;
+    }
+
+    /**
+     * The workers that an owner can't reach: those in the set, those that nobody reaches, and those
+     * that are not running.
+     */
+    private static final class CutOffWorkers extends AbstractSet<String> {
+
+        /** The cell. */
+        private final CellSimulation cell;
+
+        /** The identifiers of the workers that only this owner can't reach. */
+        private final Set<String> own;
+
+        /**
+         * Creates a set.
+         *
+         * @param cell the cell
+         * @param own the identifiers of the workers that only this owner can't reach
+         */
+        CutOffWorkers(CellSimulation cell, Set<String> own) {
+            this.cell = cell;
+            this.own = own;
+        }
+
+        @Override
+        public boolean contains(Object id) {
+            return own.contains(id)
+                    || cell.unreachable.contains(id)
+                    || !cell.workers.get(id).isAlive();
+        }
+
+        @Override
+        public Iterator<String> iterator() {
+            return cell.workers.keySet().stream().filter(this::contains).iterator();
+        }
+
+        @Override
+        public int size() {
+            return (int) cell.workers.keySet().stream().filter(this::contains).count();
         }
-        assertThat(violations, empty());
     }
 
     /** A case with its cell and its owners. */
@@ -59,6 +120,12 @@
         /** The seed, for the messages. */
         private final int seed;
 
+        /** Whether calls to the store and to workers have faults, too. */
+        private final boolean callFaults;
+
+        /** Whether the faults have ended. */
+        private boolean healed;
+
         /** Selects the faults. */
         private final SplittableRandom random;
 
@@ -81,9 +148,11 @@
          * Creates a case.
          *
          * @param seed the seed
+         * @param callFaults whether calls to the store and to workers have faults, too
          */
-        Case(int seed) {
+        Case(int seed, boolean callFaults) {
             this.seed = seed;
+            this.callFaults = callFaults;
             this.random = new SplittableRandom(seed);
             soundWorkers.addAll(simulation.workers.keySet());
         }
@@ -94,7 +163,7 @@
          * @return a line for each violation
          */
         List<String> run() {
-            startOwner(simulation.unreachable);
+            startOwner(Set.of());
             for (int number = 0; number < LONG_RUNNING_COUNT; number++) {
                 simulation.submit(longRunningId(number), CellSimulation.longRunningStep(2));
             }
@@ -102,9 +171,10 @@
                 drawFaults();
                 simulation.runtime.advance(STEP_MILLIS);
             }
+            healed = true;
             simulation.unreachable.clear();
             owners.forEach(OwnerProcess::kill);
-            simulation.startOwner();
+            startOwner(Set.of());
             simulation.runtime.advance(SETTLE_MILLIS);
             return violations();
         }
@@ -136,14 +206,16 @@
         private void changeOwner() {
             OwnerProcess former = owners.get(owners.size() - 1);
             Set<String> cutOffWorkers = FaultInjectingWorkerClient.newIdSet();
-            cutOffWorkers.addAll(simulation.unreachable);
             for (String id : simulation.workers.keySet()) {
                 if (random.nextInt(8) == 0) {
                     cutOffWorkers.add(id);
                 }
             }
-            if (random.nextInt(3) > 0) {
+            int end = random.nextInt(6);
+            if (end < 2) {
                 former.kill();
+            } else if (end < 4) {
+                former.leave();
             } else {
                 ownersWithoutStore.add(former);
                 if (random.nextBoolean()) {
@@ -152,18 +224,13 @@
                 }
             }
             startOwner(cutOffWorkers);
-            after(
-                    random.nextInt(500, 9_000),
-                    () -> {
-                        cutOffWorkers.clear();
-                        cutOffWorkers.addAll(simulation.unreachable);
-                    });
+            after(random.nextInt(500, 9_000), cutOffWorkers::clear);
         }
 
         /**
          * Starts an owner.
          *
-         * @param cutOffWorkers the identifiers of the workers that it cannot reach
+         * @param cutOffWorkers the identifiers of the workers that only it cannot reach
          */
         private void startOwner(Set<String> cutOffWorkers) {
             int number = owners.size();
@@ -172,8 +239,24 @@
                             number < owners.size()
                                             && ownersWithoutStore.contains(owners.get(number))
                                     ? CallFault.LOST
-                                    : CallFault.ANSWERED;
-            owners.add(simulation.startOwner(storeFaults, FaultPlan.NO_FAULTS, cutOffWorkers));
+                                    : drawCallFault();
+            owners.add(
+                    simulation.startOwner(
+                            storeFaults,
+                            call -> drawCallFault(),
+                            new CutOffWorkers(simulation, cutOffWorkers)));
+        }
+
+        /**
+         * Draws the fault of a call.
+         *
+         * @return the fault
+         */
+        private CallFault drawCallFault() {
+            CallFault[] faults = CallFault.values();
+            return healed || !callFaults || random.nextInt(CALLS_PER_FAULT) > 0
+                    ? CallFault.ANSWERED
+                    : faults[random.nextInt(faults.length)];
         }
 
         /**
