--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/explain/Timeline.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/explain/Timeline.java
@@ -27,6 +27,7 @@
             Set.of(
                     "owner.began",
                     "owner.awaiting",
+                    "owner.expired",
                     "owner.settled",
                     "owner.unproven",
                     "owner.ended",
