--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Roster.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Roster.java
@@ -28,12 +28,12 @@
      */
     private Map<String, RosterEntry> entries = new HashMap<>();
 
-    /** Whether the owner ends its term in order, so that it needs no worker any more. */
-    private boolean handingOver;
-
     /** The entries that were certainly stored last, by the identifier of the worker. */
     private Map<String, RosterEntry> storedEntries = entries;
 
+    /** Whether the owner ends its term in order, so that it needs no worker any more. */
+    private boolean handingOver;
+
     /**
      * Creates an empty roster.
      *
@@ -173,7 +173,7 @@
     }
 
     /**
-     * Returns whether an entry names a worker that is gone.
+     * Returns whether an entry is left over from a worker that is gone.
      *
      * @param workerId the identifier of the worker
      * @return whether neither this owner nor a previous one may have a run there
