Read remaining times and task names of a damaged roster conservatively

Found while the diff was read again, not seen by callers. A stored remaining time that is negative, or so long that its sum overflows, counted as over at once, so that an owner would have started the tasks of a worker that it does not reach; a task name that is null would have ended the loading with an exception.

Cause: the values were taken as an owner writes them. Evidence: RosterRecordTest, two of five tests failed before ("remainingMillis=0" for -1; a record with the name null was read). Now a time that no owner writes counts as the longest lease, and a record with such a name as unreadable, which waits for the longest lease.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RosterRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RosterRecord.java
@@ -1,6 +1,5 @@
 package org.damasktiller.scheduler.cell;
 
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -23,10 +22,16 @@
 public record RosterRecord(
         List<String> workers, Map<String, List<String>> closed, Map<String, Long> remainingMillis) {
 
+    /** The longest remaining time that counts as such, in milliseconds; more than any lease. */
+    private static final long MAX_REMAINING_MILLIS = 60_000;
+
     /** Copies the components; one that is missing in the store counts as empty. */
     public RosterRecord {
         workers = List.copyOf(Objects.requireNonNullElse(workers, List.of()));
-        closed = Map.copyOf(Objects.requireNonNullElse(closed, Map.of()));
+        Map<String, List<String>> tasks =
+                new TreeMap<>(Objects.requireNonNullElse(closed, Map.of()));
+        tasks.replaceAll((id, names) -> List.copyOf(names));
+        closed = Map.copyOf(tasks);
         remainingMillis = Map.copyOf(Objects.requireNonNullElse(remainingMillis, Map.of()));
     }
 
@@ -54,7 +59,8 @@
 
     /**
      * Returns the entries of the roster. An entry with a task name that can't be read counts as
-     * open, since any task may have a run there.
+     * open, since any task may have a run there. A remaining time that no owner writes counts as
+     * the longest lease.
      *
      * @return the entries by the identifier of the worker
      */
@@ -63,9 +69,12 @@
         workers.forEach(id -> entries.put(id, RosterEntry.OPEN));
         closed.forEach((id, names) -> entries.put(id, toEntry(names)));
         remainingMillis.forEach(
-                (id, millis) ->
+                (id, millis) -> {
+                    if (millis >= 0 && millis <= MAX_REMAINING_MILLIS) {
                         entries.computeIfPresent(
-                                id, (key, entry) -> entry.withRemainingMillis(millis)));
+                                id, (key, entry) -> entry.withRemainingMillis(millis));
+                    }
+                });
         return entries;
     }
 
@@ -77,7 +86,7 @@
      */
     private static RosterEntry toEntry(List<String> names) {
         Set<TaskId> tasks = new HashSet<>();
-        for (String name : new ArrayList<>(names)) {
+        for (String name : names) {
             TaskId task = TaskId.parse(name);
             if (task == null) {
                 return RosterEntry.OPEN;
--- /dev/null
+++ b/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/cell/RosterRecordTest.java
@@ -0,0 +1,59 @@
+package org.damasktiller.scheduler.cell;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.nullValue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Set;
+import org.damasktiller.scheduler.model.TaskId;
+import org.junit.jupiter.api.Test;
+
+/** Tests that a stored roster never excludes more than it certainly says. */
+class RosterRecordTest {
+
+    private static final TaskId TASK = new TaskId("00000000000000a1", 0, 0, 7);
+
+    @Test
+    void rosterIsReadAsItWasWritten() {
+        RosterEntry closed = RosterEntry.closed(Set.of(TASK));
+        Map<String, RosterEntry> entries =
+                Map.of("w0", RosterEntry.OPEN, "w1", closed, "w2", closed.withRemainingMillis(901));
+        byte[] stored = StoredValueCodec.encode(RosterRecord.of(entries));
+        assertThat(decode(new String(stored, StandardCharsets.UTF_8)).entries(), equalTo(entries));
+        assertThat(entries.get("w2").remainingMillis(), equalTo(1_000L));
+    }
+
+    @Test
+    void recordOfAnEarlierReleaseHasOpenWorkersOnly() {
+        assertThat(
+                decode("{\"workers\":[\"w0\"]}").entries(),
+                equalTo(Map.of("w0", RosterEntry.OPEN)));
+    }
+
+    @Test
+    void workerWithATaskNameThatCannotBeReadIsOpen() {
+        assertThat(
+                decode("{\"workers\":[\"w0\"],\"closed\":{\"w0\":[\"a.b\"]}}").entries(),
+                equalTo(Map.of("w0", RosterEntry.OPEN)));
+    }
+
+    @Test
+    void remainingTimeThatIsNegativeOrTooLongCountsAsTheLongestLease() {
+        for (String millis : new String[] {"-1", Long.toString(Long.MAX_VALUE - 1)}) {
+            String text = "{\"workers\":[\"w0\"],\"remainingMillis\":{\"w0\":" + millis + "}}";
+            assertThat(decode(text).entries(), equalTo(Map.of("w0", RosterEntry.OPEN)));
+        }
+    }
+
+    @Test
+    void recordWithAMissingTaskNameCannotBeRead() {
+        String text = "{\"workers\":[\"w0\"],\"closed\":{\"w0\":[null]}}";
+        assertThat(decode(text), nullValue());
+    }
+
+    private static RosterRecord decode(String text) {
+        return StoredValueCodec.decode(text.getBytes(StandardCharsets.UTF_8), RosterRecord.class);
+    }
+}
