Count the held tasks instead of collecting them again for each answer

Change: held tasks and open workers are counted as entries come and go, and entries are looked at for their time only once the first of them may have expired. needsOwnershipCheck was awaitOwnershipCheck, which awaited nothing.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -281,7 +281,7 @@
      */
     private void tick() {
         long now = context.now();
-        boolean checkNeeded = context.previousOwners.awaitOwnershipCheck();
+        boolean checkNeeded = context.previousOwners.needsOwnershipCheck();
         for (WorkerRecord worker : new ArrayList<>(context.allWorkers())) {
             checkNeeded |= poller.expireRuns(worker);
             drainController.update(worker);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PreviousOwners.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PreviousOwners.java
@@ -1,7 +1,7 @@
 package org.damasktiller.scheduler.cell;
 
 import java.util.Collections;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -12,8 +12,8 @@
 /**
  * Tracks what the owners of earlier terms may still run or start, from the roster that they have
  * stored. A worker of the roster is excluded once it has answered with this owner's fencing token
- * or all leases of previous owners have expired. Until then a worker that is open in the roster may
- * run or accept any task of theirs, and a closed one may run the tasks that its entry names.
+ * or all leases of previous owners there are over. Until then a worker that is open in the roster
+ * may run or accept any task of theirs, and a closed one may run the tasks that its entry names.
  */
 final class PreviousOwners {
 
@@ -36,8 +36,14 @@
     /** The entries of the stored roster whose workers are not excluded, by worker identifier. */
     private final Map<String, RosterEntry> unfencedEntries = new TreeMap<>();
 
-    /** The tasks of the closed workers among them. */
-    private final Set<TaskId> heldTasks = new HashSet<>();
+    /** The tasks of the closed workers among them, with the number of these workers. */
+    private final Map<TaskId, Integer> heldTasks = new HashMap<>();
+
+    /** The number of the open workers among them. */
+    private int openCount;
+
+    /** When the first of the entries expires, in milliseconds, or a time before. */
+    private long firstExpireAtMillis = Long.MAX_VALUE;
 
     /** Whether the roster has been read. */
     private boolean loaded;
@@ -66,7 +72,8 @@
         unfencedEntries.putAll(entries);
         loaded = true;
         logDueMillis = context.now() + LOG_INTERVAL_MILLIS;
-        updateHeldTasks();
+        entries.values().forEach(entry -> count(entry, 1));
+        updateFirstExpiry();
     }
 
     /**
@@ -96,9 +103,8 @@
      *
      * @return whether a check should be sent now
      */
-    boolean awaitOwnershipCheck() {
-        long now = context.now();
-        return unfencedEntries.values().stream().anyMatch(entry -> expireAtMillis(entry) <= now);
+    boolean needsOwnershipCheck() {
+        return context.now() >= firstExpireAtMillis && !unfencedEntries.isEmpty();
     }
 
     /**
@@ -126,13 +132,14 @@
     }
 
     /**
-     * Records that a worker has answered with this owner's fencing token, or is gone.
+     * Records that a worker has answered with this owner's fencing token.
      *
      * @param workerId the identifier of the worker
      */
     void exclude(String workerId) {
-        if (unfencedEntries.remove(workerId) != null) {
-            updateHeldTasks();
+        RosterEntry entry = unfencedEntries.remove(workerId);
+        if (entry != null) {
+            count(entry, -1);
         }
     }
 
@@ -152,7 +159,7 @@
      * @return whether it must not start yet
      */
     boolean holds(TaskId task) {
-        return heldTasks.contains(task);
+        return heldTasks.containsKey(task);
     }
 
     /**
@@ -169,10 +176,7 @@
         long now = context.now();
         long ageMillis = now - context.term.startedAtMillis();
         int unansweredCount = unfencedEntries.size();
-        if (unfencedEntries
-                .values()
-                .removeIf(entry -> context.areLeasesOver(expireAtMillis(entry)))) {
-            updateHeldTasks();
+        if (needsOwnershipCheck() && removeExpired()) {
             context.log.log(
                     "owner.expired",
                     "cell",
@@ -186,7 +190,6 @@
                     "millis",
                     ageMillis);
         }
-        long openCount = unfencedEntries.values().stream().filter(RosterEntry::open).count();
         if (openCount > 0 && now >= logDueMillis) {
             logDueMillis = now + LOG_INTERVAL_MILLIS;
             logAwaitedWorkers(ageMillis);
@@ -210,10 +213,52 @@
         return true;
     }
 
-    /** Collects the tasks of the closed workers. */
-    private void updateHeldTasks() {
-        heldTasks.clear();
-        unfencedEntries.values().forEach(entry -> heldTasks.addAll(entry.tasks()));
+    /**
+     * Removes the entries of the workers on which all leases are over.
+     *
+     * @return whether there were any
+     */
+    private boolean removeExpired() {
+        boolean removed =
+                unfencedEntries
+                        .values()
+                        .removeIf(
+                                entry -> {
+                                    boolean over = context.areLeasesOver(expireAtMillis(entry));
+                                    if (over) {
+                                        count(entry, -1);
+                                    }
+                                    return over;
+                                });
+        updateFirstExpiry();
+        return removed;
+    }
+
+    /** Determines when the first of the entries expires. */
+    private void updateFirstExpiry() {
+        firstExpireAtMillis =
+                unfencedEntries.values().stream()
+                        .mapToLong(this::expireAtMillis)
+                        .min()
+                        .orElse(Long.MAX_VALUE);
+    }
+
+    /**
+     * Adds an entry to the open workers and the held tasks, or takes it out of them.
+     *
+     * @param entry the entry
+     * @param difference 1 to add it, -1 to take it out
+     */
+    private void count(RosterEntry entry, int difference) {
+        openCount += entry.open() ? difference : 0;
+        for (TaskId task : entry.tasks()) {
+            heldTasks.compute(
+                    task,
+                    (key, workers) -> {
+                        int left = (workers == null ? 0 : workers) + difference;
+                        return left == 0 ? null : left;
+                    });
+        }
     }
 
     /**
