--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestWatcher.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestWatcher.java
@@ -112,7 +112,9 @@
                 "routes",
                 next.routes().size(),
                 "before",
-                manifest == null ? 0 : manifest.version());
+                manifest == null ? 0 : manifest.version(),
+                "answeredAgo",
+                watch.answerGapMillis());
         revision = item.revision();
         manifest = next;
         listener.accept(next);
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -209,6 +209,7 @@
         }
         eventloop.execute(
                 () -> {
+                    new ClockMonitor(runtime, log).start();
                     manifestWatcher.start();
                     clusterMember.start();
                 });
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PrefixWatcher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PrefixWatcher.java
@@ -65,8 +65,14 @@
     /** Whether the watcher was closed. */
     private boolean closed;
 
-    /** Whether the last call failed, so that further failures are not logged. */
-    private boolean failing;
+    /** The number of calls that have failed since the last answer. */
+    private int failures;
+
+    /** When the last answer arrived, on the monotonic clock, in milliseconds. */
+    private long answeredMillis;
+
+    /** The time between the last two answers, in milliseconds. */
+    private long answerGapMillis;
 
     /**
      * Creates a watcher that has not started.
@@ -92,6 +98,7 @@
         this.runtime = runtime;
         this.log = log;
         this.listener = listener;
+        this.answeredMillis = runtime.nowMillis();
     }
 
     /** Reads all keys, then watches for changes; also restarts after a failure. */
@@ -102,6 +109,16 @@
         readPage("");
     }
 
+    /**
+     * Returns how long the store had not answered before its last answer.
+     *
+     * @return the time between the last two answers, in milliseconds; before there were two, the
+     *     time since the watcher was created
+     */
+    public long answerGapMillis() {
+        return answerGapMillis;
+    }
+
     /** Stops watching; the listener is not called again. */
     public void close() {
         closed = true;
@@ -197,17 +214,38 @@
      * @param reason what the client observed, for the log
      */
     private void noteFailure(StoreStatus status, String reason) {
-        if (!failing) {
-            failing = true;
-            log.log("watch.lost", "prefix", prefix, "status", status, "reason", reason);
+        if (failures == 0) {
+            log.log(
+                    "watch.lost",
+                    "prefix",
+                    prefix,
+                    "status",
+                    status,
+                    "reason",
+                    reason,
+                    "answeredAgo",
+                    runtime.nowMillis() - answeredMillis);
         }
+        failures++;
     }
 
-    /** Records a successful call and logs it if the previous call failed. */
+    /** Records an answer and logs it if the previous call failed. */
     private void noteSuccess() {
-        if (failing) {
-            failing = false;
-            log.log("watch.regained", "prefix", prefix, "revision", watchRevision);
+        long nowMillis = runtime.nowMillis();
+        answerGapMillis = nowMillis - answeredMillis;
+        answeredMillis = nowMillis;
+        if (failures > 0) {
+            log.log(
+                    "watch.regained",
+                    "prefix",
+                    prefix,
+                    "revision",
+                    watchRevision,
+                    "answeredAgo",
+                    answerGapMillis,
+                    "failures",
+                    failures);
+            failures = 0;
         }
     }
 
