--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/EventLoopRuntime.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/EventLoopRuntime.java
@@ -2,6 +2,7 @@
 
 import io.activej.reactor.Reactor;
 import java.time.Clock;
+import org.damasktiller.platform.http.MonotonicClock;
 import org.damasktiller.scheduler.port.DecisionLog;
 import org.damasktiller.scheduler.port.ProcessRuntime;
 
@@ -11,9 +12,6 @@
  */
 public final class EventLoopRuntime implements ProcessRuntime {
 
-    /** The number of nanoseconds in a millisecond. */
-    private static final long NANOS_PER_MILLI = 1_000_000;
-
     /** The maximum number of stack frames that are logged for an exception. */
     private static final int MAX_LOGGED_FRAMES = 4;
 
@@ -41,7 +39,7 @@
 
     @Override
     public long nowMillis() {
-        return System.nanoTime() / NANOS_PER_MILLI;
+        return MonotonicClock.nowMillis();
     }
 
     @Override
