Publish what a version of the manifest changes for the VMs far from the store

Cause: each VM read each version in full through its own watch, 22 copies of up to 1,650 routes a version. Change: one process near the store writes the changed routes under a key that all VMs watch anyway; the others near the store take its place after 150 ms each. A VM far from the store applies the changes and reads the operator's key only after 2 s without a version. A change applies only to the version at the revision that it names, and only if the checksum of the result is that of the published version; else the version is read in full.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.damasktiller.scheduler.cell.CellEnvironment;
 import org.damasktiller.scheduler.cell.CellLayout;
 import org.damasktiller.scheduler.cell.CellOwner;
@@ -27,7 +28,7 @@
  * part in the election of each cell's owner, and runs a {@link CellOwner} for each cell that it has
  * won. Used on the thread of the event loop only.
  */
-public final class ClusterMember {
+public final class ClusterMember implements ManifestListener {
 
     /** The interval at which the process tries to win vacant cells, in milliseconds. */
     private static final long ELECTION_INTERVAL_MILLIS = 100;
@@ -59,6 +60,9 @@
     /** The dependencies that all elections share. */
     private final ClusterContext context;
 
+    /** Publishes what new versions of the manifest change. */
+    private final ManifestPublisher manifestPublisher;
+
     /** Sends requests to workers. */
     private final WorkerClient workerClient;
 
@@ -120,6 +124,7 @@
         ClusterView view = new ClusterView(store, runtime, log, this::attemptElections);
         this.context = new ClusterContext(store, session, view, runtime, log);
         this.layouts = new LayoutCoordinator(context, layoutSettings);
+        this.manifestPublisher = new ManifestPublisher(context, identity.node());
     }
 
     /** Starts the lease, the view, the registration and the elections. */
@@ -176,12 +181,37 @@
      *
      * @param next the new version
      */
+    @Override
     public void updateManifest(Manifest next) {
         manifest = next;
         owners.values().forEach(owner -> owner.updateManifest(next));
         attemptElections();
     }
 
+    @Override
+    public void onManifestRead(Manifest next, long revision) {
+        manifestPublisher.onRead(next, revision);
+    }
+
+    /**
+     * Sets the listener of changes of the manifest that other processes publish.
+     *
+     * @param listener called with each change
+     */
+    public void setManifestChangeListener(Consumer<ManifestChange> listener) {
+        context.view().setManifestChangeListener(listener);
+    }
+
+    /**
+     * Tells whether the store is in another region, judged by the round trip to it.
+     *
+     * @return whether it is; false while that is not known
+     */
+    public boolean isStoreFar() {
+        long roundTripMillis = context.session().fastestRenewalMillis();
+        return roundTripMillis > NEAR_STORE_MAX_MILLIS && roundTripMillis != Long.MAX_VALUE;
+    }
+
     /**
      * Tells whether the store has responded recently.
      *
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterView.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterView.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.damasktiller.scheduler.cell.CellKeys;
 import org.damasktiller.scheduler.cell.CellLayout;
 import org.damasktiller.scheduler.cell.LayoutRecord;
@@ -36,7 +37,7 @@
     /** Watches the published keys. */
     private final PrefixWatcher watch;
 
-    /** Called after each change except those of pending counts. */
+    /** Called after each change except those of pending counts and the manifest. */
     private final Runnable changeListener;
 
     /** The owners by the name of the cell. */
@@ -54,6 +55,15 @@
     /** How zones are divided into cells, or null while that is not known. */
     private @Nullable LayoutRecord layout;
 
+    /** What the last published version of the manifest changed, or null while that is unknown. */
+    private @Nullable ManifestChange manifestChange;
+
+    /** The stored item of the last change of the manifest, or null if there is none. */
+    private @Nullable StoreItem manifestChangeItem;
+
+    /** Called with each published change of the manifest. */
+    private Consumer<ManifestChange> manifestChangeListener = change -> {};
+
     /** Whether all keys have been read once. */
     private boolean synced;
 
@@ -63,7 +73,8 @@
      * @param store the store
      * @param runtime the clock and the timers
      * @param log the log
-     * @param changeListener called after each change except those of pending counts
+     * @param changeListener called after each change except those of pending counts and the
+     *     manifest
      */
     public ClusterView(
             MetadataStore store, ProcessRuntime runtime, DecisionLog log, Runnable changeListener) {
@@ -108,6 +119,33 @@
         return layout;
     }
 
+    /**
+     * Returns the last published change of the manifest.
+     *
+     * @return the change, or null if none is known or it can't be read
+     */
+    @Nullable ManifestChange manifestChange() {
+        return manifestChange;
+    }
+
+    /**
+     * Returns the stored item of the last published change of the manifest.
+     *
+     * @return the item, or null if none is known
+     */
+    @Nullable StoreItem manifestChangeItem() {
+        return manifestChangeItem;
+    }
+
+    /**
+     * Sets the listener of published changes of the manifest.
+     *
+     * @param listener called with each change
+     */
+    void setManifestChangeListener(Consumer<ManifestChange> listener) {
+        manifestChangeListener = listener;
+    }
+
     /**
      * Returns the registered processes.
      *
@@ -167,7 +205,8 @@
         } else {
             put(item);
         }
-        if (!event.key().startsWith(CellKeys.PENDING_PREFIX)) {
+        if (!event.key().startsWith(CellKeys.PENDING_PREFIX)
+                && !event.key().equals(CellKeys.MANIFEST_CHANGE)) {
             changeListener.run();
         }
     }
@@ -181,6 +220,8 @@
         String key = item.key();
         if (key.equals(CellKeys.LAYOUT)) {
             putLayout(item);
+        } else if (key.equals(CellKeys.MANIFEST_CHANGE)) {
+            putManifestChange(item);
         } else if (key.startsWith(CellKeys.OWNER_PREFIX)) {
             OwnerRecord record = StoredValueCodec.decode(item.value(), OwnerRecord.class);
             if (record != null) {
@@ -216,6 +257,22 @@
         layout = record;
     }
 
+    /**
+     * Sets the last published change of the manifest and passes it on. One that can't be read is
+     * logged; the version is then read from the operator's key.
+     *
+     * @param item the stored item
+     */
+    private void putManifestChange(StoreItem item) {
+        manifestChangeItem = item;
+        manifestChange = ManifestChange.decode(item.value());
+        if (manifestChange == null) {
+            log.log("manifest.change-unreadable", "revision", item.revision());
+        } else {
+            manifestChangeListener.accept(manifestChange);
+        }
+    }
+
     /**
      * Removes the entry of a key.
      *
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestWatcher.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestWatcher.java
@@ -1,7 +1,9 @@
 package org.damasktiller.node.cluster;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
-import java.util.function.Consumer;
+import java.util.function.BooleanSupplier;
 import org.damasktiller.scheduler.cell.PrefixWatcher;
 import org.damasktiller.scheduler.model.Manifest;
 import org.damasktiller.scheduler.port.DecisionLog;
@@ -13,26 +15,41 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Watches the operator's manifest in the store and notifies a listener of each new version. Items
- * with an older revision are ignored, so that the current manifest never goes back.
+ * Knows the current version of the operator's manifest and notifies a listener of each new one.
+ * Versions come from the operator's key in the store, and as changes that another process has
+ * published. A process far from the store reads the key at intervals only, so that it usually
+ * receives changes instead of whole versions. Versions with an older revision are ignored, so that
+ * the current manifest never goes back.
  */
 public final class ManifestWatcher implements PrefixWatcher.Listener {
 
     /** The pause after a change before the next watch call, in milliseconds; it batches changes. */
     private static final long BATCHING_DELAY_MILLIS = 20;
 
+    /**
+     * How long a process far from the store goes without a version before it reads the operator's
+     * key, in milliseconds.
+     */
+    private static final long FAR_POLL_MILLIS = 2_000;
+
+    /** How many published changes are kept until the version before them is known. */
+    private static final int MAX_PENDING_CHANGES = 32;
+
     /** Decodes the manifest and knows its key. */
     private final PlatformRecordDecoder formats;
 
     /** The log. */
     private final DecisionLog log;
 
-    /** Notified of each new version. */
-    private final Consumer<Manifest> listener;
+    /** Receives the versions. */
+    private final ManifestListener listener;
 
     /** Watches the key of the manifest. */
     private final PrefixWatcher watch;
 
+    /** The published changes that may lead to later versions, in the order of their arrival. */
+    private final Deque<ManifestChange> pendingChanges = new ArrayDeque<>();
+
     /** The current manifest, or null before the first one has been read. */
     private @Nullable Manifest manifest;
 
@@ -46,20 +63,23 @@
      * @param formats decodes the manifest and knows its key
      * @param runtime the clock and the timers
      * @param log the log
-     * @param listener notified of each new version
+     * @param storeIsFar whether the store is in another region
+     * @param listener receives the versions
      */
     public ManifestWatcher(
             MetadataStore store,
             PlatformRecordDecoder formats,
             ProcessRuntime runtime,
             DecisionLog log,
-            Consumer<Manifest> listener) {
+            BooleanSupplier storeIsFar,
+            ManifestListener listener) {
         this.formats = formats;
         this.log = log;
         this.listener = listener;
         this.watch =
                 new PrefixWatcher(
                         formats.manifestKey(), BATCHING_DELAY_MILLIS, store, runtime, log, this);
+        watch.pollWhile(storeIsFar, FAR_POLL_MILLIS);
     }
 
     /** Reads the manifest and starts to watch it. */
@@ -76,6 +96,23 @@
         return manifest;
     }
 
+    /**
+     * Handles a change that another process has published. It takes effect once the version before
+     * it is in force.
+     *
+     * @param change the change
+     */
+    public void onPublished(ManifestChange change) {
+        if (change.toRevision() <= revision) {
+            return;
+        }
+        if (pendingChanges.size() == MAX_PENDING_CHANGES) {
+            pendingChanges.removeFirst();
+        }
+        pendingChanges.addLast(change);
+        applyPendingChanges();
+    }
+
     @Override
     public void onSnapshot(List<StoreItem> items, long highestRevision) {
         items.forEach(this::applyIfNewer);
@@ -103,20 +140,66 @@
             log.log("manifest.unreadable", "revision", item.revision());
             return;
         }
+        putInForce(next, item.revision(), false);
+        listener.onManifestRead(next, item.revision());
+        applyPendingChanges();
+    }
+
+    /** Applies the published changes that continue from the current manifest. */
+    private void applyPendingChanges() {
+        Manifest current = manifest;
+        ManifestChange change = current == null ? null : nextChange();
+        while (current != null && change != null) {
+            Manifest next = change.applyTo(current);
+            if (next == null) {
+                log.log("manifest.change-refused", "revision", change.toRevision());
+                pendingChanges.remove(change);
+            } else {
+                current = next;
+                putInForce(next, change.toRevision(), true);
+            }
+            change = nextChange();
+        }
+    }
+
+    /**
+     * Removes the published changes that lead to no later version and returns the one to apply.
+     *
+     * @return the change that begins with the current manifest, or null if there is none
+     */
+    private @Nullable ManifestChange nextChange() {
+        pendingChanges.removeIf(change -> change.toRevision() <= revision);
+        return pendingChanges.stream()
+                .filter(change -> change.fromRevision() == revision)
+                .findFirst()
+                .orElse(null);
+    }
+
+    /**
+     * Makes a version the current one.
+     *
+     * @param next the version
+     * @param nextRevision the store's revision of the version
+     * @param published whether it comes from a published change
+     */
+    private void putInForce(Manifest next, long nextRevision, boolean published) {
         log.log(
                 "manifest.in-force",
                 "version",
                 next.version(),
                 "revision",
-                item.revision(),
+                nextRevision,
                 "routes",
                 next.routes().size(),
                 "before",
                 manifest == null ? 0 : manifest.version(),
+                "published",
+                published,
                 "answeredAgo",
                 watch.answerGapMillis());
-        revision = item.revision();
+        revision = nextRevision;
         manifest = next;
-        listener.accept(next);
+        watch.skipTo(nextRevision);
+        listener.updateManifest(next);
     }
 }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -155,7 +155,9 @@
                         runtime,
                         log);
         manifestWatcher =
-                new ManifestWatcher(store, records, runtime, log, clusterMember::updateManifest);
+                new ManifestWatcher(
+                        store, records, runtime, log, clusterMember::isStoreFar, clusterMember);
+        clusterMember.setManifestChangeListener(manifestWatcher::onPublished);
         callerServlet =
                 new CallerServlet(
                         manifestWatcher::current,
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellKeys.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellKeys.java
@@ -21,6 +21,9 @@
     /** The key that fixes how zones are divided into cells; see {@link LayoutRecord}. */
     public static final String LAYOUT = PUBLIC_PREFIX + "layout";
 
+    /** The key of what the last published version of the operator's manifest changed. */
+    public static final String MANIFEST_CHANGE = PUBLIC_PREFIX + "manifest-change";
+
     /** The prefix of the submission records, which are found without knowing the cell. */
     private static final String SUBMISSION_PREFIX = "submission/";
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PrefixWatcher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PrefixWatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.damasktiller.scheduler.port.DecisionLog;
 import org.damasktiller.scheduler.port.MetadataStore;
 import org.damasktiller.scheduler.port.ProcessRuntime;
@@ -50,6 +51,18 @@
     /** Called with the items and changes. */
     private final Listener listener;
 
+    /** Whether changes are polled at intervals at present. */
+    private BooleanSupplier polling = () -> false;
+
+    /** The interval between polls, in milliseconds. */
+    private long pollIntervalMillis;
+
+    /**
+     * When changes were last known otherwise than by an answer, on the monotonic clock, in
+     * milliseconds.
+     */
+    private long skippedMillis;
+
     /** The items of the pages read since the last start. */
     private List<StoreItem> items = new ArrayList<>();
 
@@ -109,6 +122,30 @@
         readPage("");
     }
 
+    /**
+     * Polls for changes at intervals, instead of waiting for them, while a condition holds.
+     *
+     * @param condition evaluated before each call
+     * @param intervalMillis the interval between polls, in milliseconds; it begins anew when the
+     *     caller knows of a change otherwise, see {@link #skipTo}
+     */
+    public void pollWhile(BooleanSupplier condition, long intervalMillis) {
+        polling = condition;
+        pollIntervalMillis = intervalMillis;
+    }
+
+    /**
+     * Requests no changes up to a revision any more, since the caller knows them already.
+     *
+     * @param revision the revision; nothing happens if changes up to it have been reported
+     */
+    public void skipTo(long revision) {
+        if (revision > watchRevision) {
+            watchRevision = revision;
+            skippedMillis = runtime.nowMillis();
+        }
+    }
+
     /**
      * Returns how long the store had not answered before its last answer.
      *
@@ -169,7 +206,19 @@
     /** Requests the changes since the last answer and waits for one if there are none. */
     private void awaitChanges() {
         if (!closed) {
-            store.watch(prefix, watchRevision, WAIT_MILLIS, this::onChanges);
+            long waitMillis = polling.getAsBoolean() ? 0 : WAIT_MILLIS;
+            store.watch(prefix, watchRevision, waitMillis, this::onChanges);
+        }
+    }
+
+    /** Requests changes again after an answer, at once or when the next poll is due. */
+    private void awaitChangesWhenDue() {
+        long dueMillis = Math.max(answeredMillis, skippedMillis) + pollIntervalMillis;
+        long pauseMillis = polling.getAsBoolean() ? dueMillis - runtime.nowMillis() : 0;
+        if (pauseMillis > 0) {
+            runtime.schedule(pauseMillis, this::awaitChangesWhenDue);
+        } else {
+            awaitChanges();
         }
     }
 
@@ -196,7 +245,7 @@
         StoreChanges changes = result.require();
         watchRevision = Math.max(watchRevision, changes.storeRevision());
         if (changes.events().isEmpty()) {
-            awaitChanges();
+            awaitChangesWhenDue();
             return;
         }
         for (StoreEvent event : changes.events()) {
@@ -204,7 +253,7 @@
                 listener.onChange(event);
             }
         }
-        runtime.schedule(groupingMillis, this::awaitChanges);
+        runtime.schedule(groupingMillis, this::awaitChangesWhenDue);
     }
 
     /**
