Publish the changes of versions that come in quick succession

Cause: the second publication named the revision of the key before the first one, met it and was not repeated; and a process that had received a version as a change did not know it when it was its turn. Why it works: one publication is under way at a time, the next one begins with what the last one led to and with the revision that the store answered, and each process keeps the last four versions however they came. versionsInQuickSuccessionAreAllPublished fails on (version 2 in force instead of 4).

--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
@@ -176,21 +176,13 @@
         return layouts.layout();
     }
 
-    /**
-     * Applies a new version of the manifest: adds elections for new cells and updates the owners.
-     *
-     * @param next the new version
-     */
+    /** Applies a new version: adds elections for new cells and updates the owners. */
     @Override
-    public void updateManifest(Manifest next) {
+    public void onManifest(Manifest next, long revision, boolean published) {
         manifest = next;
         owners.values().forEach(owner -> owner.updateManifest(next));
         attemptElections();
-    }
-
-    @Override
-    public void onManifestRead(Manifest next, long revision) {
-        manifestPublisher.onRead(next, revision);
+        manifestPublisher.onManifest(next, revision, published);
     }
 
     /**
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestListener.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestListener.java
@@ -2,21 +2,17 @@
 
 import org.damasktiller.scheduler.model.Manifest;
 
-/** Receives the versions of the operator's manifest. */
+/** Receives the versions of the operator's manifest that a process puts in force. */
+@FunctionalInterface
 public interface ManifestListener {
 
     /**
-     * Called with each version that this process puts in force.
-     *
-     * @param manifest the version
-     */
-    void updateManifest(Manifest manifest);
-
-    /**
-     * Called with each version that this process has read from the operator's key in the store.
+     * Called with each version, in the order of their revisions.
      *
      * @param manifest the version
      * @param revision the store's revision of the version
+     * @param published whether it results from a change that another process has published; else it
+     *     was read from the operator's key
      */
-    void onManifestRead(Manifest manifest, long revision);
+    void onManifest(Manifest manifest, long revision, boolean published);
 }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestPublisher.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestPublisher.java
@@ -1,10 +1,15 @@
 package org.damasktiller.node.cluster;
 
 import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
 import org.damasktiller.scheduler.cell.CellKeys;
 import org.damasktiller.scheduler.model.Manifest;
+import org.damasktiller.scheduler.port.CommitReply;
 import org.damasktiller.scheduler.port.StoreItem;
 import org.damasktiller.scheduler.port.StoreResult;
+import org.damasktiller.scheduler.port.StoreStatus;
 import org.damasktiller.scheduler.port.StoreTransaction;
 import org.jspecify.annotations.Nullable;
 
@@ -21,23 +26,26 @@
      */
     private static final long TURN_MILLIS = 150;
 
+    /** How many versions are kept, so that a change can begin with one of them. */
+    private static final int MAX_VERSIONS = 4;
+
     /** The dependencies of the cluster's components. */
     private final ClusterContext context;
 
     /** The name of the VM of this process. */
     private final String node;
 
-    /** The version that this process read before the latest one, or null. */
-    private @Nullable Manifest former;
+    /** The latest versions by the store's revision. */
+    private final NavigableMap<Long, Manifest> versions = new TreeMap<>();
 
-    /** The store's revision of the former version. */
-    private long formerRevision;
+    /** The last change that this process has published, or null. */
+    private @Nullable ManifestChange publishedChange;
 
-    /** The latest version that this process has read, or null. */
-    private @Nullable Manifest latest;
+    /** The store's revision of the key when this process published last. */
+    private long publishedKeyRevision;
 
-    /** The store's revision of the latest version. */
-    private long latestRevision;
+    /** Whether a publication has been sent and has no result yet. */
+    private boolean publishing;
 
     /**
      * Creates a publisher that knows no version.
@@ -54,61 +62,61 @@
      * Publishes what a version changes, if this process is near the store and no other process does
      * it before.
      *
-     * @param manifest the version, which this process has read from the operator's key
-     * @param revision the store's revision of the version, higher than those of earlier calls
+     * @param manifest the version
+     * @param revision the store's revision of the version
+     * @param published whether its change has been published
      */
-    void onRead(Manifest manifest, long revision) {
-        former = latest;
-        formerRevision = latestRevision;
-        latest = manifest;
-        latestRevision = revision;
-        int turn = turn();
-        if (former == null || turn < 0) {
-            return;
+    void onManifest(Manifest manifest, long revision, boolean published) {
+        versions.put(revision, manifest);
+        if (versions.size() > MAX_VERSIONS) {
+            versions.pollFirstEntry();
         }
+        int turn = published ? -1 : turn();
         if (turn == 0) {
-            publish(revision);
-        } else {
-            context.runtime().schedule(turn * TURN_MILLIS, () -> publish(revision));
+            publishIfBehind();
+        } else if (turn > 0) {
+            context.runtime().schedule(turn * TURN_MILLIS, this::publishIfBehind);
         }
     }
 
-    /**
-     * Publishes the change to the latest version, unless a later one has been read since or the
-     * change has been published.
-     *
-     * @param revision the store's revision of the version to publish
-     */
-    private void publish(long revision) {
-        Manifest from = former;
-        Manifest to = latest;
-        StoreItem published = context.view().manifestChangeItem();
-        ManifestChange change = context.view().manifestChange();
-        if (from == null
-                || to == null
-                || revision != latestRevision
-                || (change != null && change.toRevision() >= revision)) {
+    /** Publishes the change to the latest version, unless it has been published. */
+    private void publishIfBehind() {
+        long publishedTo =
+                Math.max(toRevision(publishedChange), toRevision(context.view().manifestChange()));
+        Map.Entry<Long, Manifest> to = versions.lastEntry();
+        if (publishing || to == null || to.getKey() <= publishedTo) {
+            return;
+        }
+        Map.Entry<Long, Manifest> from = versions.floorEntry(publishedTo);
+        if (from == null || from.getKey() != publishedTo) {
+            from = versions.lowerEntry(to.getKey());
+        }
+        if (from == null) {
             return;
         }
-        ManifestChange next = ManifestChange.between(formerRevision, from, revision, to);
+        ManifestChange change =
+                ManifestChange.between(from.getKey(), from.getValue(), to.getKey(), to.getValue());
+        StoreItem item = context.view().manifestChangeItem();
+        long keyRevision =
+                Math.max(publishedKeyRevision, item == null ? StoreItem.ABSENT : item.revision());
+        publishing = true;
         context.store()
                 .commit(
                         new StoreTransaction()
-                                .expectRevision(
-                                        CellKeys.MANIFEST_CHANGE,
-                                        published == null ? StoreItem.ABSENT : published.revision())
-                                .put(CellKeys.MANIFEST_CHANGE, next.encode()),
-                        result -> onPublished(next, result));
+                                .expectRevision(CellKeys.MANIFEST_CHANGE, keyRevision)
+                                .put(CellKeys.MANIFEST_CHANGE, change.encode()),
+                        result -> onPublished(change, result));
     }
 
     /**
-     * Logs the result of a publication. It is not repeated: other processes take their turn, and
-     * those that miss it read the version in full.
+     * Handles the result of a publication. One that failed is not repeated: other processes take
+     * their turn, and those that miss it read the version in full.
      *
      * @param change what was to be published
      * @param result the result
      */
-    private void onPublished(ManifestChange change, StoreResult<?> result) {
+    private void onPublished(ManifestChange change, StoreResult<CommitReply> result) {
+        publishing = false;
         context.log().log(
                 "manifest.published",
                 "version",
@@ -123,6 +131,21 @@
                 change.removedRoutes().size(),
                 "store",
                 result.status());
+        if (result.status() == StoreStatus.OK) {
+            publishedChange = change;
+            publishedKeyRevision = result.require().revision();
+            publishIfBehind();
+        }
+    }
+
+    /**
+     * Returns the revision of the version that a change leads to.
+     *
+     * @param change the change, or null
+     * @return the store's revision, 0 if there is no change
+     */
+    private static long toRevision(@Nullable ManifestChange change) {
+        return change == null ? 0 : change.toRevision();
     }
 
     /**
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestWatcher.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestWatcher.java
@@ -141,7 +141,6 @@
             return;
         }
         putInForce(next, item.revision(), false);
-        listener.onManifestRead(next, item.revision());
         applyPendingChanges();
     }
 
@@ -200,6 +199,6 @@
         revision = nextRevision;
         manifest = next;
         watch.skipTo(nextRevision);
-        listener.updateManifest(next);
+        listener.onManifest(next, nextRevision, published);
     }
 }
--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/ManifestDistributionTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/ManifestDistributionTest.java
@@ -69,6 +69,23 @@
         assertThat(far.publishedVersions, is(List.of(2L)));
     }
 
+    /** The next version came before the change to the one before it was stored. */
+    @Test
+    void versionsInQuickSuccessionAreAllPublished() {
+        new TestProcess("near-1", true, FaultPlan.NO_FAULTS);
+        TestProcess far = new TestProcess("far", false, FaultPlan.NO_FAULTS);
+        runtime.advance(2_000);
+        write(TestManifests.of(1, List.of("a")));
+        far.awaitVersion(1);
+        write(TestManifests.of(2, List.of("a", "b")));
+        runtime.advance(3);
+        write(TestManifests.of(3, List.of("b")));
+        write(TestManifests.of(4, List.of("b", "c")));
+        runtime.advance(150);
+        assertThat(far.version(), is(4L));
+        assertThat(far.publishedVersions, hasItem(4L));
+    }
+
     @Test
     void farProcessReadsTheVersionIfNobodyPublishes() {
         TestProcess far = new TestProcess("far", false, FaultPlan.NO_FAULTS);
@@ -180,14 +197,21 @@
                                             new NodeRecord(name, name, "zone", near, 1_000))));
             FaultInjectingStoreClient client =
                     new FaultInjectingStoreClient(store, runtime, faults);
-            ClusterView view = new ClusterView(client, runtime, this::log, () -> {});
-            StoreSession session = new StoreSession(client, runtime, this::log, 2_000);
+            ClusterView view = new ClusterView(client, runtime, (event, fields) -> {}, () -> {});
+            StoreSession session = new StoreSession(client, runtime, (event, fields) -> {}, 2_000);
             publisher =
                     new ManifestPublisher(
-                            new ClusterContext(client, session, view, runtime, this::log), name);
+                            new ClusterContext(
+                                    client, session, view, runtime, (event, fields) -> {}),
+                            name);
             watcher =
                     new ManifestWatcher(
-                            client, TestManifests.DECODER, runtime, this::log, () -> !near, this);
+                            client,
+                            TestManifests.DECODER,
+                            runtime,
+                            (event, fields) -> {},
+                            () -> !near,
+                            this);
             view.setManifestChangeListener(watcher::onPublished);
             view.start();
             watcher.start();
@@ -207,26 +231,16 @@
         }
 
         @Override
-        public void updateManifest(Manifest manifest) {
+        public void onManifest(Manifest manifest, long revision, boolean published) {
+            publisher.onManifest(manifest, revision, published);
+            if (published) {
+                publishedVersions.add(manifest.version());
+            }
             steps.add(manifest.version() - lastVersion);
             lastVersion = manifest.version();
             Manifest expected = Objects.requireNonNull(written.get(manifest.version()));
             assertThat(
                     manifest.routes(), containsInAnyOrder(expected.routes().toArray(Route[]::new)));
         }
-
-        @Override
-        public void onManifestRead(Manifest manifest, long revision) {
-            publisher.onRead(manifest, revision);
-        }
-
-        /** Notes the versions that came as published changes. */
-        private void log(String event, Object... fields) {
-            List<Object> line = List.of(fields);
-            if (event.equals("manifest.in-force")
-                    && line.get(line.indexOf("published") + 1).equals(true)) {
-                publishedVersions.add((Long) line.get(line.indexOf("version") + 1));
-            }
-        }
     }
 }
