--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestChange.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestChange.java
@@ -1,6 +1,5 @@
 package org.damasktiller.node.cluster;
 
-import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -32,7 +31,6 @@
  * @param limits the limits of the later version
  * @param checksum the checksum of the later version
  */
-@JsonIgnoreProperties(ignoreUnknown = true)
 public record ManifestChange(
         long fromRevision,
         long toRevision,
--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/TestManifests.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/TestManifests.java
@@ -3,7 +3,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Objects;
 import java.util.Random;
 import java.util.Set;
 import org.damasktiller.scheduler.cell.StoredValueCodec;
@@ -47,8 +46,9 @@
     /** Prevents instantiation. */
     private TestManifests() {}
 
+    /** Encodes a version as the operator writes it. */
     static byte[] encode(Manifest manifest) {
-        return StoredValueCodec.encode(Objects.requireNonNull(manifest));
+        return StoredValueCodec.encode(manifest);
     }
 
     /** Creates a version whose routes have some names. */
@@ -80,6 +80,7 @@
                 name, "host", "/" + name + "/", "service", 0, maximumAttempts, 1.5, 100, false);
     }
 
+    /** Returns a value that is neither a version nor a change. */
     static byte[] unreadable() {
         return "{\"version\":".getBytes(StandardCharsets.UTF_8);
     }
