Choose the published change apart from writing it

Cause: read again, ManifestPublisher.publishIfBehind chose the versions of a change between reading the view and writing to the store, and ClusterView kept the whole stored item of a change for its revision alone. Change: nextChange makes the choice without input or output; ClusterView keeps the revision. No behaviour changes.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterView.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterView.java
@@ -58,8 +58,8 @@
     /** What the last published version of the manifest changed, or null while that is unknown. */
     private @Nullable ManifestChange manifestChange;
 
-    /** The stored item of the last change of the manifest, or null if there is none. */
-    private @Nullable StoreItem manifestChangeItem;
+    /** The revision of the key of the last change of the manifest, or ABSENT if there is none. */
+    private long manifestChangeRevision = StoreItem.ABSENT;
 
     /** Called with each published change of the manifest. */
     private Consumer<ManifestChange> manifestChangeListener = change -> {};
@@ -129,12 +129,13 @@
     }
 
     /**
-     * Returns the stored item of the last published change of the manifest.
+     * Returns the revision of the key of the last published change of the manifest, which a
+     * transaction that replaces it must expect.
      *
-     * @return the item, or null if none is known
+     * @return the revision, or {@link StoreItem#ABSENT} if no change is known
      */
-    @Nullable StoreItem manifestChangeItem() {
-        return manifestChangeItem;
+    long manifestChangeRevision() {
+        return manifestChangeRevision;
     }
 
     /**
@@ -264,7 +265,7 @@
      * @param item the stored item
      */
     private void putManifestChange(StoreItem item) {
-        manifestChangeItem = item;
+        manifestChangeRevision = item.revision();
         manifestChange = ManifestChange.decode(item.value());
         if (manifestChange == null) {
             log.log("manifest.change-unreadable", "revision", item.revision());
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestPublisher.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestPublisher.java
@@ -7,7 +7,6 @@
 import org.damasktiller.scheduler.cell.CellKeys;
 import org.damasktiller.scheduler.model.Manifest;
 import org.damasktiller.scheduler.port.CommitReply;
-import org.damasktiller.scheduler.port.StoreItem;
 import org.damasktiller.scheduler.port.StoreResult;
 import org.damasktiller.scheduler.port.StoreStatus;
 import org.damasktiller.scheduler.port.StoreTransaction;
@@ -79,26 +78,13 @@
         }
     }
 
-    /** Publishes the change to the latest version, unless it has been published. */
+    /** Publishes the change to the latest version, unless that is done or under way. */
     private void publishIfBehind() {
-        long publishedTo =
-                Math.max(toRevision(publishedChange), toRevision(context.view().manifestChange()));
-        Map.Entry<Long, Manifest> to = versions.lastEntry();
-        if (publishing || to == null || to.getKey() <= publishedTo) {
-            return;
-        }
-        Map.Entry<Long, Manifest> from = versions.floorEntry(publishedTo);
-        if (from == null || from.getKey() != publishedTo) {
-            from = versions.lowerEntry(to.getKey());
-        }
-        if (from == null) {
+        ManifestChange change = publishing ? null : nextChange();
+        if (change == null) {
             return;
         }
-        ManifestChange change =
-                ManifestChange.between(from.getKey(), from.getValue(), to.getKey(), to.getValue());
-        StoreItem item = context.view().manifestChangeItem();
-        long keyRevision =
-                Math.max(publishedKeyRevision, item == null ? StoreItem.ABSENT : item.revision());
+        long keyRevision = Math.max(publishedKeyRevision, context.view().manifestChangeRevision());
         publishing = true;
         context.store()
                 .commit(
@@ -108,6 +94,29 @@
                         result -> onPublished(change, result));
     }
 
+    /**
+     * Chooses the change to publish: from the version that the last published change leads to, or
+     * from the one before the latest if that version is not kept.
+     *
+     * @return the change, or null if the latest version is published or is the only one
+     */
+    private @Nullable ManifestChange nextChange() {
+        long publishedTo =
+                Math.max(toRevision(publishedChange), toRevision(context.view().manifestChange()));
+        Map.Entry<Long, Manifest> to = versions.lastEntry();
+        if (to == null || to.getKey() <= publishedTo) {
+            return null;
+        }
+        Map.Entry<Long, Manifest> from =
+                versions.containsKey(publishedTo)
+                        ? versions.floorEntry(publishedTo)
+                        : versions.lowerEntry(to.getKey());
+        return from == null
+                ? null
+                : ManifestChange.between(
+                        from.getKey(), from.getValue(), to.getKey(), to.getValue());
+    }
+
     /**
      * Handles the result of a publication. One that failed is not repeated: other processes take
      * their turn, and those that miss it read the version in full.
