--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
@@ -150,7 +150,9 @@
                 "worker",
                 record.worker.id,
                 "reason",
-                reason);
+                reason,
+                "knownActive",
+                record.knownActiveMillis());
         if (task != null && !task.done) {
             saveCheckpoint(task, record.checkpoint);
             stopGang(task);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
@@ -43,6 +43,9 @@
     /** The state of the run as known to this owner. */
     RunPhase phase;
 
+    /** When an inventory last listed the run, in milliseconds, or {@link #UNKNOWN} if none did. */
+    long listedAtMillis = UNKNOWN;
+
     /** The last checkpoint that the worker has reported, empty for none. */
     String checkpoint = "";
 
@@ -161,6 +164,16 @@
         return !confirmed;
     }
 
+    /**
+     * Returns for how long the run is known to have been active.
+     *
+     * @return the time from its start request until an inventory last listed it, in milliseconds; 0
+     *     if none did
+     */
+    long knownActiveMillis() {
+        return listedAtMillis == UNKNOWN ? 0 : listedAtMillis - trackedSinceMillis;
+    }
+
     /**
      * Begins a window of the progress measurement.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerEntryWatcher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerEntryWatcher.java
@@ -138,6 +138,8 @@
                     "worker.listed",
                     "worker",
                     entry.id(),
+                    "address",
+                    entry.address(),
                     "zone",
                     entry.zone(),
                     "capacity",
@@ -154,6 +156,18 @@
             context.log.log(
                     "worker.draining", "worker", entry.id(), "remaining", entry.remainingMillis());
         }
+        if (!previousEntry.capacity().equals(entry.capacity())) {
+            context.log.log(
+                    "worker.resized",
+                    "worker",
+                    entry.id(),
+                    "capacity",
+                    entry.capacity(),
+                    "before",
+                    previousEntry.capacity(),
+                    "reserved",
+                    worker.reserved);
+        }
         listener.onUpdated(worker, previousEntry);
     }
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerPoller.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerPoller.java
@@ -222,6 +222,7 @@
             record = adoptRun(worker, view);
         }
         record.confirmed = true;
+        record.listedAtMillis = context.now();
         if (record.phase == RunPhase.STARTING || record.phase == RunPhase.UNCERTAIN) {
             record.phase = RunPhase.RUNNING;
         }
