--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/RunInvariantChecker.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/RunInvariantChecker.java
@@ -13,10 +13,17 @@
 /**
  * Checks the safety properties of the scheduler on the events of the simulated workers. A task must
  * never have two active runs, and it must not start again after its successful end was acknowledged
- * or after as many of its failures were acknowledged as it has attempts.
+ * or after as many of its failures were acknowledged as it has attempts. A task that crashes its
+ * workers may be started only a few times more after several of them have crashed.
  */
 public final class RunInvariantChecker implements RunObserver {
 
+    /** The number of crashes after which the starts of a task are limited. */
+    private static final int LIMITING_CRASHES = 3;
+
+    /** The number of starts of a task that are allowed after that many crashes. */
+    private static final int ALLOWED_STARTS_AFTER_CRASHES = 2;
+
     /** The number of failures after which a task must not start again. */
     private final int maximumAttempts;
 
@@ -38,6 +45,12 @@
     /** The number of starts by task. */
     private final Map<TaskId, Integer> startCounts = new HashMap<>();
 
+    /** The number of workers that runs of a task have crashed, by task. */
+    private final Map<TaskId, Integer> crashCounts = new HashMap<>();
+
+    /** The number of starts by task since its starts are limited. */
+    private final Map<TaskId, Integer> startsAfterCrashes = new HashMap<>();
+
     /** The violations found so far, one line each. */
     private final List<String> violations = new ArrayList<>();
 
@@ -62,6 +75,15 @@
         if (acknowledgedFailures.getOrDefault(task, 0) >= maximumAttempts) {
             violations.add("start of " + task + " after " + maximumAttempts + " failed runs");
         }
+        if (crashCount(task) >= LIMITING_CRASHES
+                && startsAfterCrashes.merge(task, 1, Integer::sum) > ALLOWED_STARTS_AFTER_CRASHES) {
+            violations.add("start of " + task + " after " + crashCount(task) + " crashes");
+        }
+    }
+
+    @Override
+    public void crashed(String worker, TaskId task) {
+        crashCounts.merge(task, 1, Integer::sum);
     }
 
     @Override
@@ -111,6 +133,16 @@
         return startCounts.getOrDefault(task, 0);
     }
 
+    /**
+     * Returns how many workers runs of a task have crashed.
+     *
+     * @param task the task
+     * @return the number of crashes
+     */
+    public int crashCount(TaskId task) {
+        return crashCounts.getOrDefault(task, 0);
+    }
+
     /**
      * Returns the highest number of failed runs of any of the given tasks.
      *
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/RunObserver.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/RunObserver.java
@@ -35,4 +35,12 @@
      * @param kind why the run ended
      */
     void acknowledged(String worker, TaskId task, int run, EndKind kind);
+
+    /**
+     * Called when a run has crashed its worker, before the ends of the runs there.
+     *
+     * @param worker the identifier of the worker
+     * @param task the task of the run
+     */
+    default void crashed(String worker, TaskId task) {}
 }
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/SimulatedWorker.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/SimulatedWorker.java
@@ -109,6 +109,18 @@
         activeRuns.clear();
     }
 
+    /**
+     * Crashes the worker because of a run. Does nothing if the run has ended.
+     *
+     * @param run the run
+     */
+    private void crashBy(SimulatedRun run) {
+        if (!run.hasEnded) {
+            observer.crashed(id, run.task);
+            crash();
+        }
+    }
+
     /** Restarts the worker with a new boot time and without any state of its previous boot. */
     public void boot() {
         crash();
@@ -210,6 +222,10 @@
         if (duration != TaskBehaviour.RUNS_UNTIL_STOPPED) {
             runtime.schedule(duration, () -> end(run, behaviour.outcome(id, request.task())));
         }
+        long crashDelay = behaviour.crashDelayMillis(request.task());
+        if (crashDelay != TaskBehaviour.NEVER_CRASHES) {
+            runtime.schedule(crashDelay, () -> crashBy(run));
+        }
         return reply(WorkerStatus.OK);
     }
 
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/TaskBehaviour.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/TaskBehaviour.java
@@ -10,6 +10,9 @@
     /** The duration of a task that runs until it is stopped. */
     long RUNS_UNTIL_STOPPED = -1;
 
+    /** The delay of a crash that does not happen. */
+    long NEVER_CRASHES = -1;
+
     /**
      * Returns the resources that a run of a task reserves on its worker.
      *
@@ -35,4 +38,14 @@
      * @return why the run ends
      */
     EndKind outcome(String worker, TaskId task);
+
+    /**
+     * Returns how long after its start a run of a task crashes its worker.
+     *
+     * @param task the task
+     * @return the time, in milliseconds, or {@link #NEVER_CRASHES}
+     */
+    default long crashDelayMillis(TaskId task) {
+        return NEVER_CRASHES;
+    }
 }
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -3,6 +3,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,6 +34,7 @@
 import org.damasktiller.scheduler.port.StoreTransaction;
 import org.damasktiller.standin.fleet.FaultInjectingWorkerClient;
 import org.damasktiller.standin.fleet.RunInvariantChecker;
+import org.damasktiller.standin.fleet.RunObserver;
 import org.damasktiller.standin.fleet.SimulatedWorker;
 import org.damasktiller.standin.fleet.TaskBehaviour;
 import org.damasktiller.standin.metadata.FaultInjectingStoreClient;
@@ -43,7 +45,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** A simulation of one cell, with its store, its workers and its owners, on a virtual clock. */
-final class CellSimulation implements TaskBehaviour {
+final class CellSimulation implements TaskBehaviour, RunObserver {
 
     /** The name of the cell and of the service that its workers belong to. */
     static final String CELL = "dispatch";
@@ -54,6 +56,15 @@
     /** The processors of a worker, in millicores; also its memory, in megabytes. */
     private static final long WORKER_CAPACITY = 8_000;
 
+    /** How long after its start a crashing task crashes its worker, in milliseconds. */
+    private static final long CRASH_DELAY_MILLIS = 10;
+
+    /** The time after which a worker that has crashed is back, in milliseconds. */
+    private static final long DOWN_MILLIS = 3_000;
+
+    /** How long the entry of a worker that has crashed is still listed, in milliseconds. */
+    private static final long ENTRY_EXPIRY_MILLIS = 4_000;
+
     /** The clock and timers of the simulation. */
     final VirtualTimeRuntime runtime = new VirtualTimeRuntime();
 
@@ -69,6 +80,15 @@
     /** Checks the safety properties on the events of the workers. */
     final RunInvariantChecker invariants = new RunInvariantChecker(MAX_ATTEMPTS);
 
+    /** The port of each worker; a worker that returns under another identifier has the same. */
+    private final Map<String, Integer> ports = new HashMap<>();
+
+    /** The identifiers of the submissions of which each task crashes the workers that start it. */
+    final Set<String> crashingSubmissions = FaultInjectingWorkerClient.newIdSet();
+
+    /** How long after its start a task of these crashes its worker, in milliseconds. */
+    long crashDelayMillis = CRASH_DELAY_MILLIS;
+
     /** The lines that owners have logged. */
     final List<String> logLines = new ArrayList<>();
 
@@ -113,8 +133,19 @@
      * @param id the identifier of the worker
      */
     void addWorker(String id) {
+        addWorker(id, 1 + ports.size());
+    }
+
+    /**
+     * Boots a worker at a port and registers it.
+     *
+     * @param id the identifier of the worker
+     * @param port the port
+     */
+    private void addWorker(String id, int port) {
+        ports.put(id, port);
         Resources capacity = new Resources(WORKER_CAPACITY, WORKER_CAPACITY, 0);
-        workers.put(id, new SimulatedWorker(id, capacity, runtime, this, invariants));
+        workers.put(id, new SimulatedWorker(id, capacity, runtime, this, this));
         register(id, false);
     }
 
@@ -127,7 +158,7 @@
     void register(String id, boolean draining) {
         SimulatedWorker model = workers.get(id);
         InetSocketAddress address =
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), 1 + workers.size());
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), ports.get(id));
         store.commit(
                 new StoreTransaction()
                         .put(
@@ -141,6 +172,28 @@
                                         model.bootUnixMillis())));
     }
 
+    /**
+     * Crashes a worker. It does not answer any more, its entry expires, and some seconds later a
+     * new worker registers at its address under another identifier.
+     *
+     * @param id the identifier of the worker
+     */
+    void crashWorker(String id) {
+        workers.get(id).crash();
+        crashed(id);
+    }
+
+    /**
+     * Lets a worker that has crashed return.
+     *
+     * @param id the identifier of the worker
+     */
+    private void crashed(String id) {
+        unreachable.add(id);
+        runtime.schedule(ENTRY_EXPIRY_MILLIS, () -> unregister(id));
+        runtime.schedule(DOWN_MILLIS, () -> addWorker(id + "'", ports.get(id)));
+    }
+
     /**
      * Removes the entry of a worker from the store; the worker keeps running.
      *
@@ -343,6 +396,32 @@
         return fails ? EndKind.FAILED : EndKind.DONE;
     }
 
+    @Override
+    public long crashDelayMillis(TaskId task) {
+        return crashingSubmissions.contains(task.submission()) ? crashDelayMillis : NEVER_CRASHES;
+    }
+
+    @Override
+    public void started(String worker, TaskId task, int run) {
+        invariants.started(worker, task, run);
+    }
+
+    @Override
+    public void ended(String worker, TaskId task, int run, @Nullable EndKind kind) {
+        invariants.ended(worker, task, run, kind);
+    }
+
+    @Override
+    public void acknowledged(String worker, TaskId task, int run, EndKind kind) {
+        invariants.acknowledged(worker, task, run, kind);
+    }
+
+    @Override
+    public void crashed(String worker, TaskId task) {
+        invariants.crashed(worker, task);
+        crashed(worker);
+    }
+
     /**
      * Creates a step.
      *
