--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -129,7 +129,13 @@
         drainController = new DrainController(context, requestSender, runTimes);
         taskScheduler =
                 new TaskScheduler(
-                        context, workerSelector, requestSender, runTimes, advice, ownership);
+                        context,
+                        workerSelector,
+                        requestSender,
+                        runTimes,
+                        advice,
+                        ownership,
+                        jobTracker.crashTracker());
         counts = new CountPublisher(context, jobTracker);
         submissionWatcher = new SubmissionWatcher(context, new SubmissionListener());
         workerWatcher =
@@ -289,6 +295,7 @@
                     !worker.listed && worker.runs.isEmpty() && now >= worker.leasesExpireAtMillis;
             if (gone) {
                 context.workers.remove(worker.id);
+                jobTracker.crashTracker().onGone(worker);
                 context.log.log("worker.gone", "worker", worker.id);
             }
         }
@@ -368,6 +375,7 @@
             if (mayReopen && context.roster.isOutdated(worker)) {
                 commits.enqueueRoster();
             }
+            jobTracker.crashTracker().onAnswered(worker);
             fillerThrottle.evaluate(worker);
             stragglerMitigator.evaluate(worker);
             schedulePass();
@@ -380,6 +388,9 @@
             }
             worker.avoidUntilMillis =
                     Math.max(worker.avoidUntilMillis, context.now() + FAILED_POLL_AVOID_MILLIS);
+            if (!worker.isAnswering(context.now())) {
+                jobTracker.crashTracker().onContactLost(worker);
+            }
         }
     }
 
--- /dev/null
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CrashTracker.java
@@ -0,0 +1,439 @@
+package org.damasktiller.scheduler.cell;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import org.damasktiller.scheduler.crash.CrashAttribution;
+import org.damasktiller.scheduler.crash.CrashHistory;
+import org.damasktiller.scheduler.crash.CrashObservation;
+import org.damasktiller.scheduler.crash.CrashRole;
+import org.damasktiller.scheduler.crash.RecordedStart;
+
+/**
+ * Counts crashes of workers against the tasks that may have caused them, and lets suspect tasks
+ * start only once that start is recorded.
+ *
+ * <p>A worker that is only silent has not crashed. A crash shows by a new boot of the worker, or by
+ * another worker that answers at its address, which may happen after the runs of the first one are
+ * known to be over. A recorded start whose outcome nobody knows counts as one that may have caused
+ * a crash.
+ */
+final class CrashTracker {
+
+    /** How long a worker whose crash has not shown is remembered, in milliseconds. */
+    private static final long LOST_WORKER_MEMORY_MILLIS = 60_000;
+
+    /** The shared state of the cell's owner. */
+    private final CellContext context;
+
+    /** Stores the changes of jobs. */
+    private final CommitQueue commits;
+
+    /** Detects causes that concern several workers. */
+    private final CommonCauseDetector commonCauses;
+
+    /** Fails the jobs of tasks that are given up. */
+    private final Listener listener;
+
+    /** The workers whose runs are over without a sign of a crash. */
+    private final List<LostWorker> lostWorkers = new ArrayList<>();
+
+    /**
+     * Creates a tracker that knows of no crash but those of the stored progress.
+     *
+     * @param context the shared state of the cell's owner
+     * @param commits stores the changes of jobs
+     * @param listener fails the jobs of tasks that are given up
+     */
+    CrashTracker(CellContext context, CommitQueue commits, Listener listener) {
+        this.context = context;
+        this.commits = commits;
+        this.listener = listener;
+        this.commonCauses = new CommonCauseDetector(context);
+    }
+
+    /**
+     * Records that a worker has stopped answering. A successor that finds no outcome of a run that
+     * had just started there must count it against the task.
+     *
+     * @param worker the worker
+     */
+    void onContactLost(WorkerRecord worker) {
+        for (RunRecord run : worker.runs.values()) {
+            TaskRecord task = run.task;
+            if (task != null
+                    && isOpen(task)
+                    && task.recordedStart == null
+                    && !CommonCauseDetector.isSound(run)) {
+                recordStart(task, worker);
+            }
+        }
+    }
+
+    /**
+     * Counts the crash of a worker that has started again, before its runs are dropped.
+     *
+     * @param worker the worker
+     */
+    void onRestarted(WorkerRecord worker) {
+        if (worker.missedPolls == 0) {
+            worker.contactLostAtMillis = context.now();
+        }
+        if (!worker.wasDraining()) {
+            attribute(worker, "it started again");
+        }
+    }
+
+    /**
+     * Counts the crash of a worker whose leases are over, before its runs are dropped. If no other
+     * worker answers at its address, it may have been cut off.
+     *
+     * @param worker the worker
+     */
+    void onLeasesOver(WorkerRecord worker) {
+        if (worker.wasDraining()
+                || worker.runs.values().stream().allMatch(run -> run.crashEvaluated)) {
+            return;
+        }
+        boolean replaced =
+                context.allWorkers().stream().anyMatch(other -> other.hasReplaced(worker));
+        if (replaced) {
+            attribute(worker, "another worker answers at its address");
+            return;
+        }
+        List<Attribution> attributions = attributionsOf(worker);
+        for (Attribution attribution : attributions) {
+            if (attribution.counted()) {
+                countUnknown(worker.id, attribution.task());
+            }
+        }
+        lostWorkers.add(
+                new LostWorker(worker, worker.entry.address(), context.now(), attributions));
+    }
+
+    /**
+     * Records that a worker is removed, since it is not listed and runs nothing.
+     *
+     * @param worker the worker
+     */
+    void onGone(WorkerRecord worker) {
+        commonCauses.onGone(worker);
+    }
+
+    /**
+     * Counts the crash of a lost worker if another one answers at its address.
+     *
+     * @param worker a worker that has answered
+     */
+    void onAnswered(WorkerRecord worker) {
+        if (lostWorkers.isEmpty()) {
+            return;
+        }
+        for (Iterator<LostWorker> iterator = lostWorkers.iterator(); iterator.hasNext(); ) {
+            LostWorker lost = iterator.next();
+            if (context.now() - lost.lostAtMillis() > LOST_WORKER_MEMORY_MILLIS) {
+                iterator.remove();
+            } else if (worker != lost.worker() && worker.entry.address().equals(lost.address())) {
+                iterator.remove();
+                lost.attributions().forEach(attribution -> countLate(lost, attribution));
+            }
+        }
+    }
+
+    /**
+     * Records that an inventory lists a run. A run that has been active for long enough shows that
+     * its task does not crash its workers.
+     *
+     * @param run the run
+     */
+    void onListed(RunRecord run) {
+        TaskRecord task = run.task;
+        if (task == null
+                || (task.crashes.equals(CrashHistory.NONE) && task.recordedStart == null)) {
+            return;
+        }
+        boolean lasting = task.step.spec.lasting();
+        long knownActiveMillis = run.knownActiveMillis();
+        if (!task.crashes.isSound(knownActiveMillis, lasting)) {
+            return;
+        }
+        boolean forGood = task.crashes.isSoundForGood(knownActiveMillis, lasting);
+        CrashHistory history = task.crashes.withSoundRun(forGood);
+        run.worker.endQuarantine(run);
+        if (!history.equals(task.crashes)) {
+            context.log.log(
+                    "task.cleared",
+                    "task",
+                    task.id,
+                    "run",
+                    run.runNumber,
+                    "worker",
+                    run.worker.id,
+                    "knownActive",
+                    knownActiveMillis,
+                    "crashes",
+                    task.crashes.crashes());
+            task.crashes = history;
+            commits.enqueue(task.step.occurrence.job);
+        }
+        onOutcomeKnown(task);
+    }
+
+    /**
+     * Returns whether a waiting task is suspect. First finds out about a start that a previous
+     * owner has recorded and that has neither a run nor an end.
+     *
+     * @param task the task, without runs
+     * @return whether its next start needs care
+     */
+    boolean isSuspect(TaskRecord task) {
+        RecordedStart start = task.recordedStart;
+        if (start != null && task.recordedStartVersion == 0) {
+            task.recordedStart = null;
+            if (RecordedStarts.hasCrashed(start, context.allWorkers())) {
+                CrashHistory crashes = task.crashes.withCrash(CrashRole.CANDIDATE);
+                update(start.worker(), task, crashes, "its worker is gone or has started again");
+            } else if (!RecordedStarts.isAlive(start, context.workers.get(start.worker()))) {
+                countUnknown(start.worker(), task);
+            }
+        }
+        return task.crashes.isSuspect();
+    }
+
+    /**
+     * Records that a suspect task is about to start on a worker, unless that is recorded, so that a
+     * successor knows of the start.
+     *
+     * @param task the task
+     * @param worker the worker
+     * @return whether the record is stored, so that the task may start there
+     */
+    boolean isStartRecorded(TaskRecord task, WorkerRecord worker) {
+        if (!isOpen(task)) {
+            return false;
+        }
+        if (!RecordedStarts.of(worker).equals(task.recordedStart)) {
+            recordStart(task, worker);
+        }
+        return task.step.occurrence.job.committedVersion >= task.recordedStartVersion;
+    }
+
+    /**
+     * Records that the outcome of a recorded start is known, and is no crash.
+     *
+     * @param task the task
+     */
+    void onOutcomeKnown(TaskRecord task) {
+        if (task.recordedStart != null) {
+            task.recordedStart = null;
+            commits.enqueue(task.step.occurrence.job);
+        }
+    }
+
+    /**
+     * Records the start of a run in the progress of its job.
+     *
+     * @param task the task
+     * @param worker the worker
+     */
+    private void recordStart(TaskRecord task, WorkerRecord worker) {
+        Job job = task.step.occurrence.job;
+        task.recordedStart = RecordedStarts.of(worker);
+        commits.enqueue(job);
+        task.recordedStartVersion = job.version;
+    }
+
+    /**
+     * Counts the crash of a worker against its runs.
+     *
+     * @param worker the worker
+     * @param sign how the crash has shown, for the log
+     */
+    private void attribute(WorkerRecord worker, String sign) {
+        for (Attribution attribution : attributionsOf(worker)) {
+            count(worker, attribution.task(), attribution.role(), sign);
+        }
+    }
+
+    /**
+     * Determines against which tasks the crash of a worker counts.
+     *
+     * @param worker the worker
+     * @return the tasks with their roles; without runs that were evaluated before
+     */
+    private List<Attribution> attributionsOf(WorkerRecord worker) {
+        List<RunRecord> runs = new ArrayList<>();
+        for (RunRecord run : worker.runs.values()) {
+            if (!run.crashEvaluated) {
+                run.crashEvaluated = true;
+                runs.add(run);
+            }
+        }
+        List<CrashObservation> observations =
+                runs.stream().map(CommonCauseDetector::observe).toList();
+        worker.crashCandidates = CrashAttribution.countCandidates(observations);
+        boolean commonCause = commonCauses.hasCommonCause(worker);
+        List<CrashRole> roles = CrashAttribution.attribute(observations, commonCause);
+        List<Attribution> attributions = new ArrayList<>();
+        for (int index = 0; index < runs.size(); index++) {
+            TaskRecord task = runs.get(index).task;
+            if (task != null && isOpen(task)) {
+                attributions.add(
+                        new Attribution(
+                                task,
+                                roles.get(index),
+                                task.crashes.isSuspect() && mayBeCause(roles.get(index))));
+            }
+        }
+        if (!runs.isEmpty()) {
+            context.log.log(
+                    "worker.crash",
+                    "worker",
+                    worker.id,
+                    "runs",
+                    runs.size(),
+                    "candidates",
+                    worker.crashCandidates,
+                    "commonCause",
+                    commonCause);
+        }
+        return attributions;
+    }
+
+    /**
+     * Counts the crash of a worker against a task.
+     *
+     * @param worker the worker
+     * @param task the task
+     * @param role how the task is involved
+     * @param sign how the crash has shown, for the log
+     */
+    private void count(WorkerRecord worker, TaskRecord task, CrashRole role, String sign) {
+        update(worker.id, task, task.crashes.withCrash(role), sign);
+    }
+
+    /**
+     * Counts a crash that shows after the runs of the worker are known to be over.
+     *
+     * @param lost the worker
+     * @param attribution the task and its role
+     */
+    private void countLate(LostWorker lost, Attribution attribution) {
+        TaskRecord task = attribution.task();
+        CrashHistory crashes =
+                attribution.counted()
+                        ? task.crashes.withOutcomeShown()
+                        : task.crashes.withCrash(attribution.role());
+        update(lost.worker().id, task, crashes, "another worker answers at its address");
+    }
+
+    /**
+     * Counts a start whose outcome will not be known against a task.
+     *
+     * @param workerId the identifier of the worker
+     * @param task the task
+     */
+    private void countUnknown(String workerId, TaskRecord task) {
+        update(workerId, task, task.crashes.withUnknownOutcome(), "the outcome is unknown");
+    }
+
+    /**
+     * Replaces the history of a task, and fails its job if the task is given up.
+     *
+     * @param workerId the identifier of the worker that crashed or may have crashed
+     * @param task the task
+     * @param crashes the new history
+     * @param sign how the crash has shown, for the log
+     */
+    private void update(String workerId, TaskRecord task, CrashHistory crashes, String sign) {
+        if (!isOpen(task) || task.crashes.equals(crashes)) {
+            return;
+        }
+        CrashHistory before = task.crashes;
+        Job job = task.step.occurrence.job;
+        task.crashes = crashes;
+        commits.enqueue(job);
+        if (crashes.crashes() == before.crashes()
+                && crashes.unknownOutcomes() == before.unknownOutcomes()) {
+            return;
+        }
+        task.crashedAtMillis = context.now();
+        context.log.log(
+                "task.crash",
+                "route",
+                job.accepted.route(),
+                "task",
+                task.id,
+                "worker",
+                workerId,
+                "sign",
+                sign,
+                "crashes",
+                crashes.crashes(),
+                "bystander",
+                crashes.bystanderCrashes(),
+                "unknown",
+                crashes.unknownOutcomes(),
+                "givenUp",
+                crashes.isGivenUp());
+        if (crashes.isGivenUp()) {
+            listener.onGivenUp(job);
+        }
+    }
+
+    /**
+     * Returns whether a run may be the cause of a crash.
+     *
+     * @param role the role of the run
+     * @return whether it is a candidate
+     */
+    private static boolean mayBeCause(CrashRole role) {
+        return role == CrashRole.CANDIDATE || role == CrashRole.UNCERTAIN;
+    }
+
+    /**
+     * Returns whether a task has to be done by this owner.
+     *
+     * @param task the task
+     * @return whether it is not done and its submission is open
+     */
+    private boolean isOpen(TaskRecord task) {
+        Job job = task.step.occurrence.job;
+        return !task.done && !job.state.isFinal() && context.jobs.get(job.id()) == job;
+    }
+
+    /** Called when a task is given up. */
+    interface Listener {
+
+        /**
+         * Called when a task of a job is given up.
+         *
+         * @param job the job
+         */
+        void onGivenUp(Job job);
+    }
+
+    /**
+     * A task that had a run on a worker that has crashed.
+     *
+     * @param task the task
+     * @param role how the task is involved
+     * @param counted whether the loss counts against the task even without a sign of the crash
+     */
+    private record Attribution(TaskRecord task, CrashRole role, boolean counted) {}
+
+    /**
+     * A worker whose runs are over without a sign of a crash.
+     *
+     * @param worker the worker
+     * @param address its address
+     * @param lostAtMillis when its leases were over, in milliseconds
+     * @param attributions the tasks against which a crash would count
+     */
+    private record LostWorker(
+            WorkerRecord worker,
+            InetSocketAddress address,
+            long lostAtMillis,
+            List<Attribution> attributions) {}
+}
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
@@ -37,6 +37,9 @@
     /** Learns how long tasks take. */
     private final RunTimeEstimator runTimes;
 
+    /** Counts crashes of workers against tasks. */
+    private final CrashTracker crashTracker;
+
     /**
      * Creates a tracker for the jobs of a cell.
      *
@@ -54,6 +57,16 @@
         this.commits = commits;
         this.requestSender = requestSender;
         this.runTimes = runTimes;
+        this.crashTracker = new CrashTracker(context, commits, this::finishIfDoneOrFailed);
+    }
+
+    /**
+     * Returns the tracker of the crashes of workers under the tasks.
+     *
+     * @return the tracker
+     */
+    CrashTracker crashTracker() {
+        return crashTracker;
     }
 
     /**
@@ -124,6 +137,7 @@
                     end.kind(),
                     "sequence",
                     end.sequence());
+            crashTracker.onOutcomeKnown(task);
             updateTask(task, worker, end);
             commits.enqueue(job);
             finishIfDoneOrFailed(job);
@@ -154,6 +168,7 @@
                 "knownActive",
                 record.knownActiveMillis());
         if (task != null && !task.done) {
+            crashTracker.onOutcomeKnown(task);
             saveCheckpoint(task, record.checkpoint);
             stopGang(task);
         }
@@ -371,7 +386,8 @@
     }
 
     /**
-     * Returns whether any task or gang of a job has no attempts left.
+     * Returns whether any task or gang of a job has no attempts left, or is given up since it
+     * crashes its workers.
      *
      * @param job the job
      * @return whether one has none left
@@ -380,7 +396,10 @@
         int maxAttempts = maxAttempts(job);
         for (OccurrenceRecord occurrence : job.occurrences.values()) {
             for (StepRecord step : occurrence.steps) {
-                if (!step.spec.lasting() && hasExhaustedAttempts(step, maxAttempts)) {
+                boolean givenUp =
+                        step.tasks.stream()
+                                .anyMatch(task -> !task.done && task.crashes.isGivenUp());
+                if (givenUp || (!step.spec.lasting() && hasExhaustedAttempts(step, maxAttempts))) {
                     return true;
                 }
             }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressRecord.java
@@ -3,12 +3,16 @@
 import com.fasterxml.jackson.annotation.JsonInclude;
 import java.util.ArrayList;
 import java.util.List;
+import org.damasktiller.scheduler.crash.CrashHistory;
+import org.damasktiller.scheduler.crash.RecordedStart;
 import org.damasktiller.scheduler.model.TaskId;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The stored progress of an open submission, from which a successor restores its job.
  *
- * @param tasks the tasks that are done, have an ended run, or are long-running tasks that have run
+ * @param tasks the tasks that are done, have an ended run, are long-running tasks that have run, or
+ *     may have crashed workers
  */
 public record ProgressRecord(List<Entry> tasks) {
 
@@ -28,7 +32,11 @@
         for (OccurrenceRecord occurrence : job.occurrences.values()) {
             for (StepRecord step : occurrence.steps) {
                 for (TaskRecord task : step.tasks) {
-                    if (task.highestEndedRunNumber > 0 || task.done || task.everRan) {
+                    if (task.highestEndedRunNumber > 0
+                            || task.done
+                            || task.everRan
+                            || task.recordedStart != null
+                            || !task.crashes.equals(CrashHistory.NONE)) {
                         entries.add(Entry.of(task));
                     }
                 }
@@ -55,6 +63,8 @@
             task.highestEndedRunNumber = entry.run();
             task.highestRunNumber = entry.run();
             task.checkpoint = entry.checkpoint();
+            task.crashes = entry.crashHistory();
+            task.recordedStart = entry.recordedStart();
             if (entry.done()) {
                 task.step.markDone(task);
             }
@@ -73,6 +83,11 @@
      * @param run the highest number of a run whose end is recorded, 0 if there is none
      * @param ran whether a run of a long-running task was ever confirmed; false for other tasks
      * @param checkpoint the last checkpoint, empty if there is none or the task is done
+     * @param crashes the number of crashes of workers that the task may have caused
+     * @param bystanderCrashes the number of crashes of workers under runs that had been active for
+     *     some time
+     * @param unknownOutcomes the number of runs that may have crashed their worker
+     * @param recordedStart a start whose outcome is not known, or null
      */
     @JsonInclude(JsonInclude.Include.NON_DEFAULT)
     public record Entry(
@@ -83,7 +98,11 @@
             List<Integer> failedRuns,
             int run,
             boolean ran,
-            String checkpoint) {
+            String checkpoint,
+            int crashes,
+            int bystanderCrashes,
+            int unknownOutcomes,
+            @Nullable RecordedStart recordedStart) {
 
         /** Replaces components that the stored record leaves out by their defaults. */
         @SuppressWarnings("ConstantConditions")
@@ -107,7 +126,20 @@
                     List.copyOf(task.failedRunNumbers),
                     task.highestEndedRunNumber,
                     task.everRan,
-                    task.done ? "" : task.checkpoint);
+                    task.done ? "" : task.checkpoint,
+                    task.crashes.crashes(),
+                    task.crashes.bystanderCrashes(),
+                    task.crashes.unknownOutcomes(),
+                    task.recordedStart);
+        }
+
+        /**
+         * Returns the crashes of workers under runs of the task.
+         *
+         * @return the crashes
+         */
+        CrashHistory crashHistory() {
+            return new CrashHistory(crashes, bystanderCrashes, unknownOutcomes);
         }
     }
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
@@ -46,6 +46,12 @@
     /** When an inventory last listed the run, in milliseconds, or {@link #UNKNOWN} if none did. */
     long listedAtMillis = UNKNOWN;
 
+    /** Whether the run belongs to a suspect task and has not been active for long enough yet. */
+    boolean quarantined;
+
+    /** Whether it was determined how the run is involved in the crash of its worker. */
+    boolean crashEvaluated;
+
     /** The last checkpoint that the worker has reported, empty for none. */
     String checkpoint = "";
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRequestSender.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRequestSender.java
@@ -83,6 +83,7 @@
                         now);
         record.checkpoint = task.checkpoint;
         record.startCheckpoint = task.checkpoint;
+        record.quarantined = task.crashes.isSuspect();
         worker.addRun(record);
         long leaseEnd = context.leases.leaseEnd(worker, now);
         context.leases.recordGrant(worker, leaseEnd, now);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecord.java
@@ -5,7 +5,10 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import org.damasktiller.scheduler.crash.CrashHistory;
+import org.damasktiller.scheduler.crash.RecordedStart;
 import org.damasktiller.scheduler.model.TaskId;
+import org.jspecify.annotations.Nullable;
 
 /** A task of a step, its progress and its runs. */
 public final class TaskRecord {
@@ -40,6 +43,18 @@
     /** The highest number of a run that was started or reported, 0 for none. */
     int highestRunNumber;
 
+    /** The crashes of workers under runs of the task. */
+    CrashHistory crashes = CrashHistory.NONE;
+
+    /** The start whose outcome is not known, if it is recorded; null otherwise. */
+    @Nullable RecordedStart recordedStart;
+
+    /** The version of the job with that record, or 0 if a previous owner has recorded it. */
+    long recordedStartVersion;
+
+    /** When a crash was last counted against the task, in milliseconds, or 0 for never. */
+    long crashedAtMillis;
+
     /** The checkpoint from which the next run resumes, empty for none. */
     String checkpoint = "";
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
@@ -53,6 +53,9 @@
     /** Selects workers. */
     private final WorkerSelector workerSelector;
 
+    /** Selects workers for tasks that may crash them. */
+    private final SuspectPlacement suspectPlacement;
+
     /** Sends the start requests. */
     private final RunRequestSender requestSender;
 
@@ -65,6 +68,9 @@
     /** Tells up to which store revision this owner is verified to own the cell. */
     private final OwnershipVerifier ownership;
 
+    /** Tells which tasks may crash their workers. */
+    private final CrashTracker crashTracker;
+
     /** The number of starts in the current pass. */
     private int startCount;
 
@@ -77,6 +83,7 @@
      * @param runTimes estimates run times
      * @param advice holds the tickets for routes that need advice
      * @param ownership tells up to which store revision this owner is verified to own the cell
+     * @param crashTracker tells which tasks may crash their workers
      */
     TaskScheduler(
             CellContext context,
@@ -84,13 +91,16 @@
             RunRequestSender requestSender,
             RunTimeEstimator runTimes,
             AdviceTicketProvider advice,
-            OwnershipVerifier ownership) {
+            OwnershipVerifier ownership,
+            CrashTracker crashTracker) {
         this.context = context;
         this.workerSelector = workerSelector;
         this.requestSender = requestSender;
         this.runTimes = runTimes;
         this.advice = advice;
         this.ownership = ownership;
+        this.crashTracker = crashTracker;
+        this.suspectPlacement = new SuspectPlacement(context, workerSelector, advice);
     }
 
     /** Runs one pass over all waiting steps. */
@@ -277,7 +287,8 @@
     }
 
     /**
-     * Starts the waiting tasks of a step one by one until no worker is left for the next.
+     * Starts the waiting tasks of a step one by one until no worker is left for the next. Suspect
+     * tasks do not hold up the others.
      *
      * @param step the step
      */
@@ -287,11 +298,24 @@
             if (!mayStart(task, now)) {
                 continue;
             }
-            WorkerRecord worker = workerSelector.selectWorker(task);
+            boolean suspect = crashTracker.isSuspect(task);
+            if (step.occurrence.job.state.isFinal()) {
+                return;
+            }
+            WorkerRecord worker =
+                    suspect
+                            ? suspectPlacement.selectWorker(task)
+                            : workerSelector.selectWorker(task);
             if (worker == null) {
                 requestTickets(step);
+                if (suspect) {
+                    continue;
+                }
                 return;
             }
+            if (suspect && !crashTracker.isStartRecorded(task, worker)) {
+                continue;
+            }
             requestSender.start(
                     task,
                     worker,
@@ -320,6 +344,9 @@
             requestTickets(step);
             return;
         }
+        if (!areStartsRecorded(step.tasks, workers)) {
+            return;
+        }
         int runNumber = nextRunNumber(highestRunNumber);
         for (int index = 0; index < workers.size(); index++) {
             WorkerRecord worker = workers.get(index);
@@ -329,6 +356,24 @@
         }
     }
 
+    /**
+     * Records the starts of the suspect members of a gang.
+     *
+     * @param tasks the members
+     * @param workers the worker of each member
+     * @return whether all records are stored, so that the gang may start
+     */
+    private boolean areStartsRecorded(List<TaskRecord> tasks, List<WorkerRecord> workers) {
+        boolean recorded = true;
+        for (int index = 0; index < workers.size(); index++) {
+            TaskRecord task = tasks.get(index);
+            if (crashTracker.isSuspect(task)) {
+                recorded &= crashTracker.isStartRecorded(task, workers.get(index));
+            }
+        }
+        return recorded;
+    }
+
     /**
      * Requests tickets for a step if its route needs them.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerPoller.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerPoller.java
@@ -114,6 +114,10 @@
         }
         Inventory inventory = reply.inventory();
         if (reply.status() != WorkerStatus.OK || inventory == null) {
+            if (worker.missedPolls == 0) {
+                worker.contactLostAtMillis = context.now();
+                worker.crashCandidates = -1;
+            }
             worker.missedPolls++;
             listener.onPollFailed(worker, reply);
             context.schedule(context.settings.pollRetryMillis(), () -> poll(worker));
@@ -159,6 +163,7 @@
                 bootUnixMillis,
                 "before",
                 worker.bootUnixMillis);
+        jobTracker.crashTracker().onRestarted(worker);
         worker.fenced = false;
         worker.bootUnixMillis = bootUnixMillis;
         worker.clockMillis = WorkerRecord.NO_CLOCK;
@@ -223,6 +228,7 @@
         }
         record.confirmed = true;
         record.listedAtMillis = context.now();
+        jobTracker.crashTracker().onListed(record);
         if (record.phase == RunPhase.STARTING || record.phase == RunPhase.UNCERTAIN) {
             record.phase = RunPhase.RUNNING;
         }
@@ -257,6 +263,7 @@
                         context.now());
         record.cpuLimitPercent = RunRecord.UNKNOWN;
         record.everThrottled = true;
+        record.quarantined = record.task != null && record.task.crashes.isSuspect();
         worker.addRun(record);
         if (task != null) {
             task.highestRunNumber = Math.max(task.highestRunNumber, view.run());
@@ -327,6 +334,7 @@
         if (!context.areLeasesOver(worker.leasesExpireAtMillis)) {
             return true;
         }
+        jobTracker.crashTracker().onLeasesOver(worker);
         for (RunRecord record : new ArrayList<>(worker.runs.values())) {
             if (!record.mayArrive()
                     || context.now() - record.trackedSinceMillis
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
@@ -13,6 +13,9 @@
  */
 public final class WorkerRecord {
 
+    /** The time of an event that has not happened. */
+    static final long NEVER = Long.MIN_VALUE / 2;
+
     /** The value of a clock reading that has not been taken. */
     static final long NO_CLOCK = -1;
 
@@ -121,6 +124,15 @@
     /** When the worker last answered a poll, in milliseconds, or -1 if it never has. */
     long answeredAtMillis = -1;
 
+    /** When a poll last failed after an answered one, in milliseconds, or {@link #NEVER}. */
+    long contactLostAtMillis = NEVER;
+
+    /**
+     * The number of runs that may have caused the crash of the worker when it was evaluated, or -1
+     * if it was not since the last answer.
+     */
+    long crashCandidates = -1;
+
     /** Until when the worker counts as full after it rejected a start, in milliseconds. */
     long fullUntilMillis;
 
@@ -142,6 +154,9 @@
     /** Whether the stored roster of the cell certainly allows leases for the worker. */
     boolean rosterAllowsLeases;
 
+    /** The number of runs of suspect tasks that have not been active for long enough yet. */
+    private int quarantinedRuns;
+
     /** The CPU that the runs of serving tasks reserve, in millicores. */
     private long servingMillicores;
 
@@ -196,6 +211,58 @@
                 && capacity.accelerators() - reserved.accelerators() >= need.accelerators();
     }
 
+    /**
+     * Returns whether the worker gets no starts because a run there may crash it.
+     *
+     * @return whether a suspect task has started there a short time ago
+     */
+    boolean isQuarantined() {
+        return quarantinedRuns > 0;
+    }
+
+    /**
+     * Records that a run is not likely to crash the worker, or is over.
+     *
+     * @param record the run
+     */
+    void endQuarantine(RunRecord record) {
+        if (record.quarantined) {
+            record.quarantined = false;
+            quarantinedRuns--;
+        }
+    }
+
+    /**
+     * Returns whether this worker answers at the address of another one, which therefore is over.
+     *
+     * @param other the other worker
+     * @return whether this one has answered there after the other one did
+     */
+    boolean hasReplaced(WorkerRecord other) {
+        return this != other
+                && fenced
+                && entry.address().equals(other.entry.address())
+                && answeredAtMillis > other.answeredAtMillis;
+    }
+
+    /**
+     * Returns whether the worker does not answer, or was found to have crashed.
+     *
+     * @return whether it has missed polls or its crash was evaluated
+     */
+    boolean isLost() {
+        return missedPolls > 0 || crashCandidates >= 0;
+    }
+
+    /**
+     * Returns whether the worker was about to leave when it was last heard of.
+     *
+     * @return whether it is or was draining
+     */
+    boolean wasDraining() {
+        return entry.draining() || drainingSinceMillis >= 0;
+    }
+
     /**
      * Returns the CPU that long-running tasks reserve.
      *
@@ -233,6 +300,7 @@
         if (runs.put(record.key(), record) == null) {
             reserved = reserved.plus(record.reserved);
             addToSums(record, 1);
+            quarantinedRuns += record.quarantined ? 1 : 0;
         }
         if (record.task != null && !record.task.runs.contains(record)) {
             record.task.runs.add(record);
@@ -248,6 +316,7 @@
         if (runs.remove(record.key()) != null) {
             reserved = reserved.minus(record.reserved);
             addToSums(record, -1);
+            endQuarantine(record);
         }
         if (record.task != null) {
             record.task.runs.remove(record);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -274,12 +274,13 @@
      * @param ticketRequired whether the task needs a ticket of the advice service for the worker
      * @return whether the worker is eligible
      */
-    private boolean isEligible(TaskRecord task, WorkerRecord worker, boolean ticketRequired) {
+    boolean isEligible(TaskRecord task, WorkerRecord worker, boolean ticketRequired) {
         long now = context.now();
         StepSpec spec = task.step.spec;
         boolean unavailable =
                 now < worker.fullUntilMillis
                         || worker.startsInFlight >= MAX_STARTS_IN_FLIGHT
+                        || worker.isQuarantined()
                         || worker.failureDetector.isSuspect(now);
         if (!worker.isUsable(now) || unavailable || !hasRequiredLabel(spec, worker)) {
             return false;
--- /dev/null
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/crash/RecordedStart.java
@@ -0,0 +1,12 @@
+package org.damasktiller.scheduler.crash;
+
+/**
+ * The start of a run that may crash its worker. It is stored before its outcome is known, so that a
+ * successor of the owner can tell whether the worker has crashed.
+ *
+ * @param worker the identifier of the worker
+ * @param address the network address of the worker
+ * @param bootUnixMillis when the worker booted, in milliseconds since 1970, or 0 if that is not
+ *     known
+ */
+public record RecordedStart(String worker, String address, long bootUnixMillis) {}
