--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalDeployment.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalDeployment.java
@@ -203,7 +203,13 @@
      */
     public void publishManifest(Manifest base, List<Route> routes) {
         manifestVersion++;
-        Manifest published = new Manifest(manifestVersion, routes, base.services(), base.limits());
+        Manifest published =
+                new Manifest(
+                        manifestVersion,
+                        routes,
+                        base.services(),
+                        base.unguardedServices(),
+                        base.limits());
         store.commit(
                 new StoreTransaction()
                         .put(
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestChange.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestChange.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.zip.CRC32C;
 import java.util.zip.DeflaterOutputStream;
@@ -28,6 +29,8 @@
  * @param changedRoutes the routes that were added or changed
  * @param removedRoutes the names of the routes that were removed
  * @param services the names of all services of the later version
+ * @param unguardedServices the names of those whose workers start what exceeds their capacity; a
+ *     record of an earlier release has none
  * @param limits the limits of the later version
  * @param checksum the checksum of the later version
  */
@@ -38,6 +41,7 @@
         List<Route> changedRoutes,
         List<String> removedRoutes,
         Set<String> services,
+        Set<String> unguardedServices,
         IngressLimits limits,
         long checksum) {
 
@@ -49,6 +53,7 @@
         changedRoutes = List.copyOf(changedRoutes);
         removedRoutes = List.copyOf(removedRoutes);
         services = Set.copyOf(services);
+        unguardedServices = Set.copyOf(Objects.requireNonNullElse(unguardedServices, Set.of()));
     }
 
     /**
@@ -76,6 +81,7 @@
                 changed,
                 removed,
                 to.services(),
+                to.unguardedServices(),
                 to.limits(),
                 checksum(to));
     }
@@ -121,7 +127,9 @@
         Map<String, Route> routes = byName(from);
         removedRoutes.forEach(routes::remove);
         changedRoutes.forEach(route -> routes.put(route.name(), route));
-        Manifest to = new Manifest(version, List.copyOf(routes.values()), services, limits);
+        Manifest to =
+                new Manifest(
+                        version, List.copyOf(routes.values()), services, unguardedServices, limits);
         return checksum(to) == checksum ? to : null;
     }
 
@@ -150,6 +158,10 @@
                 "routes",
                 manifest.routes().stream().sorted(Comparator.comparing(Route::name)).toList());
         content.put("services", manifest.services().stream().sorted().toList());
+        if (!manifest.unguardedServices().isEmpty()) {
+            content.put(
+                    "unguardedServices", manifest.unguardedServices().stream().sorted().toList());
+        }
         content.put("limits", manifest.limits());
         CRC32C checksum = new CRC32C();
         checksum.update(StoredValueCodec.encode(content));
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -239,6 +239,7 @@
     private CellSettings createCellSettings() {
         return CellSettings.builder()
                 .maximumOverTargetMillis(settings.bounds().maximumOverTargetMillis())
+                .maximumEntryAgeMillis(settings.bounds().maximumContactGapMillis())
                 .remoteFactor(settings.bounds().remoteFactor())
                 .maximumWorkerLeaseMillis(settings.bounds().maximumWorkerLeaseMillis())
                 .minimumStoreLeaseMillis(settings.bounds().minimumStoreLeaseMillis())
--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/ManifestChangeTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/ManifestChangeTest.java
@@ -28,6 +28,7 @@
             assertThat(result.version(), is(version));
             assertThat(result.routes(), containsInAnyOrder(to.routes().toArray(Route[]::new)));
             assertThat(result.services(), is(to.services()));
+            assertThat(result.unguardedServices(), is(to.unguardedServices()));
             assertThat(result.limits(), is(to.limits()));
             from = to;
         }
--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/TestManifests.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/TestManifests.java
@@ -72,6 +72,7 @@
                 version,
                 routes,
                 Set.of("service", "service-" + random.nextInt(2)),
+                random.nextBoolean() ? Set.of("service") : Set.of(),
                 new IngressLimits(1_000 + random.nextInt(3), 2_000));
     }
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.damasktiller.scheduler.model.Manifest;
 import org.damasktiller.scheduler.port.DecisionLog;
 import org.damasktiller.scheduler.port.MetadataStore;
@@ -65,6 +66,9 @@
      */
     long ownershipCheckedAtMillis = Long.MIN_VALUE;
 
+    /** Tells when the store last answered the watch of the worker entries, in milliseconds. */
+    LongSupplier workerEntriesReadAtMillis = () -> Long.MIN_VALUE / 2;
+
     /** Tracks what the owners of earlier terms may still run or start. */
     final PreviousOwners previousOwners = new PreviousOwners(this);
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -141,6 +141,7 @@
         workerWatcher =
                 new WorkerEntryWatcher(
                         context, environment.formats(), belongsToCell, new WorkerListener());
+        context.workerEntriesReadAtMillis = workerWatcher::answeredAtMillis;
     }
 
     /** Starts to load the cell; tasks are scheduled once all records have been read. */
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellSettings.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellSettings.java
@@ -43,6 +43,12 @@
      */
     private final long maximumOverTargetMillis;
 
+    /**
+     * The age of a worker's entry from which on workers that do not guard their capacity get no
+     * starts, in milliseconds.
+     */
+    private final long maximumEntryAgeMillis;
+
     /**
      * How many times as long a step takes if it runs away from its data, or a gang if it spans
      * racks; given by the platform's settings.
@@ -65,6 +71,7 @@
         halfTickMillis = builder.halfTickMillis;
         earlyStartMillis = builder.earlyStartMillis;
         maximumOverTargetMillis = builder.maximumOverTargetMillis;
+        maximumEntryAgeMillis = builder.maximumEntryAgeMillis;
         remoteFactor = builder.remoteFactor;
     }
 
@@ -169,6 +176,16 @@
         return maximumOverTargetMillis;
     }
 
+    /**
+     * Returns the age of a worker's entry from which on workers that do not guard their capacity
+     * get no starts.
+     *
+     * @return the age, in milliseconds
+     */
+    public long maximumEntryAgeMillis() {
+        return maximumEntryAgeMillis;
+    }
+
     /**
      * Returns how many times as long a step takes if it runs away from its data, or a gang if it
      * spans racks.
@@ -220,6 +237,9 @@
         /** The default limit of the time over target, given by the platform's documentation. */
         private long maximumOverTargetMillis = 4_000;
 
+        /** See {@link CellSettings#maximumEntryAgeMillis()}. */
+        private long maximumEntryAgeMillis = 4_000;
+
         /** The default slowdown of steps away from their data and of gangs across racks. */
         private double remoteFactor = 2;
 
@@ -292,6 +312,18 @@
             return this;
         }
 
+        /**
+         * Sets the age of a worker's entry from which on workers that do not guard their capacity
+         * get no starts: how long a process may be without contact to the store.
+         *
+         * @param millis the age, in milliseconds
+         * @return this builder
+         */
+        public Builder maximumEntryAgeMillis(long millis) {
+            maximumEntryAgeMillis = millis;
+            return this;
+        }
+
         /**
          * Sets how many times as long a step takes if it runs away from its data, or a gang if it
          * spans racks.
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PrefixWatcher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PrefixWatcher.java
@@ -156,6 +156,16 @@
         return answerGapMillis;
     }
 
+    /**
+     * Returns when the store last answered.
+     *
+     * @return the time of the last answer, or of the creation of this watcher, on the monotonic
+     *     clock, in milliseconds
+     */
+    long answeredAtMillis() {
+        return answeredMillis;
+    }
+
     /** Stops watching; the listener is not called again. */
     public void close() {
         closed = true;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerEntryWatcher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerEntryWatcher.java
@@ -70,6 +70,15 @@
         watcher.start();
     }
 
+    /**
+     * Returns when the store last answered.
+     *
+     * @return the time of the last answer, or of the creation of this watcher, in milliseconds
+     */
+    long answeredAtMillis() {
+        return watcher.answeredAtMillis();
+    }
+
     /** Stops watching; later changes are ignored. */
     void close() {
         watcher.close();
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -277,12 +277,7 @@
     boolean isEligible(TaskRecord task, WorkerRecord worker, boolean ticketRequired) {
         long now = context.now();
         StepSpec spec = task.step.spec;
-        boolean unavailable =
-                now < worker.fullUntilMillis
-                        || worker.startsInFlight >= MAX_STARTS_IN_FLIGHT
-                        || worker.isQuarantined()
-                        || worker.failureDetector.isSuspect(now);
-        if (!worker.isUsable(now) || unavailable || !hasRequiredLabel(spec, worker)) {
+        if (!worker.isUsable(now) || !acceptsStarts(worker) || !hasRequiredLabel(spec, worker)) {
             return false;
         }
         if (worker.failureDetector.isOnProbation() && !worker.runs.isEmpty()) {
@@ -295,6 +290,34 @@
                 && hasEnoughCpu(task, worker);
     }
 
+    /**
+     * Returns whether a usable worker may get one more start now, whatever the task.
+     *
+     * @param worker the worker
+     * @return whether it is neither full, suspect nor quarantined
+     */
+    private boolean acceptsStarts(WorkerRecord worker) {
+        long now = context.now();
+        return now >= worker.fullUntilMillis
+                && worker.startsInFlight < MAX_STARTS_IN_FLIGHT
+                && !worker.failureDetector.isSuspect(now)
+                && !worker.isQuarantined()
+                && !isCapacityOutdated(worker);
+    }
+
+    /**
+     * Returns whether the known capacity of a worker is too old for a start. Only a worker that
+     * does not refuse what exceeds its capacity needs a recent one.
+     *
+     * @param worker the worker
+     * @return whether the store has not confirmed its entry for too long
+     */
+    private boolean isCapacityOutdated(WorkerRecord worker) {
+        return context.manifest.unguardedServices().contains(worker.entry.service())
+                && context.now() - context.workerEntriesReadAtMillis.getAsLong()
+                        > context.settings.maximumEntryAgeMillis();
+    }
+
     /**
      * Returns whether a worker has the label that a step requires.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/model/Manifest.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/model/Manifest.java
@@ -11,15 +11,33 @@
  * @param version the version number, higher for later manifests
  * @param routes the queues that accept submissions
  * @param services the names of the services that workers may belong to
+ * @param unguardedServices the names of those whose workers start what exceeds their capacity
  * @param limits the limits on requests of callers
  */
 public record Manifest(
-        long version, List<Route> routes, Set<String> services, IngressLimits limits) {
+        long version,
+        List<Route> routes,
+        Set<String> services,
+        Set<String> unguardedServices,
+        IngressLimits limits) {
 
     /** Makes immutable copies of the collections. */
     public Manifest {
         routes = List.copyOf(routes);
         services = Set.copyOf(services);
+        unguardedServices = Set.copyOf(unguardedServices);
+    }
+
+    /**
+     * Creates a manifest in which all workers refuse what exceeds their capacity.
+     *
+     * @param version the version number
+     * @param routes the queues that accept submissions
+     * @param services the names of the services that workers may belong to
+     * @param limits the limits on requests of callers
+     */
+    public Manifest(long version, List<Route> routes, Set<String> services, IngressLimits limits) {
+        this(version, routes, services, Set.of(), limits);
     }
 
     /**
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/RunInvariantChecker.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/RunInvariantChecker.java
@@ -14,7 +14,8 @@
  * Checks the safety properties of the scheduler on the events of the simulated workers. A task must
  * never have two active runs, and it must not start again after its successful end was acknowledged
  * or after as many of its failures were acknowledged as it has attempts. A task that crashes its
- * workers may be started only a few times more after several of them have crashed.
+ * workers may be started only a few times more after several of them have crashed, and no start may
+ * exceed the capacity of its worker.
  */
 public final class RunInvariantChecker implements RunObserver {
 
@@ -81,6 +82,11 @@
         }
     }
 
+    @Override
+    public void overloaded(String worker, TaskId task) {
+        violations.add("start of " + task + " beyond the capacity of " + worker);
+    }
+
     @Override
     public void crashed(String worker, TaskId task) {
         crashCounts.merge(task, 1, Integer::sum);
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/RunObserver.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/RunObserver.java
@@ -36,6 +36,14 @@
      */
     void acknowledged(String worker, TaskId task, int run, EndKind kind);
 
+    /**
+     * Called when a start brings a worker that does not guard its capacity over it.
+     *
+     * @param worker the identifier of the worker
+     * @param task the task that starts
+     */
+    default void overloaded(String worker, TaskId task) {}
+
     /**
      * Called when a run has crashed its worker, before the ends of the runs there.
      *
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/SimulatedWorker.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/SimulatedWorker.java
@@ -31,6 +31,12 @@
     /** The maximum duration of a lease, in milliseconds; longer requests are shortened to it. */
     private static final long MAX_LEASE_MILLIS = 6_000;
 
+    /**
+     * How long a capacity that has shrunk still counts for starts, in milliseconds, given by the
+     * platform's documentation: the time without contact that is allowed, and one heartbeat.
+     */
+    private static final long SHRINK_GRACE_MILLIS = 5_100;
+
     /** The progress of a run that has done all of its work, in percent. */
     private static final long FULL_PERCENT = 100;
 
@@ -38,7 +44,16 @@
     private final String id;
 
     /** The total resources of the worker. */
-    private final Resources capacity;
+    private Resources capacity;
+
+    /** The total resources before they were last changed. */
+    private Resources formerCapacity;
+
+    /** When the capacity was last changed, in milliseconds, or a time long past. */
+    private long resizedAtMillis = Long.MIN_VALUE / 2;
+
+    /** Whether the worker refuses a start for which it has no room. */
+    private boolean guardsCapacity = true;
 
     /** The clock and timers of the simulation. */
     private final ProcessRuntime runtime;
@@ -93,6 +108,7 @@
             RunObserver observer) {
         this.id = id;
         this.capacity = capacity;
+        this.formerCapacity = capacity;
         this.runtime = runtime;
         this.behaviour = behaviour;
         this.observer = observer;
@@ -161,6 +177,22 @@
         return capacity;
     }
 
+    /**
+     * Changes the total resources of the worker. Its runs go on.
+     *
+     * @param resources the new capacity
+     */
+    public void resize(Resources resources) {
+        formerCapacity = capacity;
+        capacity = resources;
+        resizedAtMillis = runtime.nowMillis();
+    }
+
+    /** Lets the worker start whatever it is told to, also without room for it. */
+    public void ignoreCapacity() {
+        guardsCapacity = false;
+    }
+
     /**
      * Returns when the worker booted.
      *
@@ -211,22 +243,46 @@
             return reply(WorkerStatus.OLD_RUN);
         }
         Resources reserved = behaviour.reserved(request.task());
-        if (!freeResources().covers(reserved)) {
+        if (guardsCapacity && !freeResources().covers(reserved)) {
             return reply(WorkerStatus.NO_ROOM);
         }
+        reportOverload(request.task(), reserved);
         SimulatedRun run =
                 new SimulatedRun(request.task(), request.run(), reserved, runtime.nowMillis());
         activeRuns.put(request.task(), run);
         observer.started(id, request.task(), request.run());
-        long duration = behaviour.durationMillis(id, request.task());
+        scheduleEnd(run);
+        return reply(WorkerStatus.OK);
+    }
+
+    /**
+     * Notifies the observer if a run does not fit the capacity, even as it was a short time ago.
+     *
+     * @param task the task of the run
+     * @param reserved the resources that the run reserves
+     */
+    private void reportOverload(TaskId task, Resources reserved) {
+        boolean resizedRecently = runtime.nowMillis() - resizedAtMillis <= SHRINK_GRACE_MILLIS;
+        Resources used = reservedResources().plus(reserved);
+        if (!capacity.covers(used) && !(resizedRecently && formerCapacity.covers(used))) {
+            observer.overloaded(id, task);
+        }
+    }
+
+    /**
+     * Schedules the end of a run, and the crash of the worker if the run causes one.
+     *
+     * @param run the run
+     */
+    private void scheduleEnd(SimulatedRun run) {
+        long duration = behaviour.durationMillis(id, run.task);
         if (duration != TaskBehaviour.RUNS_UNTIL_STOPPED) {
-            runtime.schedule(duration, () -> end(run, behaviour.outcome(id, request.task())));
+            runtime.schedule(duration, () -> end(run, behaviour.outcome(id, run.task)));
         }
-        long crashDelay = behaviour.crashDelayMillis(request.task());
+        long crashDelay = behaviour.crashDelayMillis(run.task);
         if (crashDelay != TaskBehaviour.NEVER_CRASHES) {
             runtime.schedule(crashDelay, () -> crashBy(run));
         }
-        return reply(WorkerStatus.OK);
     }
 
     /**
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -113,6 +113,9 @@
     /** The identifiers of the workers that the advice service allows. */
     final Set<String> advisedWorkers = FaultInjectingWorkerClient.newIdSet();
 
+    /** The names of the services whose workers start what exceeds their capacity. */
+    Set<String> unguardedServices = Set.of();
+
     /** The generation of the owner that started last. */
     private long generation;
 
@@ -172,6 +175,17 @@
                                         model.bootUnixMillis())));
     }
 
+    /**
+     * Changes the capacity of a worker, which its entry shows.
+     *
+     * @param id the identifier of the worker
+     * @param capacity the processors, in millicores; also the memory, in megabytes
+     */
+    void resize(String id, long capacity) {
+        workers.get(id).resize(new Resources(capacity, capacity, 0));
+        register(id, false);
+    }
+
     /**
      * Crashes a worker. It does not answer any more, its entry expires, and some seconds later a
      * new worker registers at its address under another identifier.
@@ -416,6 +430,11 @@
         invariants.acknowledged(worker, task, run, kind);
     }
 
+    @Override
+    public void overloaded(String worker, TaskId task) {
+        invariants.overloaded(worker, task);
+    }
+
     @Override
     public void crashed(String worker, TaskId task) {
         invariants.crashed(worker, task);
@@ -446,7 +465,12 @@
     private Manifest manifest() {
         Route route =
                 new Route("route", "host", "/", CELL, 0, MAX_ATTEMPTS, 2, 1_000, adviceNeeded);
-        return new Manifest(1, List.of(route), Set.of(CELL), new IngressLimits(1 << 18, 15_000));
+        return new Manifest(
+                1,
+                List.of(route),
+                Set.of(CELL),
+                unguardedServices,
+                new IngressLimits(1 << 18, 15_000));
     }
 
     /**
