--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
@@ -46,6 +46,9 @@
     /** When an inventory last listed the run, in milliseconds, or {@link #UNKNOWN} if none did. */
     long listedAtMillis = UNKNOWN;
 
+    /** Whether it is not known which resources the run reserves. */
+    boolean sizeUnknown;
+
     /** Whether the run belongs to a suspect task and has not been active for long enough yet. */
     boolean quarantined;
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerPoller.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerPoller.java
@@ -263,6 +263,7 @@
                         context.now());
         record.cpuLimitPercent = RunRecord.UNKNOWN;
         record.everThrottled = true;
+        record.sizeUnknown = task == null;
         record.quarantined = record.task != null && record.task.crashes.isSuspect();
         worker.addRun(record);
         if (task != null) {
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
@@ -154,6 +154,9 @@
     /** Whether the stored roster of the cell certainly allows leases for the worker. */
     boolean rosterAllowsLeases;
 
+    /** The number of runs that reserve an unknown amount of resources. */
+    private int unsizedRuns;
+
     /** The number of runs of suspect tasks that have not been active for long enough yet. */
     private int quarantinedRuns;
 
@@ -220,6 +223,15 @@
         return quarantinedRuns > 0;
     }
 
+    /**
+     * Returns whether the free resources of the worker are known.
+     *
+     * @return whether no run there reserves an unknown amount
+     */
+    boolean isRoomKnown() {
+        return unsizedRuns == 0;
+    }
+
     /**
      * Records that a run is not likely to crash the worker, or is over.
      *
@@ -301,6 +313,7 @@
             reserved = reserved.plus(record.reserved);
             addToSums(record, 1);
             quarantinedRuns += record.quarantined ? 1 : 0;
+            unsizedRuns += record.sizeUnknown ? 1 : 0;
         }
         if (record.task != null && !record.task.runs.contains(record)) {
             record.task.runs.add(record);
@@ -317,6 +330,7 @@
             reserved = reserved.minus(record.reserved);
             addToSums(record, -1);
             endQuarantine(record);
+            unsizedRuns -= record.sizeUnknown ? 1 : 0;
         }
         if (record.task != null) {
             record.task.runs.remove(record);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -294,7 +294,7 @@
      * Returns whether a usable worker may get one more start now, whatever the task.
      *
      * @param worker the worker
-     * @return whether it is neither full, suspect nor quarantined
+     * @return whether it is neither full, suspect nor quarantined, and its room is known
      */
     private boolean acceptsStarts(WorkerRecord worker) {
         long now = context.now();
@@ -302,6 +302,7 @@
                 && worker.startsInFlight < MAX_STARTS_IN_FLIGHT
                 && !worker.failureDetector.isSuspect(now)
                 && !worker.isQuarantined()
+                && worker.isRoomKnown()
                 && !isCapacityOutdated(worker);
     }
 
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CapacityTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CapacityTest.java
@@ -50,6 +50,23 @@
         }
     }
 
+    /** The runs of a submission that was cancelled before the takeover still count. */
+    @Test
+    void runsThatTheOwnerDoesNotKnowCountUntilTheyHaveStopped() {
+        CellSimulation simulation = createSimulation(1);
+        simulation.taskDurationMillis = 60_000;
+        OwnerProcess former = simulation.startOwner();
+        submit(simulation, 4);
+        simulation.runtime.advance(2_000);
+        former.kill();
+        simulation.cancel(id(0));
+        simulation.startOwner();
+        submit(simulation, 4);
+        simulation.runtime.advance(20_000);
+        assertThat(simulation.invariants.violations(), empty());
+        assertThat(simulation.workers.get("w0").activeRunCount(), equalTo(4));
+    }
+
     /** The owner does not hear from the store that capacities have shrunk. */
     @Test
     void noStartsRestOnAnEntryThatIsOlderThanTheAllowedTimeWithoutContact() {
