--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CrashTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CrashTracker.java
@@ -9,6 +9,7 @@
 import org.damasktiller.scheduler.crash.CrashObservation;
 import org.damasktiller.scheduler.crash.CrashRole;
 import org.damasktiller.scheduler.crash.RecordedStart;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Counts crashes of workers against the tasks that may have caused them, and lets suspect tasks
@@ -21,6 +22,9 @@
  */
 final class CrashTracker {
 
+    /** How long workers get to answer a new owner, in milliseconds. */
+    private static final long ANSWER_GRACE_MILLIS = 2_000;
+
     /** How long a worker whose crash has not shown is remembered, in milliseconds. */
     private static final long LOST_WORKER_MEMORY_MILLIS = 60_000;
 
@@ -66,7 +70,7 @@
                     && isOpen(task)
                     && task.recordedStart == null
                     && !CommonCauseDetector.isSound(run)) {
-                recordStart(task, worker);
+                recordStart(task, RecordedStarts.of(worker).asSent());
             }
         }
     }
@@ -181,15 +185,30 @@
     }
 
     /**
-     * Returns whether a waiting task is suspect. First finds out about a start that a previous
-     * owner has recorded and that has neither a run nor an end.
+     * Returns whether the outcome of a start that a previous owner has sent may still show, since
+     * the workers have had little time to answer this owner.
+     *
+     * @param task the task, without runs
+     * @return whether the task has to wait
+     */
+    boolean isOutcomePending(TaskRecord task) {
+        RecordedStart start = startOfPreviousOwner(task);
+        return start != null
+                && !RecordedStarts.hasCrashed(start, context.allWorkers())
+                && !RecordedStarts.isAlive(start, context.workers.get(start.worker()))
+                && context.now() - context.term.startedAtMillis() < ANSWER_GRACE_MILLIS;
+    }
+
+    /**
+     * Returns whether a waiting task is suspect. First counts the outcome of a start that a
+     * previous owner has sent and that has neither a run nor an end.
      *
      * @param task the task, without runs
      * @return whether its next start needs care
      */
     boolean isSuspect(TaskRecord task) {
-        RecordedStart start = task.recordedStart;
-        if (start != null && task.recordedStartVersion == 0) {
+        RecordedStart start = startOfPreviousOwner(task);
+        if (start != null) {
             task.recordedStart = null;
             if (RecordedStarts.hasCrashed(start, context.allWorkers())) {
                 CrashHistory crashes = task.crashes.withCrash(CrashRole.CANDIDATE);
@@ -201,6 +220,18 @@
         return task.crashes.isSuspect();
     }
 
+    /**
+     * Returns the start of a task that a previous owner has sent and whose outcome was not found
+     * out yet.
+     *
+     * @param task the task
+     * @return the start, or null if there is none
+     */
+    private static @Nullable RecordedStart startOfPreviousOwner(TaskRecord task) {
+        RecordedStart start = task.recordedStart;
+        return start != null && start.sent() && task.recordedStartVersion == 0 ? start : null;
+    }
+
     /**
      * Records that a suspect task is about to start on a worker, unless that is recorded, so that a
      * successor knows of the start.
@@ -214,11 +245,22 @@
             return false;
         }
         if (!RecordedStarts.of(worker).equals(task.recordedStart)) {
-            recordStart(task, worker);
+            recordStart(task, RecordedStarts.of(worker));
         }
         return task.step.occurrence.job.committedVersion >= task.recordedStartVersion;
     }
 
+    /**
+     * Records that the start request of a recorded start was sent.
+     *
+     * @param task the task
+     */
+    void onStartSent(TaskRecord task) {
+        if (task.recordedStart != null) {
+            recordStart(task, task.recordedStart.asSent());
+        }
+    }
+
     /**
      * Records that the outcome of a recorded start is known, and is no crash.
      *
@@ -232,14 +274,14 @@
     }
 
     /**
-     * Records the start of a run in the progress of its job.
+     * Stores the record of a start with the progress of the job.
      *
      * @param task the task
-     * @param worker the worker
+     * @param start the record
      */
-    private void recordStart(TaskRecord task, WorkerRecord worker) {
+    private void recordStart(TaskRecord task, RecordedStart start) {
         Job job = task.step.occurrence.job;
-        task.recordedStart = RecordedStarts.of(worker);
+        task.recordedStart = start;
         commits.enqueue(job);
         task.recordedStartVersion = job.version;
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RecordedStarts.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RecordedStarts.java
@@ -12,13 +12,13 @@
     private RecordedStarts() {}
 
     /**
-     * Creates the record of a start.
+     * Creates the record of a start that was not sent yet.
      *
      * @param worker the worker
      * @return the record
      */
     static RecordedStart of(WorkerRecord worker) {
-        return new RecordedStart(worker.id, addressOf(worker), worker.bootUnixMillis);
+        return new RecordedStart(worker.id, addressOf(worker), worker.bootUnixMillis, false);
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
@@ -295,7 +295,7 @@
     private void startTasks(StepRecord step) {
         long now = context.now();
         for (TaskRecord task : step.tasks) {
-            if (!mayStart(task, now)) {
+            if (!mayStart(task, now) || crashTracker.isOutcomePending(task)) {
                 continue;
             }
             boolean suspect = crashTracker.isSuspect(task);
@@ -321,6 +321,7 @@
                     worker,
                     nextRunNumber(task.highestRunNumber),
                     advice.usableTicket(step, worker));
+            crashTracker.onStartSent(task);
             startCount++;
         }
     }
@@ -352,6 +353,7 @@
             WorkerRecord worker = workers.get(index);
             requestSender.start(
                     step.tasks.get(index), worker, runNumber, advice.usableTicket(step, worker));
+            crashTracker.onStartSent(step.tasks.get(index));
             startCount++;
         }
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/crash/RecordedStart.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/crash/RecordedStart.java
@@ -8,5 +8,16 @@
  * @param address the network address of the worker
  * @param bootUnixMillis when the worker booted, in milliseconds since 1970, or 0 if that is not
  *     known
+ * @param sent whether the start request was certainly sent; an owner may have ended before that
  */
-public record RecordedStart(String worker, String address, long bootUnixMillis) {}
+public record RecordedStart(String worker, String address, long bootUnixMillis, boolean sent) {
+
+    /**
+     * Returns the record after the start request was sent.
+     *
+     * @return the new record
+     */
+    public RecordedStart asSent() {
+        return new RecordedStart(worker, address, bootUnixMillis, true);
+    }
+}
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CrashingTaskTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CrashingTaskTest.java
@@ -7,8 +7,13 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.damasktiller.scheduler.cell.CellKeys;
+import org.damasktiller.scheduler.cell.ProgressRecord;
+import org.damasktiller.scheduler.cell.StoredValueCodec;
+import org.damasktiller.scheduler.crash.RecordedStart;
 import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.scheduler.model.TaskId;
+import org.damasktiller.scheduler.port.StoreTransaction;
 import org.damasktiller.standin.metadata.CallFault;
 import org.damasktiller.standin.metadata.FaultPlan;
 import org.damasktiller.verification.owner.CellSimulation.OwnerProcess;
@@ -23,6 +28,9 @@
     /** The task of that submission. */
     private static final TaskId CRASHING_TASK = new TaskId(CRASHING, 0, 0, 0);
 
+    /** The identifier of a sound submission of one short task. */
+    private static final String SOUND = "00000000000000d1";
+
     /** The identifier of a sound submission that runs until it is cancelled. */
     private static final String LONG_RUNNING = "00000000000000b1";
 
@@ -99,6 +107,27 @@
         assertGivenUp();
     }
 
+    /**
+     * Soak seed 704: an owner recorded the start of a sound task and ended before it sent the
+     * request; the restart of the worker counted against the task.
+     */
+    @Test
+    void startThatWasRecordedButNotSentDoesNotCount() {
+        storeProgress(false);
+        simulation.startOwner();
+        simulation.runtime.advance(20_000);
+        assertThat(simulation.submissionState(SOUND), equalTo(SubmissionState.SUCCEEDED));
+    }
+
+    /** The start was sent, and another worker answers at the address. */
+    @Test
+    void startThatWasSentCountsIfItsWorkerIsReplaced() {
+        storeProgress(true);
+        simulation.startOwner();
+        simulation.runtime.advance(20_000);
+        assertThat(simulation.submissionState(SOUND), equalTo(SubmissionState.FAILED));
+    }
+
     /** Workers crash by themselves, three of eight at a time, while sound work runs on them. */
     @Test
     void soundTasksAreNotGivenUpWhenWorkersCrashInWaves() {
@@ -130,6 +159,24 @@
         return owner;
     }
 
+    /**
+     * Stores a submission with a task that has two crashes and a recorded start on a worker whose
+     * address another one has taken since.
+     *
+     * @param sent whether the start request was sent
+     */
+    private void storeProgress(boolean sent) {
+        simulation.submit(SOUND, CellSimulation.shortStep(1));
+        RecordedStart start = new RecordedStart("former", "localhost:1", 1, sent);
+        ProgressRecord.Entry entry =
+                new ProgressRecord.Entry(0, 0, 0, false, List.of(), 2, false, "", 2, 0, 0, start);
+        simulation.store.commit(
+                new StoreTransaction()
+                        .put(
+                                CellKeys.progressPrefix(CellSimulation.CELL) + SOUND,
+                                StoredValueCodec.encode(new ProgressRecord(List.of(entry)))));
+    }
+
     /** Submits the task that crashes its workers. */
     private void submitCrashing() {
         simulation.crashingSubmissions.add(CRASHING);
