--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/load/GuaranteeChecker.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/load/GuaranteeChecker.java
@@ -12,6 +12,9 @@
  */
 public final class GuaranteeChecker {
 
+    /** The number of workers that a task must have crashed before its submission may fail. */
+    private static final int CRASHES_TO_GIVE_UP = 2;
+
     /** The callers and their submissions. */
     private final CallerSimulator callers;
 
@@ -58,7 +61,8 @@
             }
             int attempts = tracked.route().maximumAttempts();
             if (tracked.state() == SubmissionState.FAILED
-                    && runChecker.maximumFailures(tasksOf(tracked)) < attempts) {
+                    && runChecker.maximumFailures(tasksOf(tracked)) < attempts
+                    && runChecker.maximumCrashes(tasksOf(tracked)) < CRASHES_TO_GIVE_UP) {
                 found.add(id + ": reported as failed before its attempts were used up");
             }
             if (tracked.state() == SubmissionState.CANCELLED && !tracked.isCancelRequested()) {
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/load/SubmittedTaskBehaviour.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/load/SubmittedTaskBehaviour.java
@@ -20,6 +20,12 @@
  */
 public final class SubmittedTaskBehaviour implements TaskBehaviour {
 
+    /** The payload of a submission whose tasks crash each worker that starts them. */
+    public static final String CRASHING_PAYLOAD = "crash";
+
+    /** How long after its start such a task crashes its worker, in milliseconds. */
+    private static final long CRASH_DELAY_MILLIS = 10;
+
     /** The submissions of the callers, by identifier. */
     private final Map<String, Submission> submissions = new HashMap<>();
 
@@ -78,6 +84,13 @@
         return random.nextDouble() < failureProbability ? EndKind.FAILED : EndKind.DONE;
     }
 
+    @Override
+    public long crashDelayMillis(TaskId task) {
+        Submission submission = submissions.get(task.submission());
+        boolean crashes = submission != null && submission.payload().equals(CRASHING_PAYLOAD);
+        return crashes ? CRASH_DELAY_MILLIS : NEVER_CRASHES;
+    }
+
     /**
      * Returns the step of a task, or records the task as never submitted.
      *
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalWorker.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalWorker.java
@@ -19,6 +19,9 @@
     /** The number of workers in each rack. */
     private static final int WORKERS_PER_RACK = 4;
 
+    /** The time after which a worker that a run has crashed is back, in milliseconds. */
+    private static final long RETURN_DELAY_MILLIS = 3_000;
+
     /** The time that a worker needs to restart, in milliseconds. */
     private static final long RESTART_DELAY_MILLIS = 1_000;
 
@@ -40,8 +43,8 @@
     /** The availability zone of the worker. */
     private final String zone;
 
-    /** The total resources of the worker. */
-    private final Resources capacity;
+    /** The total resources of the worker while they have not shrunk. */
+    private final Resources fullCapacity;
 
     /** The label of the rack that holds the worker. */
     private final String rack;
@@ -76,7 +79,8 @@
         this.link = link;
         this.faultPlan = faultPlan;
         this.store = store;
-        this.capacity = settings.capacity();
+        this.fullCapacity = settings.capacity();
+        simulatedWorker.onCrashByRun(this::restartAfterCrash);
         List<String> zones = List.copyOf(settings.zones().keySet());
         this.zone = zones.get(number % zones.size());
         this.rack =
@@ -140,7 +144,7 @@
                         zone,
                         draining,
                         remainingMillis,
-                        capacity,
+                        simulatedWorker.capacity(),
                         List.of("standard", rack),
                         simulatedWorker.bootUnixMillis());
         store.commit(
@@ -170,6 +174,28 @@
         }
     }
 
+    /**
+     * Changes the total resources of the worker, which its registration shows. Its runs go on.
+     *
+     * @param fraction the part of the full resources that is left, 0 to 1
+     */
+    public void resize(double fraction) {
+        simulatedWorker.resize(
+                new Resources(
+                        (long) (fullCapacity.cpuMillicores() * fraction),
+                        (long) (fullCapacity.memoryMb() * fraction),
+                        (long) (fullCapacity.accelerators() * fraction)));
+        if (simulatedWorker.isAlive()) {
+            register(draining, draining ? RESTART_DELAY_MILLIS : 0);
+        }
+    }
+
+    /** Lets the worker return after a run has crashed it. */
+    private void restartAfterCrash() {
+        crash();
+        runtime.schedule(RETURN_DELAY_MILLIS, this::bootIfCrashed);
+    }
+
     /** Ends the worker for good: it crashes, and never boots or registers again. */
     void leave() {
         crash();
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakLoad.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakLoad.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.apache.commons.math3.random.RandomGenerator;
 import org.damasktiller.lab.load.CallerSimulator;
+import org.damasktiller.lab.load.SubmittedTaskBehaviour;
 import org.damasktiller.lab.load.TrackedSubmission;
 import org.damasktiller.lab.rig.LocalDeployment;
 import org.damasktiller.scheduler.model.IngressLimits;
@@ -33,6 +34,12 @@
      */
     private static final int MEAN_INTERVAL_MILLIS = 150;
 
+    /**
+     * The exclusive upper bound of the time between two submissions that crash their workers, in
+     * milliseconds.
+     */
+    private static final int CRASHING_INTERVAL_BOUND_MILLIS = 12_000;
+
     /** The maximum estimated duration of a task, in milliseconds. */
     private static final int MAX_TASK_MILLIS = 900;
 
@@ -135,6 +142,32 @@
         stopped = true;
     }
 
+    /**
+     * Sends submissions of a task that crashes its workers, until {@link #stop()} is called.
+     *
+     * @param crashRandom draws the intervals, apart from the other load
+     */
+    void runCrashingWork(RandomGenerator crashRandom) {
+        if (stopped) {
+            return;
+        }
+        callers.send(
+                manifest.routes().get(0),
+                new Submission(
+                        callers.nextId(),
+                        SubmittedTaskBehaviour.CRASHING_PAYLOAD,
+                        List.of(
+                                StepSpec.builder(1, taskResources())
+                                        .estimateMillis(MAX_TASK_MILLIS)
+                                        .build()),
+                        0,
+                        0,
+                        0));
+        runtime.schedule(
+                crashRandom.nextInt(CRASHING_INTERVAL_BOUND_MILLIS),
+                () -> runCrashingWork(crashRandom));
+    }
+
     /** Draws and sends a submission, and schedules its cancellation if one is drawn. */
     private void sendNext() {
         boolean longRunning = random.nextDouble() < longRunningProbability;
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakRun.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakRun.java
@@ -64,6 +64,9 @@
     /** The exclusive upper bound of the random time added to this duration, in milliseconds. */
     private static final int EXTRA_PLANNED_DURATION_BOUND_MILLIS = 15_000;
 
+    /** Separates the generator of crashing work and capacities from the others of a seed. */
+    private static final long CRASH_SEED_MASK = 0x5c5c5c5c5c5c5c5cL;
+
     /** The interval between two checks for interrupted tasks, in milliseconds. */
     private static final long INTERRUPTION_CHECK_INTERVAL_MILLIS = 100;
 
@@ -245,10 +248,21 @@
         } else {
             runtime.schedule(WARM_UP_MILLIS, this::beginNextFault);
             runtime.schedule(WARM_UP_MILLIS + drawPlannedGap(), this::beginNextPlannedWork);
+            runtime.schedule(WARM_UP_MILLIS, this::beginCrashesAndCapacityChanges);
         }
         runtime.schedule(CHECK_INTERVAL_MILLIS, () -> checkGuarantees(result));
     }
 
+    /** Begins the work that crashes its workers, and the changes of capacities. */
+    private void beginCrashesAndCapacityChanges() {
+        RandomGenerator crashRandom = new Well19937c(settings.seed() ^ CRASH_SEED_MASK);
+        RandomGenerator capacityRandom = new Well19937c(crashRandom.nextLong());
+        load.runCrashingWork(crashRandom);
+        beginFault(
+                new CapacityFault(runtime, capacityRandom, deployment),
+                settings.seconds() * MILLIS_PER_SECOND);
+    }
+
     /** Begins a fault, and schedules its end and the next fault. */
     private void beginNextFault() {
         if (runtime.nowMillis() >= faultsEndMillis) {
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/RunInvariantChecker.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/RunInvariantChecker.java
@@ -162,6 +162,16 @@
                 .orElse(0);
     }
 
+    /**
+     * Returns the highest number of workers that runs of any of the given tasks have crashed.
+     *
+     * @param tasks the tasks
+     * @return the highest number, 0 if none did
+     */
+    public int maximumCrashes(List<TaskId> tasks) {
+        return tasks.stream().mapToInt(this::crashCount).max().orElse(0);
+    }
+
     /**
      * Returns the number of active runs of a task.
      *
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/SimulatedWorker.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/SimulatedWorker.java
@@ -79,6 +79,9 @@
     /** The sequence number of the run that ended last, 0 if none ended since the worker booted. */
     private long lastEndSequence;
 
+    /** Called after a run has crashed the worker. */
+    private Runnable crashListener = () -> {};
+
     /** The highest fencing token that a call has carried since the worker booted. */
     private long highestToken;
 
@@ -134,6 +137,7 @@
         if (!run.hasEnded) {
             observer.crashed(id, run.task);
             crash();
+            crashListener.run();
         }
     }
 
@@ -177,6 +181,15 @@
         return capacity;
     }
 
+    /**
+     * Sets what happens after a run has crashed the worker.
+     *
+     * @param listener called after each such crash
+     */
+    public void onCrashByRun(Runnable listener) {
+        crashListener = listener;
+    }
+
     /**
      * Changes the total resources of the worker. Its runs go on.
      *
