--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalWorker.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalWorker.java
@@ -146,7 +146,8 @@
                         remainingMillis,
                         simulatedWorker.capacity(),
                         List.of("standard", rack),
-                        simulatedWorker.bootUnixMillis());
+                        simulatedWorker.bootUnixMillis(),
+                        0);
         store.commit(
                 new StoreTransaction()
                         .put(registrationKey(), PlatformRecordEncoder.encodeWorker(entry)));
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -240,6 +240,7 @@
         return CellSettings.builder()
                 .maximumOverTargetMillis(settings.bounds().maximumOverTargetMillis())
                 .maximumEntryAgeMillis(settings.bounds().maximumContactGapMillis())
+                .evacuationBoundMillis(settings.bounds().evacuationMillis())
                 .remoteFactor(settings.bounds().remoteFactor())
                 .maximumWorkerLeaseMillis(settings.bounds().maximumWorkerLeaseMillis())
                 .minimumStoreLeaseMillis(settings.bounds().minimumStoreLeaseMillis())
--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/TestManifests.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/TestManifests.java
@@ -32,6 +32,11 @@
                     return KEY;
                 }
 
+                @Override
+                public String evacuationKeyPrefix() {
+                    return "evacuations/";
+                }
+
                 @Override
                 public @Nullable WorkerEntry decodeWorker(String id, byte[] value) {
                     return null;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/AdviceTicketProvider.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/AdviceTicketProvider.java
@@ -99,7 +99,7 @@
             boolean ticketMissing =
                     !step.rejectedWorkerIds.contains(worker.id)
                             && usableTicket(step, worker).isEmpty();
-            if (hasCapacity && ticketMissing && worker.isUsable(now)) {
+            if (hasCapacity && ticketMissing && context.mayStartOn(worker, now)) {
                 candidates.add(worker);
             }
         }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.damasktiller.scheduler.evacuation.ZoneGuard;
 import org.damasktiller.scheduler.model.Manifest;
 import org.damasktiller.scheduler.port.DecisionLog;
 import org.damasktiller.scheduler.port.MetadataStore;
@@ -66,6 +67,12 @@
      */
     long ownershipCheckedAtMillis = Long.MIN_VALUE;
 
+    /** Tells which zones may get starts. */
+    ZoneGuard zoneGuard = ZoneGuard.OPEN;
+
+    /** The number of steps with waiting tasks in the last pass. */
+    int waitingSteps;
+
     /** Tells when the store last answered the watch of the worker entries, in milliseconds. */
     LongSupplier workerEntriesReadAtMillis = () -> Long.MIN_VALUE / 2;
 
@@ -178,6 +185,17 @@
         return jobs.containsKey(id) || closedIds.contains(id);
     }
 
+    /**
+     * Returns whether a worker may get starts.
+     *
+     * @param worker the worker
+     * @param nowMillis the current time, in milliseconds
+     * @return whether the worker is usable and its zone is not evacuated
+     */
+    boolean mayStartOn(WorkerRecord worker, long nowMillis) {
+        return worker.isUsable(nowMillis) && zoneGuard.allowsStarts(worker.entry.zone(), nowMillis);
+    }
+
     /**
      * Returns the workers of the cell.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -1,13 +1,11 @@
 package org.damasktiller.scheduler.cell;
 
 import java.util.ArrayList;
-import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.damasktiller.scheduler.model.Manifest;
 import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.scheduler.model.WorkerEntry;
-import org.damasktiller.scheduler.port.StoreEvent;
 import org.damasktiller.scheduler.port.StoreItem;
 import org.damasktiller.scheduler.port.StoreReading;
 import org.damasktiller.scheduler.port.StoreResult;
@@ -83,6 +81,9 @@
     /** Watches the worker entries. */
     private final WorkerEntryWatcher workerWatcher;
 
+    /** Watches the evacuated zones. */
+    private final EvacuationWatcher evacuationWatcher;
+
     /** Whether the submissions, the progress and the roster have been read. */
     private boolean loaded;
 
@@ -142,6 +143,10 @@
                 new WorkerEntryWatcher(
                         context, environment.formats(), belongsToCell, new WorkerListener());
         context.workerEntriesReadAtMillis = workerWatcher::answeredAtMillis;
+        evacuationWatcher =
+                new EvacuationWatcher(
+                        context, environment.formats().evacuationKeyPrefix(), this::schedulePass);
+        context.zoneGuard = evacuationWatcher.guard();
     }
 
     /** Starts to load the cell; tasks are scheduled once all records have been read. */
@@ -156,6 +161,7 @@
                 context.term.headRevision());
         submissionWatcher.start();
         interferenceKeeper.start();
+        evacuationWatcher.start();
     }
 
     /**
@@ -219,6 +225,7 @@
     private void onTermEnded(String reason, Consumer<String> listener) {
         submissionWatcher.close();
         workerWatcher.close();
+        evacuationWatcher.close();
         listener.accept(reason);
     }
 
@@ -232,16 +239,7 @@
 
     /** Reads the stored progress, then the roster, then the worker entries. */
     private void loadProgress() {
-        ProgressReader reader = new ProgressReader();
-        reader.watcher =
-                new PrefixWatcher(
-                        CellKeys.progressPrefix(context.cell),
-                        0,
-                        context.store,
-                        context.runtime,
-                        context.log,
-                        reader);
-        reader.watcher.start();
+        new ProgressReader(context, this::loadRoster).start();
     }
 
     /** Reads the roster, which lists the workers that previous owners used. */
@@ -454,36 +452,4 @@
             poller.poll(worker);
         }
     }
-
-    /** Restores the jobs from a single reading of the stored progress. */
-    private final class ProgressReader implements PrefixWatcher.Listener {
-
-        /**
-         * Reads the progress records; closed after the first snapshot. Null only before it is set.
-         */
-        private @Nullable PrefixWatcher watcher;
-
-        @Override
-        public void onSnapshot(List<StoreItem> items, long highestRevision) {
-            if (watcher != null) {
-                watcher.close();
-            }
-            String prefix = CellKeys.progressPrefix(context.cell);
-            for (StoreItem item : items) {
-                Job job = context.jobs.get(item.key().substring(prefix.length()));
-                ProgressRecord progress =
-                        StoredValueCodec.decode(item.value(), ProgressRecord.class);
-                if (job != null && progress != null) {
-                    progress.restore(job);
-                    job.progressStored = true;
-                }
-            }
-            loadRoster();
-        }
-
-        @Override
-        public void onChange(StoreEvent event) {
-            context.log.log("progress.ignored", "key", event.key());
-        }
-    }
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellSettings.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellSettings.java
@@ -49,6 +49,12 @@
      */
     private final long maximumEntryAgeMillis;
 
+    /**
+     * How soon after its acknowledgement an evacuation of a zone must be in effect, in
+     * milliseconds, or 0 if zones are not evacuated.
+     */
+    private final long evacuationBoundMillis;
+
     /**
      * How many times as long a step takes if it runs away from its data, or a gang if it spans
      * racks; given by the platform's settings.
@@ -72,6 +78,7 @@
         earlyStartMillis = builder.earlyStartMillis;
         maximumOverTargetMillis = builder.maximumOverTargetMillis;
         maximumEntryAgeMillis = builder.maximumEntryAgeMillis;
+        evacuationBoundMillis = builder.evacuationBoundMillis;
         remoteFactor = builder.remoteFactor;
     }
 
@@ -186,6 +193,15 @@
         return maximumEntryAgeMillis;
     }
 
+    /**
+     * Returns how soon after its acknowledgement an evacuation of a zone must be in effect.
+     *
+     * @return the time, in milliseconds, or 0 if zones are not evacuated
+     */
+    public long evacuationBoundMillis() {
+        return evacuationBoundMillis;
+    }
+
     /**
      * Returns how many times as long a step takes if it runs away from its data, or a gang if it
      * spans racks.
@@ -240,6 +256,9 @@
         /** See {@link CellSettings#maximumEntryAgeMillis()}. */
         private long maximumEntryAgeMillis = 4_000;
 
+        /** See {@link CellSettings#evacuationBoundMillis()}; zones are not evacuated by default. */
+        private long evacuationBoundMillis;
+
         /** The default slowdown of steps away from their data and of gangs across racks. */
         private double remoteFactor = 2;
 
@@ -324,6 +343,17 @@
             return this;
         }
 
+        /**
+         * Sets how soon after its acknowledgement an evacuation of a zone must be in effect.
+         *
+         * @param millis the time, in milliseconds, or 0 if zones are not evacuated
+         * @return this builder
+         */
+        public Builder evacuationBoundMillis(long millis) {
+            evacuationBoundMillis = millis;
+            return this;
+        }
+
         /**
          * Sets how many times as long a step takes if it runs away from its data, or a gang if it
          * spans racks.
--- /dev/null
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressReader.java
@@ -0,0 +1,62 @@
+package org.damasktiller.scheduler.cell;
+
+import java.util.List;
+import org.damasktiller.scheduler.port.StoreEvent;
+import org.damasktiller.scheduler.port.StoreItem;
+
+/** Restores the jobs of a cell from a single reading of the stored progress. */
+final class ProgressReader implements PrefixWatcher.Listener {
+
+    /** The shared state of the cell's owner. */
+    private final CellContext context;
+
+    /** Called once the jobs have been restored. */
+    private final Runnable onRestored;
+
+    /** Reads the progress records; closed after the first snapshot. */
+    private final PrefixWatcher watcher;
+
+    /**
+     * Creates a reader that has not started.
+     *
+     * @param context the shared state of the cell's owner
+     * @param onRestored called once the jobs have been restored
+     */
+    ProgressReader(CellContext context, Runnable onRestored) {
+        this.context = context;
+        this.onRestored = onRestored;
+        this.watcher =
+                new PrefixWatcher(
+                        CellKeys.progressPrefix(context.cell),
+                        0,
+                        context.store,
+                        context.runtime,
+                        context.log,
+                        this);
+    }
+
+    /** Starts to read the records. */
+    void start() {
+        watcher.start();
+    }
+
+    @Override
+    public void onSnapshot(List<StoreItem> items, long highestRevision) {
+        watcher.close();
+        String prefix = CellKeys.progressPrefix(context.cell);
+        for (StoreItem item : items) {
+            Job job = context.jobs.get(item.key().substring(prefix.length()));
+            ProgressRecord progress = StoredValueCodec.decode(item.value(), ProgressRecord.class);
+            if (job != null && progress != null) {
+                progress.restore(job);
+                job.progressStored = true;
+            }
+        }
+        onRestored.run();
+    }
+
+    @Override
+    public void onChange(StoreEvent event) {
+        context.log.log("progress.ignored", "key", event.key());
+    }
+}
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
@@ -81,6 +81,9 @@
     /** Whether the run is being stopped to continue on another worker. */
     boolean moving;
 
+    /** Whether the worker was cold when the run started. */
+    boolean startedCold;
+
     /** Whether the run was, or may have been, throttled at any time. */
     boolean everThrottled;
 
@@ -215,12 +218,13 @@
     }
 
     /**
-     * Returns whether the run did all the work of its task without ever being throttled.
+     * Returns whether the run did all the work of its task on a warm worker without ever being
+     * throttled.
      *
      * @return whether the duration of the run is the duration of the task
      */
     boolean hasRepresentativeRunTime() {
-        return !everThrottled && startCheckpoint.isEmpty();
+        return !everThrottled && !startedCold && startCheckpoint.isEmpty();
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRequestSender.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRequestSender.java
@@ -84,6 +84,7 @@
         record.checkpoint = task.checkpoint;
         record.startCheckpoint = task.checkpoint;
         record.quarantined = task.crashes.isSuspect();
+        record.startedCold = worker.isCold(now);
         worker.addRun(record);
         long leaseEnd = context.leases.leaseEnd(worker, now);
         context.leases.recordGrant(worker, leaseEnd, now);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StragglerMitigator.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StragglerMitigator.java
@@ -8,7 +8,7 @@
  *
  * <p>Load pattern: runs hang on some workers, and other workers are slow. A step is done when its
  * last task is done, so that a single straggler delays the whole step. Fillers that are throttled
- * to protect serving tasks are not moved.
+ * to protect serving tasks are not moved, nor are runs on workers that are slow after their start.
  */
 final class StragglerMitigator {
 
@@ -101,6 +101,9 @@
      */
     void evaluate(WorkerRecord worker) {
         long now = context.now();
+        if (worker.isCold(now)) {
+            return;
+        }
         for (RunRecord run : new ArrayList<>(worker.runs.values())) {
             TaskRecord task = run.task;
             if (run.phase == RunPhase.RUNNING && task != null && isMeasurable(task.step.spec)) {
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
@@ -118,6 +118,7 @@
                 collectWaitingSteps(occurrence, waitingSteps);
             }
         }
+        context.waitingSteps = waitingSteps.size();
         workerSelector.updateUrgentReserve(urgentMillicores(waitingSteps));
         waitingSteps.sort(WaitingStep.ORDER);
         for (WaitingStep waiting : waitingSteps) {
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerEntryWatcher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerEntryWatcher.java
@@ -142,6 +142,7 @@
                             entry,
                             context.leases.previousLeasesExpireAtMillis(
                                     context.term.startedAtMillis()));
+            worker.updateEntry(entry, context.now());
             context.workers.put(entry.id(), worker);
             context.log.log(
                     "worker.listed",
@@ -154,12 +155,14 @@
                     "capacity",
                     entry.capacity(),
                     "draining",
-                    entry.draining());
+                    entry.draining(),
+                    "coldMillis",
+                    entry.coldRemainingMillis());
             listener.onAdded(worker);
             return;
         }
         WorkerEntry previousEntry = worker.entry;
-        worker.entry = entry;
+        worker.updateEntry(entry, context.now());
         worker.listed = true;
         if (!previousEntry.draining() && entry.draining()) {
             context.log.log(
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
@@ -145,6 +145,9 @@
     /** Until when the worker counts as slow, in milliseconds. */
     long slowUntilMillis;
 
+    /** Until when the worker is slow after its start, in milliseconds. */
+    long coldUntilMillis = NEVER;
+
     /** When the worker was first seen draining, in milliseconds, or -1 if it is not. */
     long drainingSinceMillis = -1;
 
@@ -214,6 +217,30 @@
                 && capacity.accelerators() - reserved.accelerators() >= need.accelerators();
     }
 
+    /**
+     * Returns whether the worker is still slow after its start.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @return whether it has said so, and the time that it has named is not over
+     */
+    boolean isCold(long nowMillis) {
+        return nowMillis < coldUntilMillis;
+    }
+
+    /**
+     * Takes over an entry that was read now.
+     *
+     * @param newEntry the entry
+     * @param nowMillis the current time, in milliseconds
+     */
+    void updateEntry(WorkerEntry newEntry, long nowMillis) {
+        entry = newEntry;
+        coldUntilMillis =
+                newEntry.coldRemainingMillis() > 0
+                        ? nowMillis + newEntry.coldRemainingMillis()
+                        : NEVER;
+    }
+
     /**
      * Returns whether the worker gets no starts because a run there may crash it.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -25,6 +25,12 @@
     /** The maximum number of start requests in flight to one worker; connections are billed. */
     private static final int MAX_STARTS_IN_FLIGHT = 6;
 
+    /**
+     * The maximum number of start requests in flight to a worker that is cold, so that a zone that
+     * returns fills gradually.
+     */
+    private static final int MAX_COLD_STARTS_IN_FLIGHT = 2;
+
     /** The penalty for a worker on which an earlier run of the task failed or was too slow. */
     private static final double AVOIDED_WORKER_PENALTY = 1_000;
 
@@ -137,7 +143,7 @@
         List<ReserveCandidate> candidates = new ArrayList<>();
         for (WorkerRecord worker : context.allWorkers()) {
             urgentMillicores += worker.reserved.cpuMillicores() - worker.longRunningMillicores();
-            if (worker.isUsable(now)) {
+            if (context.mayStartOn(worker, now)) {
                 capacity += worker.entry.capacity().cpuMillicores();
                 reserved += worker.reserved.cpuMillicores();
                 candidates.add(
@@ -277,7 +283,9 @@
     boolean isEligible(TaskRecord task, WorkerRecord worker, boolean ticketRequired) {
         long now = context.now();
         StepSpec spec = task.step.spec;
-        if (!worker.isUsable(now) || !acceptsStarts(worker) || !hasRequiredLabel(spec, worker)) {
+        if (!context.mayStartOn(worker, now)
+                || !acceptsStarts(worker)
+                || !hasRequiredLabel(spec, worker)) {
             return false;
         }
         if (worker.failureDetector.isOnProbation() && !worker.runs.isEmpty()) {
@@ -299,7 +307,8 @@
     private boolean acceptsStarts(WorkerRecord worker) {
         long now = context.now();
         return now >= worker.fullUntilMillis
-                && worker.startsInFlight < MAX_STARTS_IN_FLIGHT
+                && worker.startsInFlight
+                        < (worker.isCold(now) ? MAX_COLD_STARTS_IN_FLIGHT : MAX_STARTS_IN_FLIGHT)
                 && !worker.failureDetector.isSuspect(now)
                 && !worker.isQuarantined()
                 && worker.isRoomKnown()
@@ -441,7 +450,7 @@
         if (remote) {
             score += REMOTE_DATA_WEIGHT * (context.settings.remoteFactor() - 1);
         }
-        if (context.now() < worker.slowUntilMillis) {
+        if (context.now() < worker.slowUntilMillis || worker.isCold(context.now())) {
             score += SLOW_WORKER_PENALTY;
         }
         if (spec.filling()) {
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/model/WorkerEntry.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/model/WorkerEntry.java
@@ -15,6 +15,8 @@
  * @param capacity the total resources of the worker
  * @param labels the labels of the worker: its kind and its rack
  * @param bootUnixMillis when the worker booted, in milliseconds since 1970, or 0 if not reported
+ * @param coldRemainingMillis how much longer the worker stays slow after its start, in
+ *     milliseconds, counted from when it wrote the entry; 0 if it is warm
  */
 public record WorkerEntry(
         String id,
@@ -25,7 +27,8 @@
         long remainingMillis,
         Resources capacity,
         List<String> labels,
-        long bootUnixMillis) {
+        long bootUnixMillis,
+        long coldRemainingMillis) {
 
     /** Makes an immutable copy of the labels. */
     public WorkerEntry {
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/port/PlatformRecordDecoder.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/port/PlatformRecordDecoder.java
@@ -24,6 +24,14 @@
      */
     String manifestKey();
 
+    /**
+     * Returns the prefix of the keys under which operators request that zones be evacuated. A key
+     * holds a request whatever its value is.
+     *
+     * @return the prefix, to which the name of a zone is appended
+     */
+    String evacuationKeyPrefix();
+
     /**
      * Decodes the entry of a worker.
      *
--- a/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/cell/FillerCpuSharesTest.java
+++ b/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/cell/FillerCpuSharesTest.java
@@ -29,7 +29,8 @@
                             0,
                             new Resources(8_000, 8_000, 0),
                             List.of(),
-                            1),
+                            1,
+                            0),
                     0);
 
     /**
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -1,7 +1,5 @@
 package org.damasktiller.verification.owner;
 
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -116,6 +114,15 @@
     /** The names of the services whose workers start what exceeds their capacity. */
     Set<String> unguardedServices = Set.of();
 
+    /** The zones of workers that are in another zone than {@code zone}, by identifier. */
+    final Map<String, String> zones = new HashMap<>();
+
+    /** How much longer workers stay slow, in milliseconds, by identifier; others are warm. */
+    final Map<String, Long> coldMillis = new HashMap<>();
+
+    /** How soon an evacuation must be in effect, in milliseconds, or 0 if zones never are. */
+    long evacuationBoundMillis;
+
     /** The generation of the owner that started last. */
     private long generation;
 
@@ -160,19 +167,52 @@
      */
     void register(String id, boolean draining) {
         SimulatedWorker model = workers.get(id);
-        InetSocketAddress address =
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), ports.get(id));
+        TestRecordCodec.Entry entry =
+                new TestRecordCodec.Entry(
+                        id,
+                        CELL,
+                        ports.get(id),
+                        zones.getOrDefault(id, "zone"),
+                        draining,
+                        model.capacity(),
+                        model.bootUnixMillis(),
+                        coldMillis.getOrDefault(id, 0L));
         store.commit(
                 new StoreTransaction()
                         .put(
                                 TestRecordCodec.WORKER_KEY_PREFIX + id,
-                                TestRecordCodec.encode(
-                                        id,
-                                        CELL,
-                                        address,
-                                        draining,
-                                        model.capacity(),
-                                        model.bootUnixMillis())));
+                                TestRecordCodec.encode(entry)));
+    }
+
+    /**
+     * Moves a worker to a zone, as if it had registered there.
+     *
+     * @param id the identifier of the worker
+     * @param zone the name of the zone
+     */
+    void setZone(String id, String zone) {
+        zones.put(id, zone);
+        register(id, false);
+    }
+
+    /**
+     * Requests that a zone be evacuated.
+     *
+     * @param zone the name of the zone
+     */
+    void evacuate(String zone) {
+        store.commit(
+                new StoreTransaction()
+                        .put(TestRecordCodec.EVACUATION_KEY_PREFIX + zone, new byte[] {'{', '}'}));
+    }
+
+    /**
+     * Takes an evacuated zone back.
+     *
+     * @param zone the name of the zone
+     */
+    void takeBack(String zone) {
+        store.commit(new StoreTransaction().remove(TestRecordCodec.EVACUATION_KEY_PREFIX + zone));
     }
 
     /**
@@ -317,7 +357,7 @@
                 new FaultInjectingWorkerClient(workers, cutOffWorkers, clock, workerFaults);
         CellEnvironment environment =
                 new CellEnvironment(
-                        CellSettings.builder().build(),
+                        CellSettings.builder().evacuationBoundMillis(evacuationBoundMillis).build(),
                         storeClient,
                         workerClient,
                         this::advise,
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/TestRecordCodec.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/TestRecordCodec.java
@@ -19,6 +19,9 @@
     /** The prefix of the keys under which workers register. */
     static final String WORKER_KEY_PREFIX = "workers/";
 
+    /** The prefix of the keys of requests to evacuate zones. */
+    static final String EVACUATION_KEY_PREFIX = "evacuations/";
+
     @Override
     public String workerKeyPrefix() {
         return WORKER_KEY_PREFIX;
@@ -29,6 +32,11 @@
         return "manifest";
     }
 
+    @Override
+    public String evacuationKeyPrefix() {
+        return EVACUATION_KEY_PREFIX;
+    }
+
     @Override
     public @Nullable WorkerEntry decodeWorker(String id, byte[] value) {
         Entry entry = StoredValueCodec.decode(value, Entry.class);
@@ -38,12 +46,13 @@
                         id,
                         entry.service(),
                         new InetSocketAddress(InetAddress.getLoopbackAddress(), entry.port()),
-                        "zone",
+                        entry.zone(),
                         entry.draining(),
                         2_000,
                         entry.capacity(),
                         List.of("rack"),
-                        entry.bootUnixMillis());
+                        entry.bootUnixMillis(),
+                        entry.coldRemainingMillis());
     }
 
     @Override
@@ -54,23 +63,11 @@
     /**
      * Encodes the entry of a worker.
      *
-     * @param id the identifier of the worker
-     * @param service the service that the worker belongs to
-     * @param address the address of the worker, of which only the port is stored
-     * @param draining whether the worker is about to leave
-     * @param capacity the total resources of the worker
-     * @param bootUnixMillis when the worker booted, in milliseconds since 1970
+     * @param entry the entry
      * @return the encoded entry
      */
-    static byte[] encode(
-            String id,
-            String service,
-            InetSocketAddress address,
-            boolean draining,
-            Resources capacity,
-            long bootUnixMillis) {
-        return StoredValueCodec.encode(
-                new Entry(id, service, address.getPort(), draining, capacity, bootUnixMillis));
+    static byte[] encode(Entry entry) {
+        return StoredValueCodec.encode(entry);
     }
 
     /**
@@ -79,15 +76,19 @@
      * @param id the identifier of the worker
      * @param service the service that the worker belongs to
      * @param port the port of the worker on the loopback address
+     * @param zone the availability zone of the worker
      * @param draining whether the worker is about to leave
      * @param capacity the total resources of the worker
      * @param bootUnixMillis when the worker booted, in milliseconds since 1970
+     * @param coldRemainingMillis how much longer the worker stays slow, in milliseconds
      */
     public record Entry(
             String id,
             String service,
             int port,
+            String zone,
             boolean draining,
             Resources capacity,
-            long bootUnixMillis) {}
+            long bootUnixMillis,
+            long coldRemainingMillis) {}
 }
