--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalDeployment.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalDeployment.java
@@ -3,7 +3,9 @@
 import io.activej.eventloop.Eventloop;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.apache.commons.math3.random.RandomGenerator;
 import org.damasktiller.lab.link.FaultyLink;
 import org.damasktiller.platform.emulator.LoopbackServer;
@@ -74,6 +76,9 @@
     /** The number of workers that were ever added. */
     private int addedWorkers;
 
+    /** The zones that are evacuated. */
+    private final Set<String> evacuatedZones = new HashSet<>();
+
     /** The processes of the entry VMs. */
     private final List<EntryVmProcess> entryVms = new ArrayList<>();
 
@@ -176,6 +181,23 @@
         workers.remove(worker);
     }
 
+    /**
+     * Evacuates a zone, or takes it back.
+     *
+     * @param zone the name of the zone
+     * @param evacuated whether its workers must get no more starts
+     */
+    public void setEvacuated(String zone, boolean evacuated) {
+        String key = RECORD_DECODER.evacuationKeyPrefix() + zone;
+        if (evacuated) {
+            evacuatedZones.add(zone);
+            store.commit(new StoreTransaction().put(key, new byte[] {'{', '}'}));
+        } else {
+            evacuatedZones.remove(zone);
+            store.commit(new StoreTransaction().remove(key));
+        }
+    }
+
     /**
      * Returns how often a demand fits into the free resources of the workers that may get new work.
      * A worker counts at most twice.
@@ -187,7 +209,8 @@
         int room = 0;
         for (LocalWorker worker : workers) {
             Resources free = worker.simulatedWorker().freeResources();
-            if (worker.isUsable() && free.covers(demand)) {
+            boolean mayGetStarts = worker.isUsable() && !evacuatedZones.contains(worker.zone());
+            if (mayGetStarts && free.covers(demand)) {
                 room += free.covers(demand.plus(demand)) ? 2 : 1;
             }
         }
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalWorker.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalWorker.java
@@ -114,6 +114,15 @@
         return faultPlan;
     }
 
+    /**
+     * Returns the availability zone of the worker.
+     *
+     * @return the name of the zone
+     */
+    public String zone() {
+        return zone;
+    }
+
     /**
      * Returns whether the worker may get new work.
      *
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakRun.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakRun.java
@@ -118,6 +118,9 @@
     private final RunInvariantChecker invariantChecker =
             new RunInvariantChecker(SoakLoad.MAX_ATTEMPTS);
 
+    /** Evacuates zones, and detects starts there. */
+    private final EvacuationSeries evacuations;
+
     /** The emulated services and the processes of the entry VMs. */
     private final LocalDeployment deployment;
 
@@ -165,6 +168,9 @@
         plannedRandom = new Well19937c(~settings.seed());
         loop = new LabEventLoop("soak", uncheckedExceptions::add);
         runtime = loop.runtime();
+        evacuations =
+                new EvacuationSeries(
+                        runtime, settings.seed(), settings.planned(), invariantChecker);
         SubmittedTaskBehaviour taskBehaviour =
                 new SubmittedTaskBehaviour(random, FAILURE_PROBABILITY);
         LocalDeploymentSettings.Builder deploymentSettings =
@@ -180,7 +186,7 @@
                                                 loop,
                                                 deploymentSettings.build(),
                                                 taskBehaviour,
-                                                invariantChecker,
+                                                evacuations.checker(),
                                                 random)));
         callers =
                 new CallerSimulator(
@@ -241,6 +247,9 @@
         load.run();
         faultsEndMillis =
                 runtime.nowMillis() + WARM_UP_MILLIS + settings.seconds() * MILLIS_PER_SECOND;
+        runtime.schedule(
+                WARM_UP_MILLIS,
+                () -> evacuations.start(deployment, this::beginFault, faultsEndMillis));
         if (settings.planned()) {
             runtime.schedule(
                     WARM_UP_MILLIS, () -> beginPlannedWork(settings.seconds() * MILLIS_PER_SECOND));
@@ -341,6 +350,7 @@
     private void checkGuarantees(CompletableFuture<List<String>> result) {
         List<String> violations = guaranteeChecker.violations();
         violations.addAll(interruptionChecker.violations());
+        violations.addAll(evacuations.checker().violations());
         boolean allFaultsEnded = runtime.nowMillis() > faultsEndMillis && activeFaults.isEmpty();
         if (allFaultsEnded) {
             load.stop();
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/EvacuationWatcher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/EvacuationWatcher.java
@@ -56,7 +56,7 @@
                 new PrefixWatcher(keyPrefix, 0, context.store, context.runtime, context.log, this);
         this.view =
                 new EvacuationView(
-                        context.settings.evacuationBoundMillis(), watcher::answeredAtMillis);
+                        context.settings.evacuationBoundMillis(), watcher::confirmedAtMillis);
     }
 
     /** Starts to read the requests if the settings of the deployment ask for it. */
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PrefixWatcher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PrefixWatcher.java
@@ -57,6 +57,12 @@
     /** The interval between polls, in milliseconds. */
     private long pollIntervalMillis;
 
+    /** When the call in flight was sent, on the monotonic clock, in milliseconds. */
+    private long sentMillis;
+
+    /** When the last answered call was sent, on the monotonic clock, in milliseconds. */
+    private long confirmedMillis;
+
     /**
      * When changes were last known otherwise than by an answer, on the monotonic clock, in
      * milliseconds.
@@ -166,6 +172,16 @@
         return answeredMillis;
     }
 
+    /**
+     * Returns at which moment the reported keys were certainly up to date.
+     *
+     * @return when the last answered call was sent, on the monotonic clock, in milliseconds; 0
+     *     before the first answer
+     */
+    long confirmedAtMillis() {
+        return confirmedMillis;
+    }
+
     /** Stops watching; the listener is not called again. */
     public void close() {
         closed = true;
@@ -178,6 +194,7 @@
      */
     private void readPage(String after) {
         if (!closed) {
+            sentMillis = runtime.nowMillis();
             store.list(prefix, after, this::onPage);
         }
     }
@@ -217,6 +234,7 @@
     private void awaitChanges() {
         if (!closed) {
             long waitMillis = polling.getAsBoolean() ? 0 : WAIT_MILLIS;
+            sentMillis = runtime.nowMillis();
             store.watch(prefix, watchRevision, waitMillis, this::onChanges);
         }
     }
@@ -293,6 +311,7 @@
         long nowMillis = runtime.nowMillis();
         answerGapMillis = nowMillis - answeredMillis;
         answeredMillis = nowMillis;
+        confirmedMillis = sentMillis;
         if (failures > 0) {
             log.log(
                     "watch.regained",
