--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/Main.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/Main.java
@@ -43,7 +43,7 @@
         }
         Path path = Path.of(options.settings);
         try {
-            new NodeProcess(path, SettingsReader.read(path), options.maxZonesPerCell).run();
+            new NodeProcess(path, SettingsReader.read(path), options).run();
         } catch (DamasktillerException exception) {
             System.err.println(exception.code() + ": " + exception.getMessage());
             System.exit(EXIT_INVALID_SETTINGS);
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -19,7 +19,6 @@
 import org.damasktiller.node.caller.SubmissionAcceptor;
 import org.damasktiller.node.caller.SubmissionStateHandler;
 import org.damasktiller.node.cluster.ClusterMember;
-import org.damasktiller.node.cluster.LayoutPolicy;
 import org.damasktiller.node.cluster.LayoutSettings;
 import org.damasktiller.node.cluster.ManifestWatcher;
 import org.damasktiller.node.cluster.NodeIdentity;
@@ -124,10 +123,9 @@
      *
      * @param settingsPath the path of the settings file, which is read again on SIGHUP
      * @param settings the settings
-     * @param maxZonesPerCell the most availability zones of a cell, or {@link
-     *     LayoutPolicy#AUTOMATIC}
+     * @param options the command-line options
      */
-    public NodeProcess(Path settingsPath, PlatformSettings settings, int maxZonesPerCell) {
+    NodeProcess(Path settingsPath, PlatformSettings settings, Options options) {
         this.settingsPath = settingsPath;
         this.settings = settings;
         Clock clock = Clock.systemUTC();
@@ -144,8 +142,8 @@
         clusterMember =
                 new ClusterMember(
                         createIdentity(),
-                        new LayoutSettings(settings.regionByZone(), maxZonesPerCell),
-                        createCellSettings(),
+                        new LayoutSettings(settings.regionByZone(), options.maxZonesPerCell),
+                        createCellSettings(options),
                         store,
                         new HttpWorkerClient(
                                 new JsonHttpClient(eventloop, WORKER_TIMEOUT_MILLIS),
@@ -232,14 +230,16 @@
     }
 
     /**
-     * Creates the settings of the cells from the limits of the deployment.
+     * Creates the settings of the cells from the limits of the deployment and the options.
      *
+     * @param options the command-line options
      * @return the settings
      */
-    private CellSettings createCellSettings() {
+    private CellSettings createCellSettings(Options options) {
         return CellSettings.builder()
                 .maximumOverTargetMillis(settings.bounds().maximumOverTargetMillis())
                 .maximumEntryAgeMillis(settings.bounds().maximumContactGapMillis())
+                .lookAhead(options.lookAhead)
                 .evacuationBoundMillis(settings.bounds().evacuationMillis())
                 .remoteFactor(settings.bounds().remoteFactor())
                 .maximumWorkerLeaseMillis(settings.bounds().maximumWorkerLeaseMillis())
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/Options.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/Options.java
@@ -25,6 +25,13 @@
                         + " values have no effect")
     int maxZonesPerCell = LayoutPolicy.AUTOMATIC;
 
+    /** Whether room is kept for large tasks that wait. */
+    @Parameter(
+            names = "--look-ahead",
+            description =
+                    "keep room for large tasks that wait, on the workers that will have it soonest")
+    boolean lookAhead;
+
     /** Whether to print the options and exit. */
     @Parameter(names = "--help", help = true, description = "print the options and exit")
     boolean help;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/AdviceTicketProvider.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/AdviceTicketProvider.java
@@ -111,7 +111,7 @@
         List<WorkerRecord> requested =
                 candidates.subList(0, Math.min(MAX_WORKERS_PER_REQUEST, candidates.size()));
         requestInFlight = true;
-        String name = step.occurrence.job.id() + '.' + step.occurrence.number + '.' + step.number;
+        String name = step.name();
         client.requestTickets(
                 name,
                 requested.stream().map(worker -> worker.id).toList(),
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -124,7 +124,9 @@
         fillerThrottle = new FillerThrottle(context, requestSender, interference);
         AdviceTicketProvider advice =
                 new AdviceTicketProvider(context, environment.adviceClient(), this::schedulePass);
-        WorkerSelector workerSelector = new WorkerSelector(context, fillerThrottle, advice);
+        LookAheadPlacement lookAhead = new LookAheadPlacement(context, runTimes);
+        WorkerSelector workerSelector =
+                new WorkerSelector(context, fillerThrottle, advice, lookAhead);
         stragglerMitigator =
                 new StragglerMitigator(context, workerSelector, requestSender, runTimes);
         drainController = new DrainController(context, requestSender, runTimes);
@@ -136,7 +138,8 @@
                         runTimes,
                         advice,
                         ownership,
-                        jobTracker.crashTracker());
+                        jobTracker.crashTracker(),
+                        lookAhead);
         counts = new CountPublisher(context, jobTracker);
         submissionWatcher = new SubmissionWatcher(context, new SubmissionListener());
         workerWatcher =
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellSettings.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellSettings.java
@@ -55,6 +55,9 @@
      */
     private final long evacuationBoundMillis;
 
+    /** Whether room is kept for large tasks that wait. */
+    private final boolean lookAhead;
+
     /**
      * How many times as long a step takes if it runs away from its data, or a gang if it spans
      * racks; given by the platform's settings.
@@ -79,6 +82,7 @@
         maximumOverTargetMillis = builder.maximumOverTargetMillis;
         maximumEntryAgeMillis = builder.maximumEntryAgeMillis;
         evacuationBoundMillis = builder.evacuationBoundMillis;
+        lookAhead = builder.lookAhead;
         remoteFactor = builder.remoteFactor;
     }
 
@@ -202,6 +206,15 @@
         return evacuationBoundMillis;
     }
 
+    /**
+     * Returns whether room is kept for large tasks that wait.
+     *
+     * @return whether placement looks at waiting tasks and expected ends
+     */
+    public boolean lookAhead() {
+        return lookAhead;
+    }
+
     /**
      * Returns how many times as long a step takes if it runs away from its data, or a gang if it
      * spans racks.
@@ -259,6 +272,9 @@
         /** See {@link CellSettings#evacuationBoundMillis()}; zones are not evacuated by default. */
         private long evacuationBoundMillis;
 
+        /** See {@link CellSettings#lookAhead()}; off by default. */
+        private boolean lookAhead;
+
         /** The default slowdown of steps away from their data and of gangs across racks. */
         private double remoteFactor = 2;
 
@@ -354,6 +370,17 @@
             return this;
         }
 
+        /**
+         * Sets whether room is kept for large tasks that wait.
+         *
+         * @param enabled whether placement looks at waiting tasks and expected ends
+         * @return this builder
+         */
+        public Builder lookAhead(boolean enabled) {
+            lookAhead = enabled;
+            return this;
+        }
+
         /**
          * Sets how many times as long a step takes if it runs away from its data, or a gang if it
          * spans racks.
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StepRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StepRecord.java
@@ -53,6 +53,15 @@
         }
     }
 
+    /**
+     * Returns the name of the step.
+     *
+     * @return the identifiers of the submission, the occurrence and the step, separated by dots
+     */
+    String name() {
+        return occurrence.job.id() + '.' + occurrence.number + '.' + number;
+    }
+
     /**
      * Returns whether every task is done.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
@@ -71,6 +71,9 @@
     /** Tells which tasks may crash their workers. */
     private final CrashTracker crashTracker;
 
+    /** Keeps room for large tasks. */
+    private final LookAheadPlacement lookAhead;
+
     /** The number of starts in the current pass. */
     private int startCount;
 
@@ -84,6 +87,7 @@
      * @param advice holds the tickets for routes that need advice
      * @param ownership tells up to which store revision this owner is verified to own the cell
      * @param crashTracker tells which tasks may crash their workers
+     * @param lookAhead keeps room for large tasks
      */
     TaskScheduler(
             CellContext context,
@@ -92,7 +96,8 @@
             RunTimeEstimator runTimes,
             AdviceTicketProvider advice,
             OwnershipVerifier ownership,
-            CrashTracker crashTracker) {
+            CrashTracker crashTracker,
+            LookAheadPlacement lookAhead) {
         this.context = context;
         this.workerSelector = workerSelector;
         this.requestSender = requestSender;
@@ -100,6 +105,7 @@
         this.advice = advice;
         this.ownership = ownership;
         this.crashTracker = crashTracker;
+        this.lookAhead = lookAhead;
         this.suspectPlacement = new SuspectPlacement(context, workerSelector, advice);
     }
 
@@ -121,6 +127,13 @@
         context.waitingSteps = waitingSteps.size();
         workerSelector.updateUrgentReserve(urgentMillicores(waitingSteps));
         waitingSteps.sort(WaitingStep.ORDER);
+        lookAhead.update(
+                waitingSteps.stream()
+                        .filter(waiting -> waiting.rank == RANK_URGENT)
+                        .filter(waiting -> waiting.lateness != TOO_LATE)
+                        .map(WaitingStep::step)
+                        .toList(),
+                workerSelector);
         for (WaitingStep waiting : waitingSteps) {
             if (startCount >= MAX_STARTS_PER_PASS) {
                 return;
@@ -323,6 +336,7 @@
                     nextRunNumber(task.highestRunNumber),
                     advice.usableTicket(step, worker));
             crashTracker.onStartSent(task);
+            lookAhead.onStarted(task, worker);
             startCount++;
         }
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -102,6 +102,9 @@
     /** Holds the tickets for routes that need advice. */
     private final AdviceTicketProvider advice;
 
+    /** Keeps room for large tasks. */
+    private final LookAheadPlacement lookAhead;
+
     /** The workers that are kept free of new long-running tasks. */
     private final UrgentReserve urgentReserve = new UrgentReserve();
 
@@ -117,10 +120,15 @@
      * @param context the shared state of the cell's owner
      * @param fillerThrottle predicts the impact of fillers on serving tasks
      * @param advice holds the tickets for routes that need advice
+     * @param lookAhead keeps room for large tasks
      */
     WorkerSelector(
-            CellContext context, FillerThrottle fillerThrottle, AdviceTicketProvider advice) {
+            CellContext context,
+            FillerThrottle fillerThrottle,
+            AdviceTicketProvider advice,
+            LookAheadPlacement lookAhead) {
         this.context = context;
+        this.lookAhead = lookAhead;
         this.advice = advice;
         this.fillerThrottle = fillerThrottle;
     }
@@ -184,7 +192,9 @@
         boolean ticketRequired = advice.isRequired(task.step);
         Resources need = task.step.spec.reserved();
         for (WorkerRecord worker : context.allWorkers()) {
-            if (!worker.hasRoomFor(need) || !isEligible(task, worker, ticketRequired)) {
+            if (!worker.hasRoomFor(need)
+                    || !isEligible(task, worker, ticketRequired)
+                    || !lookAhead.admits(task, worker)) {
                 continue;
             }
             double score = score(task, worker);
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -120,6 +120,9 @@
     /** How much longer workers stay slow, in milliseconds, by identifier; others are warm. */
     final Map<String, Long> coldMillis = new HashMap<>();
 
+    /** Whether room is kept for large tasks that wait. */
+    boolean lookAhead;
+
     /** How soon an evacuation must be in effect, in milliseconds, or 0 if zones never are. */
     long evacuationBoundMillis;
 
@@ -357,7 +360,10 @@
                 new FaultInjectingWorkerClient(workers, cutOffWorkers, clock, workerFaults);
         CellEnvironment environment =
                 new CellEnvironment(
-                        CellSettings.builder().evacuationBoundMillis(evacuationBoundMillis).build(),
+                        CellSettings.builder()
+                                .evacuationBoundMillis(evacuationBoundMillis)
+                                .lookAhead(lookAhead)
+                                .build(),
                         storeClient,
                         workerClient,
                         this::advise,
