--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/command/EntryCommand.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/command/EntryCommand.java
@@ -4,8 +4,8 @@
 import com.beust.jcommander.Parameters;
 import java.io.PrintStream;
 import java.nio.file.Path;
-import org.damasktiller.node.cluster.LayoutPolicy;
 import org.damasktiller.node.process.NodeProcess;
+import org.damasktiller.node.process.Options;
 import org.damasktiller.platform.settings.SettingsReader;
 
 /** Runs the program of an entry VM in the foreground. */
@@ -32,7 +32,7 @@
     @Override
     public ExitCode run(PrintStream output) {
         Path path = Path.of(settingsPath);
-        new NodeProcess(path, SettingsReader.read(path), LayoutPolicy.AUTOMATIC).run();
+        new NodeProcess(path, SettingsReader.read(path), new Options().enableAll()).run();
         return ExitCode.SUCCESS;
     }
 }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -125,7 +125,7 @@
      * @param settings the settings
      * @param options the command-line options
      */
-    NodeProcess(Path settingsPath, PlatformSettings settings, Options options) {
+    public NodeProcess(Path settingsPath, PlatformSettings settings, Options options) {
         this.settingsPath = settingsPath;
         this.settings = settings;
         Clock clock = Clock.systemUTC();
@@ -240,6 +240,7 @@
                 .maximumOverTargetMillis(settings.bounds().maximumOverTargetMillis())
                 .maximumEntryAgeMillis(settings.bounds().maximumContactGapMillis())
                 .lookAhead(options.lookAhead)
+                .fillersBySlack(options.fillersBySlack)
                 .evacuationBoundMillis(settings.bounds().evacuationMillis())
                 .remoteFactor(settings.bounds().remoteFactor())
                 .maximumWorkerLeaseMillis(settings.bounds().maximumWorkerLeaseMillis())
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/Options.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/Options.java
@@ -6,7 +6,7 @@
 import org.damasktiller.platform.settings.SettingsReader;
 
 /** The command-line options of an entry VM. */
-final class Options {
+public final class Options {
 
     /** The path of the platform's settings file. */
     @Parameter(
@@ -32,12 +32,31 @@
                     "keep room for large tasks that wait, on the workers that will have it soonest")
     boolean lookAhead;
 
+    /** Whether fillers may disturb serving tasks by how little time is left for them. */
+    @Parameter(
+            names = "--fillers-by-slack",
+            description =
+                    "let fillers disturb serving tasks only as far as the time left for them asks"
+                            + " for it")
+    boolean fillersBySlack;
+
     /** Whether to print the options and exit. */
     @Parameter(names = "--help", help = true, description = "print the options and exit")
     boolean help;
 
     /** Creates options with their default values. */
-    Options() {}
+    public Options() {}
+
+    /**
+     * Switches on placement that looks ahead, and fillers by slack.
+     *
+     * @return these options
+     */
+    public Options enableAll() {
+        lookAhead = true;
+        fillersBySlack = true;
+        return this;
+    }
 
     /**
      * Checks the values that the parser does not check.
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -121,12 +121,13 @@
         poller = new WorkerPoller(context, jobTracker, requestSender, new PollListener());
         InterferenceModel interference = new InterferenceModel();
         interferenceKeeper = new InterferenceKeeper(context, interference);
-        fillerThrottle = new FillerThrottle(context, requestSender, interference);
+        JobObjectives objectives = new JobObjectives(context, runTimes);
+        fillerThrottle = new FillerThrottle(context, requestSender, interference, objectives);
         AdviceTicketProvider advice =
                 new AdviceTicketProvider(context, environment.adviceClient(), this::schedulePass);
         LookAheadPlacement lookAhead = new LookAheadPlacement(context, runTimes);
         WorkerSelector workerSelector =
-                new WorkerSelector(context, fillerThrottle, advice, lookAhead);
+                new WorkerSelector(context, fillerThrottle, advice, lookAhead, objectives);
         stragglerMitigator =
                 new StragglerMitigator(context, workerSelector, requestSender, runTimes);
         drainController = new DrainController(context, requestSender, runTimes);
@@ -139,7 +140,8 @@
                         advice,
                         ownership,
                         jobTracker.crashTracker(),
-                        lookAhead);
+                        lookAhead,
+                        objectives);
         counts = new CountPublisher(context, jobTracker);
         submissionWatcher = new SubmissionWatcher(context, new SubmissionListener());
         workerWatcher =
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellSettings.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellSettings.java
@@ -58,6 +58,9 @@
     /** Whether room is kept for large tasks that wait. */
     private final boolean lookAhead;
 
+    /** Whether fillers may disturb serving tasks by how little time is left for them. */
+    private final boolean fillersBySlack;
+
     /**
      * How many times as long a step takes if it runs away from its data, or a gang if it spans
      * racks; given by the platform's settings.
@@ -83,6 +86,7 @@
         maximumEntryAgeMillis = builder.maximumEntryAgeMillis;
         evacuationBoundMillis = builder.evacuationBoundMillis;
         lookAhead = builder.lookAhead;
+        fillersBySlack = builder.fillersBySlack;
         remoteFactor = builder.remoteFactor;
     }
 
@@ -215,6 +219,15 @@
         return lookAhead;
     }
 
+    /**
+     * Returns whether fillers may disturb serving tasks by how little time is left for them.
+     *
+     * @return true by the time that is left, false by how long they have waited
+     */
+    public boolean fillersBySlack() {
+        return fillersBySlack;
+    }
+
     /**
      * Returns how many times as long a step takes if it runs away from its data, or a gang if it
      * spans racks.
@@ -275,6 +288,9 @@
         /** See {@link CellSettings#lookAhead()}; off by default. */
         private boolean lookAhead;
 
+        /** See {@link CellSettings#fillersBySlack()}; off by default. */
+        private boolean fillersBySlack;
+
         /** The default slowdown of steps away from their data and of gangs across racks. */
         private double remoteFactor = 2;
 
@@ -381,6 +397,17 @@
             return this;
         }
 
+        /**
+         * Sets whether fillers may disturb serving tasks by how little time is left for them.
+         *
+         * @param enabled true by the time that is left, false by how long they have waited
+         * @return this builder
+         */
+        public Builder fillersBySlack(boolean enabled) {
+            fillersBySlack = enabled;
+            return this;
+        }
+
         /**
          * Sets how many times as long a step takes if it runs away from its data, or a gang if it
          * spans racks.
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerThrottle.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerThrottle.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.damasktiller.scheduler.model.StepSpec;
+import org.damasktiller.scheduler.placement.FillerPacing;
 
 /**
  * Throttles the filler tasks of a worker to protect the tail latency of the serving tasks that run
@@ -38,12 +39,6 @@
     /** The factor by which the CPU limit of a throttled filler is multiplied. */
     private static final double THROTTLE_FACTOR = 0.75;
 
-    /**
-     * The number of percentage points by which the CPU limit of a filler is raised after each poll
-     * at which all serving tasks of its worker have recovered.
-     */
-    private static final int RECOVERY_STEP_PERCENT = 30;
-
     /** The fraction of the latency target below which a serving task counts as recovered. */
     private static final double RECOVERED_FRACTION = 0.75;
 
@@ -106,6 +101,9 @@
     /** Predicts the effect of fillers on tail latencies, by pair of images. */
     private final InterferenceModel interference;
 
+    /** Computes by when jobs have to be done. */
+    private final JobObjectives objectives;
+
     /**
      * Creates a throttle for the fillers of all workers of a cell.
      *
@@ -113,12 +111,17 @@
      * @param requestSender sends the CPU limits to the workers
      * @param interference learns and predicts the effect of fillers on tail latencies, by pair of
      *     images
+     * @param objectives computes by when jobs have to be done
      */
     FillerThrottle(
-            CellContext context, RunRequestSender requestSender, InterferenceModel interference) {
+            CellContext context,
+            RunRequestSender requestSender,
+            InterferenceModel interference,
+            JobObjectives objectives) {
         this.context = context;
         this.requestSender = requestSender;
         this.interference = interference;
+        this.objectives = objectives;
     }
 
     /**
@@ -272,15 +275,30 @@
      *
      * @param worker the worker
      */
-    private static void raiseLimits(WorkerRecord worker) {
+    private void raiseLimits(WorkerRecord worker) {
         for (RunRecord run : worker.runs.values()) {
-            run.unpausedCpuLimitPercent =
-                    Math.min(
-                            RunRecord.FULL_PERCENT,
-                            run.unpausedCpuLimitPercent + RECOVERY_STEP_PERCENT);
+            if (run.unpausedCpuLimitPercent < RunRecord.FULL_PERCENT) {
+                run.unpausedCpuLimitPercent =
+                        Math.min(
+                                RunRecord.FULL_PERCENT,
+                                run.unpausedCpuLimitPercent + recoveryStepPercent(run));
+            }
         }
     }
 
+    /**
+     * Returns by how much the CPU limit of a throttled filler is raised.
+     *
+     * @param run the run of the filler
+     * @return the step, in percentage points
+     */
+    private int recoveryStepPercent(RunRecord run) {
+        TaskRecord task = run.task;
+        return task != null && context.settings.fillersBySlack()
+                ? FillerPacing.stepPercent(objectives.usedSlack(task.step))
+                : FillerPacing.FULL_STEP_PERCENT;
+    }
+
     /**
      * Sends the CPU limits of fillers that differ from the limits that the worker has confirmed,
      * and those that an earlier request without an answer may still override.
--- /dev/null
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobObjectives.java
@@ -0,0 +1,94 @@
+package org.damasktiller.scheduler.cell;
+
+import org.damasktiller.scheduler.model.Route;
+import org.damasktiller.scheduler.model.StepSpec;
+import org.damasktiller.scheduler.placement.FillerSlack;
+
+/** Computes by when jobs have to be done, and how much time the work that is left takes. */
+final class JobObjectives {
+
+    /** The shared state of the cell's owner. */
+    private final CellContext context;
+
+    /** Estimates run times. */
+    private final RunTimeEstimator runTimes;
+
+    /**
+     * Creates a calculator.
+     *
+     * @param context the shared state of the cell's owner
+     * @param runTimes estimates run times
+     */
+    JobObjectives(CellContext context, RunTimeEstimator runTimes) {
+        this.context = context;
+        this.runTimes = runTimes;
+    }
+
+    /**
+     * Returns the latency objective of a job.
+     *
+     * @param job the job
+     * @return the time from when this owner first read the job, in milliseconds
+     */
+    long objectiveMillis(Job job) {
+        Route route = context.manifest.findRouteByName(job.accepted.route());
+        double extension = route == null ? 1 : route.extension();
+        long slackMillis = route == null ? 0 : route.targetLatencyMillis();
+        return (long) (extension * estimateMillis(job)) + slackMillis;
+    }
+
+    /**
+     * Returns how much of the slack of a filler is used.
+     *
+     * @param step the step of the filler
+     * @return the used part, from 0 to {@link FillerSlack#USED_UP}
+     */
+    double usedSlack(StepRecord step) {
+        Job job = step.occurrence.job;
+        return FillerSlack.usedPart(
+                elapsedMillis(job),
+                objectiveMillis(job),
+                estimateMillis(job),
+                remainingMillis(step));
+    }
+
+    /**
+     * Returns for how long this owner has known a job.
+     *
+     * @param job the job
+     * @return the time, in milliseconds
+     */
+    long elapsedMillis(Job job) {
+        return context.now() - job.firstReadAtMillis;
+    }
+
+    /**
+     * Estimates how long the steps of a job take one after the other.
+     *
+     * @param job the job
+     * @return the time, in milliseconds
+     */
+    long estimateMillis(Job job) {
+        long totalMillis = 0;
+        for (StepSpec spec : job.accepted.submission().steps()) {
+            totalMillis += runTimes.expectedMillis(spec);
+        }
+        return totalMillis;
+    }
+
+    /**
+     * Estimates how long the steps of an occurrence take from a given one on.
+     *
+     * @param step the first step to count
+     * @return the time, in milliseconds
+     */
+    long remainingMillis(StepRecord step) {
+        long totalMillis = 0;
+        for (StepRecord later : step.occurrence.steps) {
+            if (later.number >= step.number) {
+                totalMillis += runTimes.expectedMillis(later.spec);
+            }
+        }
+        return totalMillis;
+    }
+}
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
@@ -74,6 +74,9 @@
     /** Keeps room for large tasks. */
     private final LookAheadPlacement lookAhead;
 
+    /** Computes by when jobs have to be done. */
+    private final JobObjectives objectives;
+
     /** The number of starts in the current pass. */
     private int startCount;
 
@@ -88,6 +91,7 @@
      * @param ownership tells up to which store revision this owner is verified to own the cell
      * @param crashTracker tells which tasks may crash their workers
      * @param lookAhead keeps room for large tasks
+     * @param objectives computes by when jobs have to be done
      */
     TaskScheduler(
             CellContext context,
@@ -97,7 +101,8 @@
             AdviceTicketProvider advice,
             OwnershipVerifier ownership,
             CrashTracker crashTracker,
-            LookAheadPlacement lookAhead) {
+            LookAheadPlacement lookAhead,
+            JobObjectives objectives) {
         this.context = context;
         this.workerSelector = workerSelector;
         this.requestSender = requestSender;
@@ -106,6 +111,7 @@
         this.ownership = ownership;
         this.crashTracker = crashTracker;
         this.lookAhead = lookAhead;
+        this.objectives = objectives;
         this.suspectPlacement = new SuspectPlacement(context, workerSelector, advice);
     }
 
@@ -239,12 +245,10 @@
             rank = RANK_FILLER;
         }
         Route route = context.manifest.findRouteByName(job.accepted.route());
-        double extension = route == null ? 1 : route.extension();
-        long slackMillis = route == null ? 0 : route.targetLatencyMillis();
         int priority = route == null ? 0 : route.priority();
-        long remainingMillis = estimateRemainingMillis(step);
-        long objectiveMillis = (long) (extension * estimateJobMillis(job)) + slackMillis;
-        long expectedLatencyMillis = context.now() + remainingMillis - job.firstReadAtMillis;
+        long objectiveMillis = objectives.objectiveMillis(job);
+        long expectedLatencyMillis =
+                objectives.elapsedMillis(job) + objectives.remainingMillis(step);
         int lateness = expectedLatencyMillis <= objectiveMillis ? ON_TIME : LATE;
         if (expectedLatencyMillis > TOO_LATE_FACTOR * objectiveMillis) {
             lateness = TOO_LATE;
@@ -270,36 +274,6 @@
         return work;
     }
 
-    /**
-     * Estimates how long the steps of a job take one after the other.
-     *
-     * @param job the job
-     * @return the time, in milliseconds
-     */
-    private long estimateJobMillis(Job job) {
-        long totalMillis = 0;
-        for (StepSpec spec : job.accepted.submission().steps()) {
-            totalMillis += runTimes.expectedMillis(spec);
-        }
-        return totalMillis;
-    }
-
-    /**
-     * Estimates how long the steps of an occurrence take from a given one on.
-     *
-     * @param step the first step to count
-     * @return the time, in milliseconds
-     */
-    private long estimateRemainingMillis(StepRecord step) {
-        long totalMillis = 0;
-        for (StepRecord later : step.occurrence.steps) {
-            if (later.number >= step.number) {
-                totalMillis += runTimes.expectedMillis(later.spec);
-            }
-        }
-        return totalMillis;
-    }
-
     /**
      * Starts the waiting tasks of a step one by one until no worker is left for the next. Suspect
      * tasks do not hold up the others.
