--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -240,7 +240,7 @@
                 .maximumOverTargetMillis(settings.bounds().maximumOverTargetMillis())
                 .maximumEntryAgeMillis(settings.bounds().maximumContactGapMillis())
                 .lookAhead(options.lookAhead)
-                .fillersBySlack(options.fillersBySlack)
+                .tailMargin(options.tailMargin)
                 .evacuationBoundMillis(settings.bounds().evacuationMillis())
                 .remoteFactor(settings.bounds().remoteFactor())
                 .maximumWorkerLeaseMillis(settings.bounds().maximumWorkerLeaseMillis())
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/Options.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/Options.java
@@ -32,13 +32,12 @@
                     "keep room for large tasks that wait, on the workers that will have it soonest")
     boolean lookAhead;
 
-    /** Whether fillers may disturb serving tasks by how little time is left for them. */
+    /** Whether fillers keep a margin for the noise of reported tail latencies. */
     @Parameter(
-            names = "--fillers-by-slack",
+            names = "--tail-margin",
             description =
-                    "let fillers disturb serving tasks only as far as the time left for them asks"
-                            + " for it")
-    boolean fillersBySlack;
+                    "start fillers beside serving tasks with a margin for the noise of their tails")
+    boolean tailMargin;
 
     /** Whether to print the options and exit. */
     @Parameter(names = "--help", help = true, description = "print the options and exit")
@@ -48,13 +47,13 @@
     public Options() {}
 
     /**
-     * Switches on placement that looks ahead, and fillers by slack.
+     * Switches on placement that looks ahead, and a margin for tails.
      *
      * @return these options
      */
     public Options enableAll() {
         lookAhead = true;
-        fillersBySlack = true;
+        tailMargin = true;
         return this;
     }
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -121,13 +121,12 @@
         poller = new WorkerPoller(context, jobTracker, requestSender, new PollListener());
         InterferenceModel interference = new InterferenceModel();
         interferenceKeeper = new InterferenceKeeper(context, interference);
-        JobObjectives objectives = new JobObjectives(context, runTimes);
-        fillerThrottle = new FillerThrottle(context, requestSender, interference, objectives);
+        fillerThrottle = new FillerThrottle(context, requestSender, interference);
         AdviceTicketProvider advice =
                 new AdviceTicketProvider(context, environment.adviceClient(), this::schedulePass);
         LookAheadPlacement lookAhead = new LookAheadPlacement(context, runTimes);
         WorkerSelector workerSelector =
-                new WorkerSelector(context, fillerThrottle, advice, lookAhead, objectives);
+                new WorkerSelector(context, fillerThrottle, advice, lookAhead);
         stragglerMitigator =
                 new StragglerMitigator(context, workerSelector, requestSender, runTimes);
         drainController = new DrainController(context, requestSender, runTimes);
@@ -141,7 +140,7 @@
                         ownership,
                         jobTracker.crashTracker(),
                         lookAhead,
-                        objectives);
+                        new JobObjectives(context, runTimes));
         counts = new CountPublisher(context, jobTracker);
         submissionWatcher = new SubmissionWatcher(context, new SubmissionListener());
         workerWatcher =
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellSettings.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellSettings.java
@@ -58,8 +58,8 @@
     /** Whether room is kept for large tasks that wait. */
     private final boolean lookAhead;
 
-    /** Whether fillers may disturb serving tasks by how little time is left for them. */
-    private final boolean fillersBySlack;
+    /** Whether fillers keep a margin for the noise of reported tail latencies. */
+    private final boolean tailMargin;
 
     /**
      * How many times as long a step takes if it runs away from its data, or a gang if it spans
@@ -86,7 +86,7 @@
         maximumEntryAgeMillis = builder.maximumEntryAgeMillis;
         evacuationBoundMillis = builder.evacuationBoundMillis;
         lookAhead = builder.lookAhead;
-        fillersBySlack = builder.fillersBySlack;
+        tailMargin = builder.tailMargin;
         remoteFactor = builder.remoteFactor;
     }
 
@@ -220,12 +220,12 @@
     }
 
     /**
-     * Returns whether fillers may disturb serving tasks by how little time is left for them.
+     * Returns whether fillers keep a margin for the noise of reported tail latencies.
      *
-     * @return true by the time that is left, false by how long they have waited
+     * @return whether a serving task counts as disturbed well below its target
      */
-    public boolean fillersBySlack() {
-        return fillersBySlack;
+    public boolean tailMargin() {
+        return tailMargin;
     }
 
     /**
@@ -288,8 +288,8 @@
         /** See {@link CellSettings#lookAhead()}; off by default. */
         private boolean lookAhead;
 
-        /** See {@link CellSettings#fillersBySlack()}; off by default. */
-        private boolean fillersBySlack;
+        /** See {@link CellSettings#tailMargin()}; off by default. */
+        private boolean tailMargin;
 
         /** The default slowdown of steps away from their data and of gangs across racks. */
         private double remoteFactor = 2;
@@ -398,13 +398,13 @@
         }
 
         /**
-         * Sets whether fillers may disturb serving tasks by how little time is left for them.
+         * Sets whether fillers keep a margin for the noise of reported tail latencies.
          *
-         * @param enabled true by the time that is left, false by how long they have waited
+         * @param enabled whether a serving task counts as disturbed well below its target
          * @return this builder
          */
-        public Builder fillersBySlack(boolean enabled) {
-            fillersBySlack = enabled;
+        public Builder tailMargin(boolean enabled) {
+            tailMargin = enabled;
             return this;
         }
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerThrottle.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerThrottle.java
@@ -3,7 +3,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.damasktiller.scheduler.model.StepSpec;
-import org.damasktiller.scheduler.placement.FillerPacing;
 
 /**
  * Throttles the filler tasks of a worker to protect the tail latency of the serving tasks that run
@@ -39,6 +38,12 @@
     /** The factor by which the CPU limit of a throttled filler is multiplied. */
     private static final double THROTTLE_FACTOR = 0.75;
 
+    /**
+     * The number of percentage points by which the CPU limit of a filler is raised after each poll
+     * at which all serving tasks of its worker have recovered.
+     */
+    private static final int RECOVERY_STEP_PERCENT = 30;
+
     /** The fraction of the latency target below which a serving task counts as recovered. */
     private static final double RECOVERED_FRACTION = 0.75;
 
@@ -92,6 +97,12 @@
      */
     private static final double HARMLESS_FRACTION = 0.6;
 
+    /**
+     * The same with a margin: reported tails vary by a factor of two and more from one report to
+     * the next.
+     */
+    private static final double HARMLESS_FRACTION_WITH_MARGIN = 0.35;
+
     /** The shared state of the cell's owner. */
     private final CellContext context;
 
@@ -101,9 +112,6 @@
     /** Predicts the effect of fillers on tail latencies, by pair of images. */
     private final InterferenceModel interference;
 
-    /** Computes by when jobs have to be done. */
-    private final JobObjectives objectives;
-
     /**
      * Creates a throttle for the fillers of all workers of a cell.
      *
@@ -111,17 +119,12 @@
      * @param requestSender sends the CPU limits to the workers
      * @param interference learns and predicts the effect of fillers on tail latencies, by pair of
      *     images
-     * @param objectives computes by when jobs have to be done
      */
     FillerThrottle(
-            CellContext context,
-            RunRequestSender requestSender,
-            InterferenceModel interference,
-            JobObjectives objectives) {
+            CellContext context, RunRequestSender requestSender, InterferenceModel interference) {
         this.context = context;
         this.requestSender = requestSender;
         this.interference = interference;
-        this.objectives = objectives;
     }
 
     /**
@@ -275,30 +278,15 @@
      *
      * @param worker the worker
      */
-    private void raiseLimits(WorkerRecord worker) {
+    private static void raiseLimits(WorkerRecord worker) {
         for (RunRecord run : worker.runs.values()) {
-            if (run.unpausedCpuLimitPercent < RunRecord.FULL_PERCENT) {
-                run.unpausedCpuLimitPercent =
-                        Math.min(
-                                RunRecord.FULL_PERCENT,
-                                run.unpausedCpuLimitPercent + recoveryStepPercent(run));
-            }
+            run.unpausedCpuLimitPercent =
+                    Math.min(
+                            RunRecord.FULL_PERCENT,
+                            run.unpausedCpuLimitPercent + RECOVERY_STEP_PERCENT);
         }
     }
 
-    /**
-     * Returns by how much the CPU limit of a throttled filler is raised.
-     *
-     * @param run the run of the filler
-     * @return the step, in percentage points
-     */
-    private int recoveryStepPercent(RunRecord run) {
-        TaskRecord task = run.task;
-        return task != null && context.settings.fillersBySlack()
-                ? FillerPacing.stepPercent(objectives.usedSlack(task.step))
-                : FillerPacing.FULL_STEP_PERCENT;
-    }
-
     /**
      * Sends the CPU limits of fillers that differ from the limits that the worker has confirmed,
      * and those that an earlier request without an answer may still override.
@@ -330,9 +318,10 @@
      * @param latencyRatio the tail latency, as a fraction of its target
      * @return 0 up to the harmless level, 1 at the target and above, and linear in between
      */
-    private static double penalty(double latencyRatio) {
-        return Math.max(
-                0, Math.min(1, (latencyRatio - HARMLESS_FRACTION) / (1 - HARMLESS_FRACTION)));
+    private double penalty(double latencyRatio) {
+        double harmless =
+                context.settings.tailMargin() ? HARMLESS_FRACTION_WITH_MARGIN : HARMLESS_FRACTION;
+        return Math.max(0, Math.min(1, (latencyRatio - harmless) / (1 - harmless)));
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobObjectives.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobObjectives.java
@@ -2,7 +2,6 @@
 
 import org.damasktiller.scheduler.model.Route;
 import org.damasktiller.scheduler.model.StepSpec;
-import org.damasktiller.scheduler.placement.FillerSlack;
 
 /** Computes by when jobs have to be done, and how much time the work that is left takes. */
 final class JobObjectives {
@@ -37,21 +36,6 @@
         return (long) (extension * estimateMillis(job)) + slackMillis;
     }
 
-    /**
-     * Returns how much of the slack of a filler is used.
-     *
-     * @param step the step of the filler
-     * @return the used part, from 0 to {@link FillerSlack#USED_UP}
-     */
-    double usedSlack(StepRecord step) {
-        Job job = step.occurrence.job;
-        return FillerSlack.usedPart(
-                elapsedMillis(job),
-                objectiveMillis(job),
-                estimateMillis(job),
-                remainingMillis(step));
-    }
-
     /**
      * Returns for how long this owner has known a job.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -9,7 +9,6 @@
 import java.util.TreeSet;
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.StepSpec;
-import org.damasktiller.scheduler.placement.FillerAdmission;
 import org.damasktiller.scheduler.placement.ReserveCandidate;
 import org.damasktiller.scheduler.placement.UrgentReserve;
 import org.jspecify.annotations.Nullable;
@@ -67,6 +66,18 @@
      */
     private static final double NO_SERVING_TASK_MISMATCH = 0.3;
 
+    /**
+     * The impact that a filler may have if it has not waited, in serving tasks pushed over their
+     * target.
+     */
+    private static final double INITIAL_ALLOWED_IMPACT = 0.2;
+
+    /** The increase of the allowed impact for each second that a filler waits, in serving tasks. */
+    private static final double ALLOWED_IMPACT_PER_SECOND = 0.15;
+
+    /** The number of milliseconds in a second. */
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     /** The time between two updates of the reserve for urgent tasks, in milliseconds. */
     private static final long RESERVE_UPDATE_MILLIS = 250;
 
@@ -94,9 +105,6 @@
     /** Keeps room for large tasks. */
     private final LookAheadPlacement lookAhead;
 
-    /** Computes by when jobs have to be done. */
-    private final JobObjectives objectives;
-
     /** The workers that are kept free of new long-running tasks. */
     private final UrgentReserve urgentReserve = new UrgentReserve();
 
@@ -113,16 +121,13 @@
      * @param fillerThrottle predicts the impact of fillers on serving tasks
      * @param advice holds the tickets for routes that need advice
      * @param lookAhead keeps room for large tasks
-     * @param objectives computes by when jobs have to be done
      */
     WorkerSelector(
             CellContext context,
             FillerThrottle fillerThrottle,
             AdviceTicketProvider advice,
-            LookAheadPlacement lookAhead,
-            JobObjectives objectives) {
+            LookAheadPlacement lookAhead) {
         this.context = context;
-        this.objectives = objectives;
         this.lookAhead = lookAhead;
         this.advice = advice;
         this.fillerThrottle = fillerThrottle;
@@ -406,16 +411,16 @@
     }
 
     /**
-     * Returns the impact on serving tasks that a filler may have now.
+     * Returns the impact on serving tasks that a filler may have. It grows with the waiting time,
+     * so that each pair of images is tried from time to time and its coefficient stays up to date.
      *
      * @param task the task of the filler
      * @return the allowed impact, as a number of serving tasks pushed over their target
      */
     private double allowedImpact(TaskRecord task) {
         long waitedMillis = task.readySinceMillis == 0 ? 0 : context.now() - task.readySinceMillis;
-        return context.settings.fillersBySlack()
-                ? FillerAdmission.bySlack(objectives.usedSlack(task.step), waitedMillis)
-                : FillerAdmission.byWaiting(waitedMillis);
+        return INITIAL_ALLOWED_IMPACT
+                + ALLOWED_IMPACT_PER_SECOND * waitedMillis / MILLIS_PER_SECOND;
     }
 
     /**
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/SimulatedWorker.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/SimulatedWorker.java
@@ -341,7 +341,9 @@
         endedRuns.removeIf(end -> end.sequence() <= request.acknowledgedSequence());
         List<ActiveRun> running = new ArrayList<>();
         for (SimulatedRun run : activeRuns.values()) {
-            running.add(new ActiveRun(run.task, run.number, "", progress(run), 0));
+            running.add(
+                    new ActiveRun(
+                            run.task, run.number, "", progress(run), behaviour.load(id, run.task)));
         }
         return new WorkerReply(
                 WorkerStatus.OK,
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/TaskBehaviour.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/TaskBehaviour.java
@@ -48,4 +48,16 @@
     default long crashDelayMillis(TaskId task) {
         return NEVER_CRASHES;
     }
+
+    /**
+     * Returns what a worker reports of a task that is active.
+     *
+     * @param worker the identifier of the worker
+     * @param task the task
+     * @return the tail latency in milliseconds of a serving task, the CPU in use in millicores of
+     *     any other task
+     */
+    default long load(String worker, TaskId task) {
+        return 0;
+    }
 }
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -120,6 +120,12 @@
     /** How much longer workers stay slow, in milliseconds, by identifier; others are warm. */
     final Map<String, Long> coldMillis = new HashMap<>();
 
+    /** The tail latency that all serving tasks report, in milliseconds. */
+    long tailMillis;
+
+    /** Whether fillers keep a margin for the noise of reported tail latencies. */
+    boolean tailMargin;
+
     /** Whether room is kept for large tasks that wait. */
     boolean lookAhead;
 
@@ -363,6 +369,7 @@
                         CellSettings.builder()
                                 .evacuationBoundMillis(evacuationBoundMillis)
                                 .lookAhead(lookAhead)
+                                .tailMargin(tailMargin)
                                 .build(),
                         storeClient,
                         workerClient,
@@ -456,6 +463,11 @@
         return fails ? EndKind.FAILED : EndKind.DONE;
     }
 
+    @Override
+    public long load(String worker, TaskId task) {
+        return tailMillis;
+    }
+
     @Override
     public long crashDelayMillis(TaskId task) {
         return crashingSubmissions.contains(task.submission()) ? crashDelayMillis : NEVER_CRASHES;
