--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/explain/Timeline.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/explain/Timeline.java
@@ -32,6 +32,10 @@
                     "owner.unproven",
                     "owner.ended",
                     "owner.resigned",
+                    "zone.evacuated",
+                    "zone.returned",
+                    "evacuation.unknown",
+                    "evacuation.known",
                     "store.lost",
                     "store.regained",
                     "process.start",
@@ -121,13 +125,15 @@
     }
 
     /**
-     * Returns whether a line refers to the submission or one of its tasks.
+     * Returns whether a line refers to the submission or one of its steps or tasks.
      *
      * @param line the line
      * @return whether it does
      */
     private boolean refersToSubmission(LogLine line) {
-        return line.field("id").equals(id) || line.field("task").startsWith(id + '.');
+        return line.field("id").equals(id)
+                || line.field("task").startsWith(id + '.')
+                || line.field("step").startsWith(id + '.');
     }
 
     /**
--- a/damasktiller-lab/src/test/java/org/damasktiller/lab/explain/TimelineTest.java
+++ b/damasktiller-lab/src/test/java/org/damasktiller/lab/explain/TimelineTest.java
@@ -35,6 +35,8 @@
             {"time":1500,"node":"vm-2","event":"filler.pause","worker":"w0","overMillis":1700}
             {"time":1600,"node":"vm-2","event":"filler.pause","worker":"w9","overMillis":1700}
             {"time":2500,"node":"vm-2","event":"run.lost","task":"fc03fb14264fec1d.0.0.0","run":1,"worker":"w0","reason":"the worker restarted"}
+            {"time":2550,"node":"vm-2","event":"zone.evacuated","zone":"east","revision":7}
+            {"time":2560,"node":"vm-2","event":"room.reserved","step":"fc03fb14264fec1d.0.0","worker":"w1"}
             {"time":2600,"node":"vm-2","event":"run.start","task":"fc03fb14264fec1d.0.0.0","run":2,"worker":"w1"}
             {"time":3600,"node":"vm-2","event":"job.closed","id":"fc03fb14264fec1d","state":"SUCCEEDED"}
             """;
@@ -45,11 +47,13 @@
     void showsTheSubmissionAndTheEventsOfItsWorkers() throws IOException {
         Timeline timeline = new Timeline(ID, readLogs());
         List<String> lines = timeline.lines();
-        assertThat(lines, hasSize(7));
+        assertThat(lines, hasSize(9));
         assertThat(lines, hasItem(containsString("filler.pause")));
+        assertThat(lines, hasItem(containsString("zone.evacuated")));
+        assertThat(lines, hasItem(containsString("room.reserved")));
         assertThat(lines, not(hasItem(containsString("w9"))));
         assertThat(
-                lines.get(6),
+                lines.get(8),
                 is(
                         "summary: 2 starts of 1 tasks, 1 runs lost, 0 starts refused; last"
                                 + " job.closed after 2600 ms"));
