--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/command/Main.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/command/Main.java
@@ -30,6 +30,7 @@
                 new LocalCommand(),
                 new TableCommand(),
                 new ExplainCommand(),
+                new WhereCommand(),
                 new SoakCommand());
     }
 }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
@@ -1,9 +1,14 @@
 package org.damasktiller.node.cluster;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.damasktiller.error.DamasktillerException;
+import org.damasktiller.error.ErrorCode;
+import org.damasktiller.error.Operation;
+import org.damasktiller.error.Outcome;
 import org.damasktiller.scheduler.cell.CellEnvironment;
 import org.damasktiller.scheduler.cell.CellLayout;
 import org.damasktiller.scheduler.cell.CellOwner;
@@ -12,6 +17,8 @@
 import org.damasktiller.scheduler.cell.StoredValueCodec;
 import org.damasktiller.scheduler.model.Manifest;
 import org.damasktiller.scheduler.model.Resources;
+import org.damasktiller.scheduler.model.Route;
+import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.scheduler.port.AdviceClient;
 import org.damasktiller.scheduler.port.DecisionLog;
@@ -248,6 +255,45 @@
         return owner == null ? null : owner.submissionState(id);
     }
 
+    /**
+     * Explains where the first task of a step would start if it arrived now, in the cells of its
+     * service.
+     *
+     * @param routeName the name of the route
+     * @param spec the step
+     * @return some lines for each cell that this process owns, and the owner of each other cell
+     * @throws DamasktillerException with code BAD_REQUEST if the manifest has no such route
+     */
+    public List<String> explainPlacement(String routeName, StepSpec spec) {
+        Manifest currentManifest = manifest;
+        CellLayout layout = layouts.layout();
+        Route route = currentManifest == null ? null : currentManifest.findRouteByName(routeName);
+        if (route == null || layout == null) {
+            throw new DamasktillerException(
+                    ErrorCode.BAD_REQUEST,
+                    Operation.READ,
+                    identity.node(),
+                    Outcome.NOT_RUN,
+                    "the manifest in force has no route " + routeName);
+        }
+        List<String> lines = new ArrayList<>();
+        for (String cell : layout.cellsOf(route.service())) {
+            CellOwner owner = owners.get(cell);
+            if (owner != null) {
+                lines.addAll(owner.explainPlacement(route, spec));
+            } else {
+                ClusterView.Owner other = context.view().owner(cell);
+                lines.add(
+                        "cell "
+                                + cell
+                                + (other == null
+                                        ? " has no owner now"
+                                        : " is owned by " + other.record().node() + ": ask it"));
+            }
+        }
+        return lines;
+    }
+
     /**
      * Creates the elections of the cells of a manifest that have none yet.
      *
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.time.Clock;
 import java.time.Duration;
+import java.util.List;
 import java.util.UUID;
 import org.damasktiller.error.DamasktillerException;
 import org.damasktiller.error.ErrorCode;
@@ -24,6 +25,7 @@
 import org.damasktiller.node.cluster.NodeIdentity;
 import org.damasktiller.node.log.JsonLineLog;
 import org.damasktiller.node.metrics.EventMetrics;
+import org.damasktiller.node.placement.PlacementQuestion;
 import org.damasktiller.platform.advice.HttpAdviceClient;
 import org.damasktiller.platform.call.JsonHttpClient;
 import org.damasktiller.platform.http.EventLoops;
@@ -76,6 +78,12 @@
     /** The path of the metrics, served on the readiness address. */
     private static final String METRICS_PATH = "/metrics";
 
+    /** The path of questions about placement, served on the readiness address. */
+    private static final String PLACEMENT_PATH = "/placement";
+
+    /** The HTTP status of a question that is not understood. */
+    private static final int HTTP_BAD_REQUEST = 400;
+
     /** The HTTP status of the metrics and of a process that is ready for callers. */
     private static final int HTTP_OK = 200;
 
@@ -277,7 +285,8 @@
     }
 
     /**
-     * Serves the metrics on their path and the readiness check on all other paths.
+     * Serves the metrics and questions about placement on their paths, and the readiness check on
+     * all other paths.
      *
      * @param request the request
      * @return the response
@@ -286,9 +295,30 @@
         if (request.getPath().equals(METRICS_PATH)) {
             return HttpResponse.ofCode(HTTP_OK).withPlainText(log.render()).build();
         }
+        if (request.getPath().equals(PLACEMENT_PATH)) {
+            return explainPlacement(request);
+        }
         return HttpResponse.ofCode(isReady() ? HTTP_OK : HTTP_SERVICE_UNAVAILABLE).build();
     }
 
+    /**
+     * Answers where a task would start now. Nothing is started or stored.
+     *
+     * @param request the question, in its query parameters
+     * @return the explanation as text, or status 400 with the error code
+     */
+    private HttpResponse explainPlacement(HttpRequest request) {
+        try {
+            PlacementQuestion question = PlacementQuestion.parse(request::getQueryParameter);
+            List<String> lines = clusterMember.explainPlacement(question.route(), question.spec());
+            return HttpResponse.ofCode(HTTP_OK).withPlainText(String.join("\n", lines)).build();
+        } catch (DamasktillerException exception) {
+            return HttpResponse.ofCode(HTTP_BAD_REQUEST)
+                    .withPlainText(exception.code() + ": " + exception.getMessage())
+                    .build();
+        }
+    }
+
     /**
      * Tells whether the process can accept submissions: it is not shutting down, knows the manifest
      * and the cells, and the store is reachable.
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -1,9 +1,12 @@
 package org.damasktiller.scheduler.cell;
 
 import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.damasktiller.scheduler.model.Manifest;
+import org.damasktiller.scheduler.model.Route;
+import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.scheduler.model.WorkerEntry;
 import org.damasktiller.scheduler.port.StoreItem;
@@ -81,6 +84,9 @@
     /** Watches the worker entries. */
     private final WorkerEntryWatcher workerWatcher;
 
+    /** Explains where tasks would start. */
+    private final PlacementExplainer placementExplainer;
+
     /** Watches the evacuated zones. */
     private final EvacuationWatcher evacuationWatcher;
 
@@ -127,6 +133,7 @@
         LookAheadPlacement lookAhead = new LookAheadPlacement(context, runTimes);
         WorkerSelector workerSelector =
                 new WorkerSelector(context, fillerThrottle, advice, lookAhead);
+        placementExplainer = new PlacementExplainer(context, workerSelector);
         stragglerMitigator =
                 new StragglerMitigator(context, workerSelector, requestSender, runTimes);
         drainController = new DrainController(context, requestSender, runTimes);
@@ -220,6 +227,17 @@
         return job == null || context.ended ? null : job.state;
     }
 
+    /**
+     * Explains where the first task of a step would start if it arrived now. Starts nothing.
+     *
+     * @param route the route of the submission
+     * @param spec the step
+     * @return the explanation, some lines; empty if the cell is not loaded or the term has ended
+     */
+    public List<String> explainPlacement(Route route, StepSpec spec) {
+        return loaded && !context.ended ? placementExplainer.explain(route, spec) : List.of();
+    }
+
     /**
      * Stops the watchers when the term has ended and passes the reason on.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/EvacuationWatcher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/EvacuationWatcher.java
@@ -63,7 +63,7 @@
     void start() {
         if (isEnabled()) {
             watcher.start();
-            reportPeriodically();
+            context.schedule(REPORT_INTERVAL_MILLIS, this::reportPeriodically);
         }
     }
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/LookAheadPlacement.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/LookAheadPlacement.java
@@ -71,8 +71,11 @@
         plannedAtMillis = now;
         List<WaitingNeed> needs = new ArrayList<>();
         for (StepRecord step : waitingSteps) {
+            if (needs.size() == MAX_STEPS) {
+                break;
+            }
             WaitingNeed need = toNeed(step, workerSelector, now);
-            if (need != null && needs.size() < MAX_STEPS) {
+            if (need != null) {
                 needs.add(need);
             }
         }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
@@ -56,6 +56,9 @@
     /** Selects workers for tasks that may crash them. */
     private final SuspectPlacement suspectPlacement;
 
+    /** Selects workers for gangs. */
+    private final GangPlacement gangPlacement;
+
     /** Sends the start requests. */
     private final RunRequestSender requestSender;
 
@@ -113,6 +116,7 @@
         this.lookAhead = lookAhead;
         this.objectives = objectives;
         this.suspectPlacement = new SuspectPlacement(context, workerSelector, advice);
+        this.gangPlacement = new GangPlacement(context, workerSelector, advice);
     }
 
     /** Runs one pass over all waiting steps. */
@@ -329,7 +333,7 @@
             }
             highestRunNumber = Math.max(highestRunNumber, task.highestRunNumber);
         }
-        List<WorkerRecord> workers = workerSelector.selectWorkersForGang(step);
+        List<WorkerRecord> workers = gangPlacement.selectWorkers(step);
         if (workers.isEmpty()) {
             requestTickets(step);
             return;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -1,12 +1,7 @@
 package org.damasktiller.scheduler.cell;
 
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.TreeSet;
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.placement.ReserveCandidate;
@@ -207,105 +202,73 @@
     }
 
     /**
-     * Selects workers for all members of a gang. A gang that prefers one rack is spread over racks
-     * if no rack has room for all members.
+     * Returns whether a task may start on a worker, apart from the resources that it reserves.
      *
-     * @param step the step of the gang
-     * @return a worker for each member in order, or an empty list if not all members fit
+     * @param task the task
+     * @param worker the worker
+     * @param ticketRequired whether the task needs a ticket of the advice service for the worker
+     * @return whether the worker is eligible
      */
-    List<WorkerRecord> selectWorkersForGang(StepRecord step) {
-        if (step.spec.sameRack()) {
-            for (String rack : possibleRacks()) {
-                List<WorkerRecord> selected = assignGang(step, rack);
-                if (!selected.isEmpty()) {
-                    return selected;
-                }
-            }
-        }
-        return assignGang(step, "");
+    boolean isEligible(TaskRecord task, WorkerRecord worker, boolean ticketRequired) {
+        return judge(task, worker, ticketRequired) == PlacementVerdict.ELIGIBLE;
     }
 
     /**
-     * Assigns the members of a gang one by one to the workers with the most free CPU.
+     * Returns why a task may or may not start on a worker, apart from the resources that it
+     * reserves.
      *
-     * @param step the step of the gang
-     * @param rack the label that all workers must have, or an empty string for any worker
-     * @return a worker for each member in order, or an empty list if not all members fit
+     * @param task the task
+     * @param worker the worker
+     * @param ticketRequired whether the task needs a ticket of the advice service for the worker
+     * @return the first rule that refuses, or {@link PlacementVerdict#ELIGIBLE}
      */
-    private List<WorkerRecord> assignGang(StepRecord step, String rack) {
-        Map<WorkerRecord, Integer> assignedCounts = new HashMap<>();
-        List<WorkerRecord> selected = new ArrayList<>();
-        List<WorkerRecord> byFreeCpu = new ArrayList<>(context.allWorkers());
-        byFreeCpu.sort(Comparator.comparingLong(worker -> -worker.freeResources().cpuMillicores()));
-        Resources need = step.spec.reserved();
-        boolean ticketRequired = advice.isRequired(step);
-        for (TaskRecord task : step.tasks) {
-            for (WorkerRecord worker : byFreeCpu) {
-                int assignedHere = assignedCounts.getOrDefault(worker, 0);
-                boolean belowLimit =
-                        step.spec.maximumPerWorker() == 0
-                                || assignedHere < step.spec.maximumPerWorker();
-                boolean onRack = rack.isEmpty() || worker.entry.labels().contains(rack);
-                if (belowLimit
-                        && onRack
-                        && isEligible(task, worker, ticketRequired)
-                        && worker.freeResources().covers(multiply(need, assignedHere + 1))) {
-                    assignedCounts.merge(worker, 1, Integer::sum);
-                    selected.add(worker);
-                    break;
-                }
-            }
+    private PlacementVerdict judge(TaskRecord task, WorkerRecord worker, boolean ticketRequired) {
+        long now = context.now();
+        if (!worker.isUsable(now)) {
+            return PlacementVerdict.NOT_USABLE;
         }
-        return selected.size() == step.tasks.size() ? selected : List.of();
-    }
-
-    /**
-     * Returns the labels that may name a rack. Labels do not say whether they name a rack.
-     *
-     * @return the labels of all workers, in alphabetical order
-     */
-    private Set<String> possibleRacks() {
-        Set<String> racks = new TreeSet<>();
-        context.allWorkers().forEach(worker -> racks.addAll(worker.entry.labels()));
-        return racks;
-    }
-
-    /**
-     * Multiplies resources by a number of tasks.
-     *
-     * @param need the resources of one task
-     * @param count the number of tasks
-     * @return the resources of all tasks
-     */
-    private static Resources multiply(Resources need, int count) {
-        return new Resources(
-                need.cpuMillicores() * count, need.memoryMb() * count, need.accelerators() * count);
+        if (!context.mayStartOn(worker, now)) {
+            return PlacementVerdict.ZONE_CLOSED;
+        }
+        if (!acceptsStarts(worker)) {
+            return PlacementVerdict.BUSY;
+        }
+        if (!hasRequiredLabel(task.step.spec, worker)) {
+            return PlacementVerdict.LABEL_MISSING;
+        }
+        if (worker.failureDetector.isOnProbation() && !worker.runs.isEmpty()) {
+            return PlacementVerdict.ON_PROBATION;
+        }
+        if (ticketRequired && advice.usableTicket(task.step, worker).isEmpty()) {
+            return PlacementVerdict.NO_TICKET;
+        }
+        if (!isBelowWorkerLimit(task.step, worker)) {
+            return PlacementVerdict.STEP_LIMIT;
+        }
+        return hasEnoughCpu(task, worker) ? PlacementVerdict.ELIGIBLE : PlacementVerdict.NO_CPU;
     }
 
     /**
-     * Returns whether a task may start on a worker, apart from the resources that it reserves.
+     * Returns why {@link #selectWorker} may or may not choose a worker for a task.
      *
      * @param task the task
      * @param worker the worker
-     * @param ticketRequired whether the task needs a ticket of the advice service for the worker
-     * @return whether the worker is eligible
+     * @return the first rule that refuses, or {@link PlacementVerdict#ELIGIBLE}
      */
-    boolean isEligible(TaskRecord task, WorkerRecord worker, boolean ticketRequired) {
-        long now = context.now();
-        StepSpec spec = task.step.spec;
-        if (!context.mayStartOn(worker, now)
-                || !acceptsStarts(worker)
-                || !hasRequiredLabel(spec, worker)) {
-            return false;
+    PlacementVerdict explain(TaskRecord task, WorkerRecord worker) {
+        PlacementVerdict verdict = judge(task, worker, advice.isRequired(task.step));
+        if (verdict != PlacementVerdict.ELIGIBLE) {
+            return verdict;
         }
-        if (worker.failureDetector.isOnProbation() && !worker.runs.isEmpty()) {
-            return false;
+        if (!worker.hasRoomFor(task.step.spec.reserved())) {
+            return PlacementVerdict.NO_ROOM;
+        }
+        if (!lookAhead.admits(task, worker)) {
+            return PlacementVerdict.ROOM_KEPT;
         }
-        boolean hasTicketIfRequired =
-                !ticketRequired || !advice.usableTicket(task.step, worker).isEmpty();
-        return hasTicketIfRequired
-                && isBelowWorkerLimit(task.step, worker)
-                && hasEnoughCpu(task, worker);
+        return score(task, worker) == REJECTED_SCORE
+                ? PlacementVerdict.WOULD_DISTURB
+                : PlacementVerdict.ELIGIBLE;
     }
 
     /**
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -515,17 +515,24 @@
                 .build();
     }
 
+    /**
+     * Creates the only route.
+     *
+     * @return the route
+     */
+    Route route() {
+        return new Route("route", "host", "/", CELL, 0, MAX_ATTEMPTS, 2, 1_000, adviceNeeded);
+    }
+
     /**
      * Creates a manifest with a single route.
      *
      * @return the manifest
      */
     private Manifest manifest() {
-        Route route =
-                new Route("route", "host", "/", CELL, 0, MAX_ATTEMPTS, 2, 1_000, adviceNeeded);
         return new Manifest(
                 1,
-                List.of(route),
+                List.of(route()),
                 Set.of(CELL),
                 unguardedServices,
                 new IngressLimits(1 << 18, 15_000));
@@ -602,6 +609,17 @@
             }
         }
 
+        /**
+         * Asks where a task of a step would start now.
+         *
+         * @param route the route of the task
+         * @param spec the step
+         * @return the explanation
+         */
+        List<String> explain(Route route, StepSpec spec) {
+            return owner == null ? List.of() : owner.explainPlacement(route, spec);
+        }
+
         /** Kills the process: the owner stops, and its connections are closed. */
         void kill() {
             storeClient.kill();
