Switch policies of the scheduler off by name

The order of waiting steps, the reserve and the estimates of run times are interfaces with a plain implementation; the ranking of workers has a class of its own. The fault matrix runs with each policy off and with all off, the soak with one off or all off by seed.

--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/command/EntryCommand.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/command/EntryCommand.java
@@ -4,9 +4,13 @@
 import com.beust.jcommander.Parameters;
 import java.io.PrintStream;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import org.damasktiller.node.process.NodeProcess;
 import org.damasktiller.node.process.Options;
+import org.damasktiller.node.process.PolicyConverter;
 import org.damasktiller.platform.settings.SettingsReader;
+import org.damasktiller.scheduler.policy.Policy;
 
 /** Runs the program of an entry VM in the foreground. */
 @Parameters(
@@ -21,6 +25,13 @@
             required = true)
     private String settingsPath = "";
 
+    /** The policies that are switched off. */
+    @Parameter(
+            names = "--without",
+            converter = PolicyConverter.class,
+            description = "Policies to switch off, separated by commas, for diagnosis")
+    private List<Policy> disabledPolicies = new ArrayList<>();
+
     /** Creates the command; JCommander sets its fields. */
     public EntryCommand() {}
 
@@ -32,7 +43,8 @@
     @Override
     public ExitCode run(PrintStream output) {
         Path path = Path.of(settingsPath);
-        new NodeProcess(path, SettingsReader.read(path), new Options().enableAll()).run();
+        new NodeProcess(path, SettingsReader.read(path), new Options().without(disabledPolicies))
+                .run();
         return ExitCode.SUCCESS;
     }
 }
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/command/LocalCommand.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/command/LocalCommand.java
@@ -3,9 +3,14 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
 import org.damasktiller.lab.local.LocalRun;
 import org.damasktiller.lab.rig.Deployment;
 import org.damasktiller.lab.settings.Settings;
+import org.damasktiller.node.process.PolicyConverter;
+import org.damasktiller.scheduler.policy.Policy;
+import org.damasktiller.scheduler.policy.PolicySet;
 
 /**
  * Runs a deployment on this machine for a short time: entry VMs as processes, simulated workers,
@@ -40,6 +45,13 @@
     @Parameter(names = "--entry-vms", description = "Number of entry VMs, each a process")
     private int entryVmCount = 4;
 
+    /** The policies that are switched off. */
+    @Parameter(
+            names = "--without",
+            converter = PolicyConverter.class,
+            description = "Policies to switch off, separated by commas, for diagnosis")
+    private List<Policy> disabledPolicies = new ArrayList<>();
+
     /** Creates the command; JCommander sets its fields. */
     public LocalCommand() {}
 
@@ -58,6 +70,7 @@
                         TableCommand.readTable(tablePath, deployment),
                         entryVmCount,
                         loadSeconds,
+                        PolicySet.without(disabledPolicies),
                         output);
         return run.run() ? ExitCode.SUCCESS : ExitCode.CHECK_FAILED;
     }
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/command/Main.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/command/Main.java
@@ -31,6 +31,7 @@
                 new TableCommand(),
                 new ExplainCommand(),
                 new WhereCommand(),
+                new PoliciesCommand(),
                 new SoakCommand());
     }
 }
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/local/LocalRun.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/local/LocalRun.java
@@ -27,6 +27,7 @@
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.model.Submission;
 import org.damasktiller.scheduler.model.SubmissionState;
+import org.damasktiller.scheduler.policy.PolicySet;
 import org.damasktiller.standin.fleet.RunInvariantChecker;
 import org.damasktiller.table.KindOfWork;
 import org.damasktiller.table.OperatorTable;
@@ -94,6 +95,7 @@
      * @param table the table from whose rows the manifest and the load are generated
      * @param entryVms the number of entry VMs
      * @param seconds the duration of the load, in seconds
+     * @param policies the policies that are in force
      * @param output the stream to which progress and results are printed
      */
     public LocalRun(
@@ -101,6 +103,7 @@
             OperatorTable table,
             int entryVms,
             long seconds,
+            PolicySet policies,
             PrintStream output) {
         this.deployment = deployment;
         this.table = table;
@@ -115,6 +118,7 @@
                         .entryVms(entryVms)
                         .workers(deployment.workers())
                         .capacity(deployment.capacity())
+                        .policies(policies)
                         .build();
         localDeployment =
                 loop.await(
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/EntryVmProcess.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/EntryVmProcess.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import org.damasktiller.node.process.Main;
 import org.damasktiller.platform.emulator.PlatformRecordEncoder;
+import org.damasktiller.scheduler.policy.PolicySet;
 import org.jspecify.annotations.Nullable;
 
 /** Starts, signals and restarts the process that runs the program of one entry VM. */
@@ -31,6 +32,9 @@
     /** The file from which the program reads its settings. */
     private final Path settingsFile;
 
+    /** The policies that are in force. */
+    private final PolicySet policies;
+
     /** The file to which the standard output and error of the process are appended. */
     private final Path logFile;
 
@@ -50,6 +54,7 @@
      * @param zone the availability zone of the entry VM
      * @param zones the regions by availability zone
      * @param store the address at which the program connects to the store
+     * @param policies the policies that are in force
      * @param directory the existing directory for the settings and the log
      */
     public EntryVmProcess(
@@ -57,8 +62,10 @@
             String zone,
             Map<String, String> zones,
             InetSocketAddress store,
+            PolicySet policies,
             Path directory) {
         this.name = name;
+        this.policies = policies;
         this.callerAddress = freeAddress();
         this.settingsFile = directory.resolve(name + ".conf");
         this.logFile = directory.resolve(name + ".log");
@@ -111,6 +118,9 @@
                         Main.class.getName(),
                         "--settings",
                         settingsFile.toString()));
+        if (!policies.disabled().isEmpty()) {
+            command.addAll(List.of("--without", policies.toString()));
+        }
         ProcessBuilder builder =
                 new ProcessBuilder(command)
                         .redirectErrorStream(true)
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalDeployment.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalDeployment.java
@@ -128,6 +128,7 @@
                             zones.get(number % zones.size()),
                             settings.zones(),
                             link.address(),
+                            settings.policies(),
                             settings.directory()));
         }
         runtime.schedule(COMPACTION_INTERVAL_MILLIS, this::compactHistory);
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalDeploymentSettings.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalDeploymentSettings.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.Map;
 import org.damasktiller.scheduler.model.Resources;
+import org.damasktiller.scheduler.policy.PolicySet;
 
 /**
  * Settings of a local deployment.
@@ -13,10 +14,16 @@
  * @param entryVms the number of entry VMs
  * @param workers the number of workers
  * @param capacity the resources of each worker
+ * @param policies the policies that are in force
  * @param directory the existing directory for the settings and logs of the entry VMs
  */
 public record LocalDeploymentSettings(
-        Map<String, String> zones, int entryVms, int workers, Resources capacity, Path directory) {
+        Map<String, String> zones,
+        int entryVms,
+        int workers,
+        Resources capacity,
+        PolicySet policies,
+        Path directory) {
 
     /**
      * Creates a builder of settings.
@@ -48,6 +55,9 @@
         /** The resources of each worker. */
         private Resources capacity = new Resources(16_000, 64_000, 1);
 
+        /** The policies that are in force. */
+        private PolicySet policies = PolicySet.ALL;
+
         /**
          * Creates a builder with the default values.
          *
@@ -101,13 +111,25 @@
             return this;
         }
 
+        /**
+         * Sets the policies that are in force.
+         *
+         * @param value the policies
+         * @return this builder
+         */
+        public Builder policies(PolicySet value) {
+            policies = value;
+            return this;
+        }
+
         /**
          * Builds the settings.
          *
          * @return the settings
          */
         public LocalDeploymentSettings build() {
-            return new LocalDeploymentSettings(zones, entryVms, workers, capacity, directory);
+            return new LocalDeploymentSettings(
+                    zones, entryVms, workers, capacity, policies, directory);
         }
     }
 }
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakRun.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakRun.java
@@ -21,6 +21,8 @@
 import org.damasktiller.lab.rig.LocalDeploymentSettings;
 import org.damasktiller.platform.emulator.CallerClient;
 import org.damasktiller.scheduler.model.Manifest;
+import org.damasktiller.scheduler.policy.Policy;
+import org.damasktiller.scheduler.policy.PolicySet;
 import org.damasktiller.scheduler.port.ProcessRuntime;
 import org.damasktiller.standin.fleet.RunInvariantChecker;
 
@@ -85,6 +87,9 @@
     /** The probability that a run fails, 0 to 1. */
     private static final double FAILURE_PROBABILITY = 0.02;
 
+    /** The number of seeds of which one runs without any policy. */
+    private static final long SEEDS_PER_RUN_WITHOUT_POLICIES = 10;
+
     /** The number of milliseconds in a second. */
     private static final long MILLIS_PER_SECOND = 1_000;
 
@@ -174,7 +179,7 @@
         SubmittedTaskBehaviour taskBehaviour =
                 new SubmittedTaskBehaviour(random, FAILURE_PROBABILITY);
         LocalDeploymentSettings.Builder deploymentSettings =
-                LocalDeploymentSettings.builder(directory);
+                LocalDeploymentSettings.builder(directory).policies(policiesOf(settings.seed()));
         if (settings.planned()) {
             deploymentSettings.entryVms(PLANNED_ENTRY_VMS);
         }
@@ -408,6 +413,25 @@
         return exceptionLines;
     }
 
+    /**
+     * Chooses the policies of a run: all of them with even seeds, no policy with one odd seed in
+     * {@link #SEEDS_PER_RUN_WITHOUT_POLICIES}, and all but one with the others.
+     *
+     * @param seed the seed of the run
+     * @return the policies that are in force
+     */
+    private static PolicySet policiesOf(long seed) {
+        if (Math.floorMod(seed, 2) == 0) {
+            return PolicySet.ALL;
+        }
+        if (Math.floorMod(seed, SEEDS_PER_RUN_WITHOUT_POLICIES) == 1) {
+            return PolicySet.NONE;
+        }
+        Policy[] policies = Policy.values();
+        return PolicySet.without(
+                List.of(policies[(int) Math.floorMod(seed / 2, (long) policies.length)]));
+    }
+
     /**
      * Creates the directory for the settings and logs of a seed.
      *
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -35,6 +35,7 @@
 import org.damasktiller.platform.settings.PlatformSettings;
 import org.damasktiller.platform.settings.SettingsReader;
 import org.damasktiller.scheduler.cell.CellSettings;
+import org.damasktiller.scheduler.policy.PolicySet;
 import org.damasktiller.scheduler.port.AdviceClient;
 import org.damasktiller.scheduler.port.MetadataStore;
 
@@ -123,6 +124,9 @@
     /** The HTTP server for the load balancer's readiness checks and for the metrics. */
     private final HttpServer readinessServer;
 
+    /** The policies that are in force. */
+    private final PolicySet policies;
+
     /** Whether the shutdown has begun. */
     private boolean stopping;
 
@@ -136,6 +140,7 @@
     public NodeProcess(Path settingsPath, PlatformSettings settings, Options options) {
         this.settingsPath = settingsPath;
         this.settings = settings;
+        this.policies = PolicySet.without(options.disabledPolicies);
         Clock clock = Clock.systemUTC();
         eventloop = EventLoops.create();
         jsonLog = new JsonLineLog(settings.node(), clock);
@@ -151,7 +156,7 @@
                 new ClusterMember(
                         createIdentity(),
                         new LayoutSettings(settings.regionByZone(), options.maxZonesPerCell),
-                        createCellSettings(options),
+                        createCellSettings(),
                         store,
                         new HttpWorkerClient(
                                 new JsonHttpClient(eventloop, WORKER_TIMEOUT_MILLIS),
@@ -200,7 +205,9 @@
                 "store",
                 settings.storeAddress(),
                 "callers",
-                settings.callerAddress());
+                settings.callerAddress(),
+                "policiesOff",
+                policies);
         ProcessSignals.handle("TERM", () -> eventloop.execute(this::stop));
         ProcessSignals.handle("HUP", () -> eventloop.execute(this::reload));
         try {
@@ -238,17 +245,16 @@
     }
 
     /**
-     * Creates the settings of the cells from the limits of the deployment and the options.
+     * Creates the settings of the cells from the limits of the deployment and the policies in
+     * force.
      *
-     * @param options the command-line options
      * @return the settings
      */
-    private CellSettings createCellSettings(Options options) {
+    private CellSettings createCellSettings() {
         return CellSettings.builder()
                 .maximumOverTargetMillis(settings.bounds().maximumOverTargetMillis())
                 .maximumEntryAgeMillis(settings.bounds().maximumContactGapMillis())
-                .lookAhead(options.lookAhead)
-                .tailMargin(options.tailMargin)
+                .policies(policies)
                 .evacuationBoundMillis(settings.bounds().evacuationMillis())
                 .remoteFactor(settings.bounds().remoteFactor())
                 .maximumWorkerLeaseMillis(settings.bounds().maximumWorkerLeaseMillis())
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/Options.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/Options.java
@@ -2,8 +2,12 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
 import org.damasktiller.node.cluster.LayoutPolicy;
 import org.damasktiller.platform.settings.SettingsReader;
+import org.damasktiller.scheduler.policy.Policy;
 
 /** The command-line options of an entry VM. */
 public final class Options {
@@ -25,19 +29,14 @@
                         + " values have no effect")
     int maxZonesPerCell = LayoutPolicy.AUTOMATIC;
 
-    /** Whether room is kept for large tasks that wait. */
+    /** The policies that are switched off. */
     @Parameter(
-            names = "--look-ahead",
+            names = "--without",
+            converter = PolicyConverter.class,
             description =
-                    "keep room for large tasks that wait, on the workers that will have it soonest")
-    boolean lookAhead;
-
-    /** Whether fillers keep a margin for the noise of reported tail latencies. */
-    @Parameter(
-            names = "--tail-margin",
-            description =
-                    "start fillers beside serving tasks with a margin for the noise of their tails")
-    boolean tailMargin;
+                    "policies to switch off, separated by commas, for diagnosis; \"damasktiller"
+                            + " policies\" lists them")
+    List<Policy> disabledPolicies = new ArrayList<>();
 
     /** Whether to print the options and exit. */
     @Parameter(names = "--help", help = true, description = "print the options and exit")
@@ -47,13 +46,13 @@
     public Options() {}
 
     /**
-     * Switches on placement that looks ahead, and a margin for tails.
+     * Switches policies off.
      *
+     * @param policies the policies
      * @return these options
      */
-    public Options enableAll() {
-        lookAhead = true;
-        tailMargin = true;
+    public Options without(Collection<Policy> policies) {
+        disabledPolicies.addAll(policies);
         return this;
     }
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -9,6 +9,8 @@
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.scheduler.model.WorkerEntry;
+import org.damasktiller.scheduler.policy.Policy;
+import org.damasktiller.scheduler.policy.PolicySet;
 import org.damasktiller.scheduler.port.StoreItem;
 import org.damasktiller.scheduler.port.StoreReading;
 import org.damasktiller.scheduler.port.StoreResult;
@@ -118,7 +120,11 @@
             Predicate<WorkerEntry> belongsToCell,
             Consumer<String> onEnd) {
         context = new CellContext(environment, cell, term, reason -> onTermEnded(reason, onEnd));
-        RunTimeEstimator runTimes = new RunTimeEstimator();
+        PolicySet policies = context.settings.policies();
+        RunTimeEstimator runTimes =
+                policies.isEnabled(Policy.LEARNED_RUN_TIMES)
+                        ? new LearnedRunTimes()
+                        : new DeclaredRunTimes();
         ownership = new OwnershipVerifier(context, this::schedulePass);
         RunRequestSender requestSender =
                 new RunRequestSender(context, this::schedulePass, this::onFenced);
@@ -171,7 +177,9 @@
                 "headRevision",
                 context.term.headRevision());
         submissionWatcher.start();
-        interferenceKeeper.start();
+        if (context.settings.policies().isEnabled(Policy.INTERFERENCE_HANDOVER)) {
+            interferenceKeeper.start();
+        }
         evacuationWatcher.start();
     }
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellSettings.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellSettings.java
@@ -1,5 +1,7 @@
 package org.damasktiller.scheduler.cell;
 
+import org.damasktiller.scheduler.policy.PolicySet;
+
 /** The intervals, timeouts and limits of a cell's owner. */
 public final class CellSettings {
 
@@ -55,11 +57,8 @@
      */
     private final long evacuationBoundMillis;
 
-    /** Whether room is kept for large tasks that wait. */
-    private final boolean lookAhead;
-
-    /** Whether fillers keep a margin for the noise of reported tail latencies. */
-    private final boolean tailMargin;
+    /** The policies that are in force. */
+    private final PolicySet policies;
 
     /**
      * How many times as long a step takes if it runs away from its data, or a gang if it spans
@@ -85,8 +84,7 @@
         maximumOverTargetMillis = builder.maximumOverTargetMillis;
         maximumEntryAgeMillis = builder.maximumEntryAgeMillis;
         evacuationBoundMillis = builder.evacuationBoundMillis;
-        lookAhead = builder.lookAhead;
-        tailMargin = builder.tailMargin;
+        policies = builder.policies;
         remoteFactor = builder.remoteFactor;
     }
 
@@ -211,21 +209,12 @@
     }
 
     /**
-     * Returns whether room is kept for large tasks that wait.
-     *
-     * @return whether placement looks at waiting tasks and expected ends
-     */
-    public boolean lookAhead() {
-        return lookAhead;
-    }
-
-    /**
-     * Returns whether fillers keep a margin for the noise of reported tail latencies.
+     * Returns the policies that are in force.
      *
-     * @return whether a serving task counts as disturbed well below its target
+     * @return the policies
      */
-    public boolean tailMargin() {
-        return tailMargin;
+    public PolicySet policies() {
+        return policies;
     }
 
     /**
@@ -285,11 +274,8 @@
         /** See {@link CellSettings#evacuationBoundMillis()}; zones are not evacuated by default. */
         private long evacuationBoundMillis;
 
-        /** See {@link CellSettings#lookAhead()}; off by default. */
-        private boolean lookAhead;
-
-        /** See {@link CellSettings#tailMargin()}; off by default. */
-        private boolean tailMargin;
+        /** See {@link CellSettings#policies()}; all by default. */
+        private PolicySet policies = PolicySet.ALL;
 
         /** The default slowdown of steps away from their data and of gangs across racks. */
         private double remoteFactor = 2;
@@ -387,24 +373,13 @@
         }
 
         /**
-         * Sets whether room is kept for large tasks that wait.
-         *
-         * @param enabled whether placement looks at waiting tasks and expected ends
-         * @return this builder
-         */
-        public Builder lookAhead(boolean enabled) {
-            lookAhead = enabled;
-            return this;
-        }
-
-        /**
-         * Sets whether fillers keep a margin for the noise of reported tail latencies.
+         * Sets the policies that are in force.
          *
-         * @param enabled whether a serving task counts as disturbed well below its target
+         * @param enabled the policies
          * @return this builder
          */
-        public Builder tailMargin(boolean enabled) {
-            tailMargin = enabled;
+        public Builder policies(PolicySet enabled) {
+            policies = enabled;
             return this;
         }
 
--- /dev/null
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/DeclaredRunTimes.java
@@ -0,0 +1,20 @@
+package org.damasktiller.scheduler.cell;
+
+import org.damasktiller.scheduler.model.StepSpec;
+
+/** Takes run times as they are declared. */
+final class DeclaredRunTimes implements RunTimeEstimator {
+
+    /** Creates an estimator. */
+    DeclaredRunTimes() {}
+
+    @Override
+    public void observe(StepSpec spec, long millis) {
+        // Declared run times do not depend on observations.
+    }
+
+    @Override
+    public long expectedMillis(StepSpec spec) {
+        return spec.estimateMillis();
+    }
+}
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerThrottle.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerThrottle.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.damasktiller.scheduler.model.StepSpec;
+import org.damasktiller.scheduler.policy.Policy;
 
 /**
  * Throttles the filler tasks of a worker to protect the tail latency of the serving tasks that run
@@ -155,7 +156,9 @@
                             ? latencyRatio
                             : run.smoothedLatencyRatio
                                     + SMOOTHING_WEIGHT * (latencyRatio - run.smoothedLatencyRatio);
-            if (attributable && run.task != null) {
+            if (attributable
+                    && run.task != null
+                    && context.settings.policies().isEnabled(Policy.LEARNED_INTERFERENCE)) {
                 interference.observe(run.task.step.spec.image(), latencyRatio, state.lastCpuShares);
             }
             maxOverTargetMillis =
@@ -212,7 +215,8 @@
             state.setPaused(true, now);
             context.log.log("filler.pause", "worker", worker.id, "overMillis", maxOverTargetMillis);
         }
-        if (maxLatencyRatio >= THROTTLE_FRACTION) {
+        if (maxLatencyRatio >= THROTTLE_FRACTION
+                && context.settings.policies().isEnabled(Policy.EARLY_THROTTLING)) {
             throttleTopContributors(worker);
         } else if (maxLatencyRatio < RECOVERED_FRACTION) {
             raiseLimits(worker);
@@ -320,7 +324,9 @@
      */
     private double penalty(double latencyRatio) {
         double harmless =
-                context.settings.tailMargin() ? HARMLESS_FRACTION_WITH_MARGIN : HARMLESS_FRACTION;
+                context.settings.policies().isEnabled(Policy.TAIL_MARGIN)
+                        ? HARMLESS_FRACTION_WITH_MARGIN
+                        : HARMLESS_FRACTION;
         return Math.max(0, Math.min(1, (latencyRatio - harmless) / (1 - harmless)));
     }
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
@@ -9,6 +9,7 @@
 import org.damasktiller.scheduler.model.Route;
 import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.scheduler.model.TaskId;
+import org.damasktiller.scheduler.policy.Policy;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -331,7 +332,8 @@
             if (record != null && record.task != null && record.hasRepresentativeRunTime()) {
                 runTimes.observe(record.task.step.spec, context.now() - record.trackedSinceMillis);
             }
-        } else if (end.kind() == EndKind.FAILED) {
+        } else if (end.kind() == EndKind.FAILED
+                && context.settings.policies().isEnabled(Policy.FAILING_WORKER_AVOIDANCE)) {
             recordFailure(job, worker);
         }
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/LookAheadPlacement.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/LookAheadPlacement.java
@@ -11,6 +11,7 @@
 import org.damasktiller.scheduler.lookahead.WorkerForecast;
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.StepSpec;
+import org.damasktiller.scheduler.policy.Policy;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -65,7 +66,8 @@
      */
     void update(List<StepRecord> waitingSteps, WorkerSelector workerSelector) {
         long now = context.now();
-        if (!context.settings.lookAhead() || now - plannedAtMillis < PLAN_INTERVAL_MILLIS) {
+        if (!context.settings.policies().isEnabled(Policy.LOOK_AHEAD)
+                || now - plannedAtMillis < PLAN_INTERVAL_MILLIS) {
             return;
         }
         plannedAtMillis = now;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StragglerMitigator.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StragglerMitigator.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import org.damasktiller.scheduler.model.StepSpec;
+import org.damasktiller.scheduler.policy.Policy;
 
 /**
  * Detects runs that progress far more slowly than expected, and moves them to other workers.
@@ -108,7 +109,9 @@
             TaskRecord task = run.task;
             if (run.phase == RunPhase.RUNNING && task != null && isMeasurable(task.step.spec)) {
                 updateProgressRate(run, task.step.spec, now);
-                if (isWorthMoving(run, task) && mayMove()) {
+                if (context.settings.policies().isEnabled(Policy.STRAGGLER_MOVES)
+                        && isWorthMoving(run, task)
+                        && mayMove()) {
                     move(run, task);
                 }
             }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
@@ -5,39 +5,22 @@
 import java.util.List;
 import org.damasktiller.scheduler.model.Route;
 import org.damasktiller.scheduler.model.StepSpec;
+import org.damasktiller.scheduler.order.ArrivalOrder;
+import org.damasktiller.scheduler.order.Lateness;
+import org.damasktiller.scheduler.order.OrderKey;
+import org.damasktiller.scheduler.order.UrgencyOrder;
+import org.damasktiller.scheduler.order.WaitingOrder;
+import org.damasktiller.scheduler.order.WorkRank;
+import org.damasktiller.scheduler.policy.Policy;
 
 /**
  * Starts waiting tasks on workers with free resources, in order of urgency.
  *
- * <p>Load pattern: more work than capacity. Long-running tasks that have run before are started
- * first, then urgent work, then new long-running tasks, then fillers. Within each of these groups,
- * work that can still be on time precedes late work, a higher priority of the route precedes a
- * lower one, and less remaining work precedes more, so that as many submissions as possible are on
- * time when not all can be.
+ * <p>Load pattern: more work than capacity. The order of the waiting steps is a policy of its own
+ * ({@link WaitingOrder}).
  */
 final class TaskScheduler {
 
-    /** The rank of a long-running task that has run before. */
-    private static final int RANK_RESTART = 0;
-
-    /** The rank of urgent work: tasks that end and are not fillers. */
-    private static final int RANK_URGENT = 1;
-
-    /** The rank of a long-running task that has not run. */
-    private static final int RANK_LONG_RUNNING = 2;
-
-    /** The rank of a filler. */
-    private static final int RANK_FILLER = 3;
-
-    /** The lateness of work that can meet its objective. */
-    private static final int ON_TIME = 0;
-
-    /** The lateness of work that will miss its objective. */
-    private static final int LATE = 1;
-
-    /** The lateness of work that will finish too late to be of use. */
-    private static final int TOO_LATE = 2;
-
     /**
      * The multiple of its objective after which work is of no use, from the platform's
      * documentation.
@@ -80,6 +63,9 @@
     /** Computes by when jobs have to be done. */
     private final JobObjectives objectives;
 
+    /** Decides which waiting step gets a worker first. */
+    private final Comparator<WaitingStep> order;
+
     /** The number of starts in the current pass. */
     private int startCount;
 
@@ -115,6 +101,11 @@
         this.crashTracker = crashTracker;
         this.lookAhead = lookAhead;
         this.objectives = objectives;
+        WaitingOrder waitingOrder =
+                context.settings.policies().isEnabled(Policy.URGENCY_ORDER)
+                        ? new UrgencyOrder()
+                        : new ArrivalOrder();
+        this.order = Comparator.comparing(WaitingStep::key, waitingOrder);
         this.suspectPlacement = new SuspectPlacement(context, workerSelector, advice);
         this.gangPlacement = new GangPlacement(context, workerSelector, advice);
     }
@@ -136,11 +127,11 @@
         }
         context.waitingSteps = waitingSteps.size();
         workerSelector.updateUrgentReserve(urgentMillicores(waitingSteps));
-        waitingSteps.sort(WaitingStep.ORDER);
+        waitingSteps.sort(order);
         lookAhead.update(
                 waitingSteps.stream()
-                        .filter(waiting -> waiting.rank == RANK_URGENT)
-                        .filter(waiting -> waiting.lateness != TOO_LATE)
+                        .filter(waiting -> waiting.key.rank() == WorkRank.URGENT)
+                        .filter(waiting -> waiting.key.lateness() != Lateness.TOO_LATE)
                         .map(WaitingStep::step)
                         .toList(),
                 workerSelector);
@@ -166,7 +157,7 @@
         long now = context.now();
         long sum = 0;
         for (WaitingStep waiting : waitingSteps) {
-            if (waiting.rank == RANK_URGENT) {
+            if (waiting.key.rank() == WorkRank.URGENT) {
                 long count =
                         waiting.step.tasks.stream().filter(task -> mayStart(task, now)).count();
                 sum += count * waiting.step.spec.need().cpuMillicores();
@@ -242,22 +233,30 @@
     private WaitingStep toWaitingStep(StepRecord step, boolean hasRunBefore) {
         StepSpec spec = step.spec;
         Job job = step.occurrence.job;
-        int rank = RANK_URGENT;
+        WorkRank rank = WorkRank.URGENT;
         if (spec.lasting()) {
-            rank = hasRunBefore ? RANK_RESTART : RANK_LONG_RUNNING;
+            rank = hasRunBefore ? WorkRank.RESTART : WorkRank.LONG_RUNNING;
         } else if (spec.filling()) {
-            rank = RANK_FILLER;
+            rank = WorkRank.FILLER;
         }
         Route route = context.manifest.findRouteByName(job.accepted.route());
         int priority = route == null ? 0 : route.priority();
         long objectiveMillis = objectives.objectiveMillis(job);
         long expectedLatencyMillis =
                 objectives.elapsedMillis(job) + objectives.remainingMillis(step);
-        int lateness = expectedLatencyMillis <= objectiveMillis ? ON_TIME : LATE;
+        Lateness lateness =
+                expectedLatencyMillis <= objectiveMillis ? Lateness.ON_TIME : Lateness.LATE;
         if (expectedLatencyMillis > TOO_LATE_FACTOR * objectiveMillis) {
-            lateness = TOO_LATE;
+            lateness = Lateness.TOO_LATE;
         }
-        return new WaitingStep(step, rank, lateness, priority, estimateRemainingWork(step));
+        return new WaitingStep(
+                step,
+                new OrderKey(
+                        rank,
+                        lateness,
+                        priority,
+                        estimateRemainingWork(step),
+                        job.createdRevision));
     }
 
     /**
@@ -391,21 +390,10 @@
     }
 
     /**
-     * A step with waiting tasks and its sort keys; lower values come first.
+     * A step with waiting tasks.
      *
      * @param step the step
-     * @param rank the rank of its kind of work
-     * @param lateness whether it can be on time, will be late, or will be too late to be of use
-     * @param priority the priority of its route, 0 for the most urgent
-     * @param work the remaining work from this step on, in millicores times milliseconds
+     * @param key what its place in the order depends on
      */
-    private record WaitingStep(StepRecord step, int rank, int lateness, int priority, double work) {
-
-        /** The order in which steps are started. */
-        static final Comparator<WaitingStep> ORDER =
-                Comparator.comparingInt(WaitingStep::rank)
-                        .thenComparingInt(WaitingStep::lateness)
-                        .thenComparingInt(WaitingStep::priority)
-                        .thenComparingDouble(WaitingStep::work);
-    }
+    private record WaitingStep(StepRecord step, OrderKey key) {}
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -6,6 +6,9 @@
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.placement.ReserveCandidate;
 import org.damasktiller.scheduler.placement.UrgentReserve;
+import org.damasktiller.scheduler.placement.WorkerReserve;
+import org.damasktiller.scheduler.policy.Policy;
+import org.damasktiller.scheduler.policy.PolicySet;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -26,53 +29,6 @@
      */
     private static final int MAX_COLD_STARTS_IN_FLIGHT = 2;
 
-    /** The penalty for a worker on which an earlier run of the task failed or was too slow. */
-    private static final double AVOIDED_WORKER_PENALTY = 1_000;
-
-    /**
-     * The penalty for a worker on which runs progress slowly, relative to the other terms of the
-     * score.
-     */
-    private static final double SLOW_WORKER_PENALTY = 2;
-
-    /**
-     * The weight of the slowdown through input data on another rack, relative to the other terms of
-     * the score.
-     */
-    private static final double REMOTE_DATA_WEIGHT = 10;
-
-    /** The score of a worker that is not selected. */
-    private static final double REJECTED_SCORE = Double.MAX_VALUE;
-
-    /**
-     * The weight of the filler load of a worker, relative to the predicted impact on serving tasks.
-     */
-    private static final double FILLER_LOAD_WEIGHT = 0.3;
-
-    /**
-     * The weight of the free CPU of a worker for long-running tasks, so that workers fill up one
-     * after the other.
-     */
-    private static final double FREE_CPU_WEIGHT = 0.2;
-
-    /**
-     * The image mismatch of a worker without serving tasks: it ranks after a worker whose serving
-     * tasks all have the image of the new task.
-     */
-    private static final double NO_SERVING_TASK_MISMATCH = 0.3;
-
-    /**
-     * The impact that a filler may have if it has not waited, in serving tasks pushed over their
-     * target.
-     */
-    private static final double INITIAL_ALLOWED_IMPACT = 0.2;
-
-    /** The increase of the allowed impact for each second that a filler waits, in serving tasks. */
-    private static final double ALLOWED_IMPACT_PER_SECOND = 0.15;
-
-    /** The number of milliseconds in a second. */
-    private static final double MILLIS_PER_SECOND = 1_000;
-
     /** The time between two updates of the reserve for urgent tasks, in milliseconds. */
     private static final long RESERVE_UPDATE_MILLIS = 250;
 
@@ -91,8 +47,8 @@
     /** The shared state of the cell's owner. */
     private final CellContext context;
 
-    /** Predicts the impact of fillers on serving tasks. */
-    private final FillerThrottle fillerThrottle;
+    /** Ranks the workers on which a task may start. */
+    private final WorkerScorer scorer;
 
     /** Holds the tickets for routes that need advice. */
     private final AdviceTicketProvider advice;
@@ -101,7 +57,7 @@
     private final LookAheadPlacement lookAhead;
 
     /** The workers that are kept free of new long-running tasks. */
-    private final UrgentReserve urgentReserve = new UrgentReserve();
+    private final WorkerReserve urgentReserve;
 
     /** When the reserve was last updated, in milliseconds, or {@link #NEVER}. */
     private long reserveUpdatedAtMillis = NEVER;
@@ -125,7 +81,12 @@
         this.context = context;
         this.lookAhead = lookAhead;
         this.advice = advice;
-        this.fillerThrottle = fillerThrottle;
+        this.scorer = new WorkerScorer(context, fillerThrottle);
+        PolicySet policies = context.settings.policies();
+        this.urgentReserve =
+                policies.isEnabled(Policy.URGENT_RESERVE)
+                        ? new UrgentReserve()
+                        : WorkerReserve.NONE;
     }
 
     /**
@@ -183,7 +144,7 @@
      */
     @Nullable WorkerRecord selectWorker(TaskRecord task) {
         WorkerRecord best = null;
-        double bestScore = REJECTED_SCORE;
+        double bestScore = WorkerScorer.REJECTED;
         boolean ticketRequired = advice.isRequired(task.step);
         Resources need = task.step.spec.reserved();
         for (WorkerRecord worker : context.allWorkers()) {
@@ -192,7 +153,7 @@
                     || !lookAhead.admits(task, worker)) {
                 continue;
             }
-            double score = score(task, worker);
+            double score = scorer.score(task, worker);
             if (score < bestScore) {
                 best = worker;
                 bestScore = score;
@@ -266,7 +227,7 @@
         if (!lookAhead.admits(task, worker)) {
             return PlacementVerdict.ROOM_KEPT;
         }
-        return score(task, worker) == REJECTED_SCORE
+        return scorer.score(task, worker) == WorkerScorer.REJECTED
                 ? PlacementVerdict.WOULD_DISTURB
                 : PlacementVerdict.ELIGIBLE;
     }
@@ -372,72 +333,4 @@
                         && context.now() - task.readySinceMillis >= RESERVE_YIELD_MILLIS;
         return waitedLong && reservedFraction < RESERVE_YIELD_FRACTION;
     }
-
-    /**
-     * Returns the impact on serving tasks that a filler may have. It grows with the waiting time,
-     * so that each pair of images is tried from time to time and its coefficient stays up to date.
-     *
-     * @param task the task of the filler
-     * @return the allowed impact, as a number of serving tasks pushed over their target
-     */
-    private double allowedImpact(TaskRecord task) {
-        long waitedMillis = task.readySinceMillis == 0 ? 0 : context.now() - task.readySinceMillis;
-        return INITIAL_ALLOWED_IMPACT
-                + ALLOWED_IMPACT_PER_SECOND * waitedMillis / MILLIS_PER_SECOND;
-    }
-
-    /**
-     * Returns the fraction of a worker's serving tasks that run another image. Tasks of one image
-     * tolerate the same fillers, so a worker whose serving tasks all have one image can run fillers
-     * that harm none of them.
-     *
-     * @param worker the worker
-     * @param image the image of the task to place
-     * @return the fraction, or {@link #NO_SERVING_TASK_MISMATCH} if the worker has no serving task
-     */
-    private static double imageMismatch(WorkerRecord worker, String image) {
-        int serving = 0;
-        int otherImages = 0;
-        for (RunRecord run : worker.runs.values()) {
-            if (run.isServing() && run.task != null) {
-                serving++;
-                otherImages += run.task.step.spec.image().equals(image) ? 0 : 1;
-            }
-        }
-        return serving == 0 ? NO_SERVING_TASK_MISMATCH : (double) otherImages / serving;
-    }
-
-    /**
-     * Computes the score of a worker for a task; the lowest score wins.
-     *
-     * @param task the task
-     * @param worker the worker
-     * @return the score
-     */
-    private double score(TaskRecord task, WorkerRecord worker) {
-        StepSpec spec = task.step.spec;
-        double capacity = Math.max(1, worker.entry.capacity().cpuMillicores());
-        double score = task.avoidedWorkerIds.contains(worker.id) ? AVOIDED_WORKER_PENALTY : 0;
-        boolean remote =
-                !spec.dataRack().isEmpty() && !worker.entry.labels().contains(spec.dataRack());
-        if (remote) {
-            score += REMOTE_DATA_WEIGHT * (context.settings.remoteFactor() - 1);
-        }
-        if (context.now() < worker.slowUntilMillis || worker.isCold(context.now())) {
-            score += SLOW_WORKER_PENALTY;
-        }
-        if (spec.filling()) {
-            double fillerLoad =
-                    (double) worker.fillerMillicores() / Math.max(1, worker.idleMillicores());
-            double impact = fillerThrottle.predictImpact(worker, spec);
-            return impact > allowedImpact(task)
-                    ? REJECTED_SCORE
-                    : score + impact + FILLER_LOAD_WEIGHT * fillerLoad;
-        }
-        if (spec.lasting()) {
-            double freeFraction = worker.freeResources().cpuMillicores() / capacity;
-            return score + imageMismatch(worker, spec.image()) + FREE_CPU_WEIGHT * freeFraction;
-        }
-        return score + worker.freeResources().cpuMillicores() / capacity;
-    }
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/placement/UrgentReserve.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/placement/UrgentReserve.java
@@ -16,7 +16,7 @@
  * none of them. The reserve follows the recent demand of urgent tasks, since an unused reserve
  * delays long-running tasks.
  */
-public final class UrgentReserve {
+public final class UrgentReserve implements WorkerReserve {
 
     /** The smallest reserve, as a fraction of the CPU of all workers. */
     private static final double MIN_FRACTION = 0.06;
@@ -42,21 +42,12 @@
     /** Creates an empty reserve. */
     public UrgentReserve() {}
 
-    /**
-     * Returns whether a worker is in the reserve.
-     *
-     * @param id the identifier of the worker
-     * @return whether new long-running tasks must not start there
-     */
+    @Override
     public boolean contains(String id) {
         return members.contains(id);
     }
 
-    /**
-     * Returns the size of the reserve.
-     *
-     * @return the number of workers
-     */
+    @Override
     public int size() {
         return members.size();
     }
@@ -69,6 +60,7 @@
      * @param urgentMillicores the CPU of the running and waiting urgent tasks, in millicores
      * @param nowMillis the current time, in milliseconds
      */
+    @Override
     public void update(
             Collection<ReserveCandidate> workers, long urgentMillicores, long nowMillis) {
         double elapsedMillis = nowMillis - updatedAtMillis;
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -27,6 +27,7 @@
 import org.damasktiller.scheduler.model.SubmissionRecord;
 import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.scheduler.model.TaskId;
+import org.damasktiller.scheduler.policy.PolicySet;
 import org.damasktiller.scheduler.port.AdviceReply;
 import org.damasktiller.scheduler.port.StoreItem;
 import org.damasktiller.scheduler.port.StoreTransaction;
@@ -123,11 +124,8 @@
     /** The tail latency that all serving tasks report, in milliseconds. */
     long tailMillis;
 
-    /** Whether fillers keep a margin for the noise of reported tail latencies. */
-    boolean tailMargin;
-
-    /** Whether room is kept for large tasks that wait. */
-    boolean lookAhead;
+    /** The policies that are in force. */
+    PolicySet policies = PolicySet.ALL;
 
     /** How soon an evacuation must be in effect, in milliseconds, or 0 if zones never are. */
     long evacuationBoundMillis;
@@ -368,8 +366,7 @@
                 new CellEnvironment(
                         CellSettings.builder()
                                 .evacuationBoundMillis(evacuationBoundMillis)
-                                .lookAhead(lookAhead)
-                                .tailMargin(tailMargin)
+                                .policies(policies)
                                 .build(),
                         storeClient,
                         workerClient,
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/LookAheadTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/LookAheadTest.java
@@ -9,6 +9,8 @@
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.model.SubmissionState;
+import org.damasktiller.scheduler.policy.Policy;
+import org.damasktiller.scheduler.policy.PolicySet;
 import org.damasktiller.verification.owner.CellSimulation.OwnerProcess;
 import org.junit.jupiter.api.Test;
 
@@ -93,7 +95,9 @@
      */
     private static CellSimulation createSimulation(boolean lookAhead) {
         CellSimulation simulation = new CellSimulation(WORKERS);
-        simulation.lookAhead = lookAhead;
+        if (!lookAhead) {
+            simulation.policies = PolicySet.without(List.of(Policy.LOOK_AHEAD));
+        }
         return simulation;
     }
 
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerFaultMatrixTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OwnerFaultMatrixTest.java
@@ -9,6 +9,8 @@
 import java.util.SplittableRandom;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.model.SubmissionState;
+import org.damasktiller.scheduler.policy.Policy;
+import org.damasktiller.scheduler.policy.PolicySet;
 import org.damasktiller.standin.metadata.CallFault;
 import org.damasktiller.standin.metadata.FaultPlan;
 import org.damasktiller.verification.owner.CellSimulation.OwnerProcess;
@@ -45,6 +47,9 @@
     /** The number of random cases; their seeds count from 0. */
     private static final int SEED_COUNT = 250;
 
+    /** The number of random cases without some policy; their seeds count from 0. */
+    private static final int SEED_COUNT_PER_POLICY = 12;
+
     @Test
     void everyFaultAtEveryCall() {
         List<String> violations = new ArrayList<>();
@@ -57,7 +62,11 @@
                         String name =
                                 call + ' ' + fault + ' ' + number + " kill " + killAfterMillis;
                         violations.addAll(
-                                run(name, faultInCall(call, fault, number), killAfterMillis));
+                                run(
+                                        name,
+                                        PolicySet.ALL,
+                                        faultInCall(call, fault, number),
+                                        killAfterMillis));
                     }
                 }
             }
@@ -70,20 +79,48 @@
     void randomFaultsOfManyCalls() {
         List<String> violations = new ArrayList<>();
         for (int seed = 0; seed < SEED_COUNT; seed++) {
-            SplittableRandom random = new SplittableRandom(seed);
-            FaultPlan plan =
-                    call -> {
-                        CallFault[] faults = CallFault.values();
-                        return random.nextInt(12) > 0
-                                ? CallFault.ANSWERED
-                                : faults[random.nextInt(faults.length)];
-                    };
-            long killAfterMillis = random.nextInt(3) == 0 ? 0 : random.nextInt(100, 3_000);
-            violations.addAll(run("seed " + seed, plan, killAfterMillis));
+            violations.addAll(runWithRandomFaults(seed, PolicySet.ALL));
         }
         assertThat(violations, empty());
     }
 
+    /** No promise depends on a policy: each one is off, and then all of them. */
+    @Test
+    void randomFaultsWithoutPolicies() {
+        List<PolicySet> policySets = new ArrayList<>();
+        for (Policy policy : Policy.values()) {
+            policySets.add(PolicySet.without(List.of(policy)));
+        }
+        policySets.add(PolicySet.NONE);
+        List<String> violations = new ArrayList<>();
+        for (PolicySet policies : policySets) {
+            for (int seed = 0; seed < SEED_COUNT_PER_POLICY; seed++) {
+                violations.addAll(runWithRandomFaults(seed, policies));
+            }
+        }
+        assertThat(violations, empty());
+    }
+
+    /**
+     * Runs a case with random faults in any of the calls of the first owner.
+     *
+     * @param seed the seed of the faults
+     * @param policies the policies in force
+     * @return a message for each violation and each submission that did not succeed
+     */
+    private static List<String> runWithRandomFaults(int seed, PolicySet policies) {
+        SplittableRandom random = new SplittableRandom(seed);
+        FaultPlan plan =
+                call -> {
+                    CallFault[] faults = CallFault.values();
+                    return random.nextInt(12) > 0
+                            ? CallFault.ANSWERED
+                            : faults[random.nextInt(faults.length)];
+                };
+        long killAfterMillis = random.nextInt(3) == 0 ? 0 : random.nextInt(100, 3_000);
+        return run("seed " + seed + " without " + policies, policies, plan, killAfterMillis);
+    }
+
     /**
      * Creates a plan that injects a fault into a single call.
      *
@@ -108,13 +145,16 @@
      * takes over.
      *
      * @param name the name of the case, for the messages
+     * @param policies the policies in force
      * @param plan the faults of the first owner's calls
      * @param killAfterMillis when the first owner is killed after the submissions, in milliseconds,
      *     or 0 for never
      * @return a message for each violation and each submission that did not succeed
      */
-    private static List<String> run(String name, FaultPlan plan, long killAfterMillis) {
+    private static List<String> run(
+            String name, PolicySet policies, FaultPlan plan, long killAfterMillis) {
         CellSimulation simulation = new CellSimulation(3);
+        simulation.policies = policies;
         OwnerProcess first = simulation.startOwner(plan, plan);
         simulation.runtime.advance(100);
         for (int number = 0; number < SUBMISSION_COUNT; number++) {
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/TailMarginTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/TailMarginTest.java
@@ -4,9 +4,12 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 
+import java.util.List;
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.model.SubmissionState;
+import org.damasktiller.scheduler.policy.Policy;
+import org.damasktiller.scheduler.policy.PolicySet;
 import org.damasktiller.verification.owner.CellSimulation.OwnerProcess;
 import org.junit.jupiter.api.Test;
 
@@ -74,7 +77,9 @@
      */
     private CellSimulation createLoad(boolean tailMargin) {
         CellSimulation simulation = new CellSimulation(2);
-        simulation.tailMargin = tailMargin;
+        if (!tailMargin) {
+            simulation.policies = PolicySet.without(List.of(Policy.TAIL_MARGIN));
+        }
         simulation.tailMillis = TARGET / 5;
         simulation.taskDurationMillis = 3_000;
         owner = simulation.startOwner();
