Let late fillers disturb less than those that can be on time

Change: the allowed impact of late fillers is a fraction of that of the others.

Switch: late-filler-restraint.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StepRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StepRecord.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.model.TaskId;
+import org.damasktiller.scheduler.order.Lateness;
 
 /** The tasks and the progress of one step of an occurrence. */
 public final class StepRecord {
@@ -33,6 +34,9 @@
      */
     final Set<String> rejectedWorkerIds = new HashSet<>();
 
+    /** Whether the job can still be on time, as of the last pass in which a task waited. */
+    Lateness lateness = Lateness.ON_TIME;
+
     /** The number of tasks that are done. */
     int doneCount;
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
@@ -249,6 +249,7 @@
         if (expectedLatencyMillis > TOO_LATE_FACTOR * objectiveMillis) {
             lateness = Lateness.TOO_LATE;
         }
+        step.lateness = lateness;
         return new WaitingStep(
                 step,
                 new OrderKey(
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerScorer.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerScorer.java
@@ -1,6 +1,9 @@
 package org.damasktiller.scheduler.cell;
 
 import org.damasktiller.scheduler.model.StepSpec;
+import org.damasktiller.scheduler.placement.FillerTolerance;
+import org.damasktiller.scheduler.placement.LatenessTolerance;
+import org.damasktiller.scheduler.placement.WaitingTolerance;
 import org.damasktiller.scheduler.policy.Policy;
 import org.damasktiller.scheduler.policy.PolicySet;
 
@@ -48,18 +51,6 @@
      */
     private static final double NO_SERVING_TASK_MISMATCH = 0.3;
 
-    /**
-     * The impact that a filler may have if it has not waited, in serving tasks pushed over their
-     * target.
-     */
-    private static final double INITIAL_ALLOWED_IMPACT = 0.2;
-
-    /** The increase of the allowed impact for each second that a filler waits, in serving tasks. */
-    private static final double ALLOWED_IMPACT_PER_SECOND = 0.15;
-
-    /** The number of milliseconds in a second. */
-    private static final double MILLIS_PER_SECOND = 1_000;
-
     /** The shared state of the cell's owner. */
     private final CellContext context;
 
@@ -69,6 +60,9 @@
     /** The policies in force. */
     private final PolicySet policies;
 
+    /** Decides how much a filler may disturb serving tasks. */
+    private final FillerTolerance tolerance;
+
     /**
      * Creates a scorer.
      *
@@ -79,6 +73,10 @@
         this.context = context;
         this.fillerThrottle = fillerThrottle;
         this.policies = context.settings.policies();
+        this.tolerance =
+                policies.isEnabled(Policy.LATE_FILLER_RESTRAINT)
+                        ? new LatenessTolerance(new WaitingTolerance())
+                        : new WaitingTolerance();
     }
 
     /**
@@ -152,16 +150,14 @@
     }
 
     /**
-     * Returns the impact on serving tasks that a filler may have. It grows with the waiting time,
-     * so that each pair of images is tried from time to time and its coefficient stays up to date.
+     * Returns the impact on serving tasks that a filler may have.
      *
      * @param task the task of the filler
      * @return the allowed impact, as a number of serving tasks pushed over their target
      */
     private double allowedImpact(TaskRecord task) {
         long waitedMillis = task.readySinceMillis == 0 ? 0 : context.now() - task.readySinceMillis;
-        return INITIAL_ALLOWED_IMPACT
-                + ALLOWED_IMPACT_PER_SECOND * waitedMillis / MILLIS_PER_SECOND;
+        return tolerance.allowedImpact(task.step.lateness, waitedMillis);
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/policy/Policy.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/policy/Policy.java
@@ -65,6 +65,12 @@
             "fillers raise the tail latencies of the serving tasks beside them",
             "fillers start where the fewest fillers run"),
 
+    /** Fillers that will be late may disturb less than those that can be on time. */
+    LATE_FILLER_RESTRAINT(
+            "late-filler-restraint",
+            "more fillers than serving tasks tolerate, so that some of them are late",
+            "a filler may disturb more, the longer it waits"),
+
     /** Admission of fillers keeps a margin for the noise of reported tail latencies. */
     TAIL_MARGIN(
             "tail-margin",
