Count the age of a submission from its acceptance, not from its owner

Cause: each owner counted from when it first read a submission, so that after a takeover all that was late competed as if it could be on time.

Change: the age comes from the time of acceptance that is stored; one that is not plausible, as the clock of a VM may be wrong, counts as none.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
@@ -37,20 +37,21 @@
     /** Whether the store has a progress record of the job. */
     boolean progressStored;
 
-    /** When this owner first read the submission, in milliseconds. */
-    final long firstReadAtMillis;
+    /** When the submission was accepted, in milliseconds on the owner's clock. */
+    final long acceptedAtMillis;
 
     /**
      * Creates a job without progress. An unscheduled submission begins its only occurrence at once.
      *
      * @param accepted the accepted submission
      * @param createdRevision the store revision at which the submission was stored
-     * @param firstReadAtMillis the current time, in milliseconds
+     * @param acceptedAtMillis when the submission was accepted, in milliseconds on the owner's
+     *     clock
      */
-    Job(AcceptedSubmission accepted, long createdRevision, long firstReadAtMillis) {
+    Job(AcceptedSubmission accepted, long createdRevision, long acceptedAtMillis) {
         this.accepted = accepted;
         this.createdRevision = createdRevision;
-        this.firstReadAtMillis = firstReadAtMillis;
+        this.acceptedAtMillis = acceptedAtMillis;
         if (!accepted.submission().scheduled()) {
             beginOccurrence(0);
         }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobObjectives.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobObjectives.java
@@ -27,7 +27,7 @@
      * Returns the latency objective of a job.
      *
      * @param job the job
-     * @return the time from when this owner first read the job, in milliseconds
+     * @return the time from the acceptance of the job, in milliseconds
      */
     long objectiveMillis(Job job) {
         Route route = context.manifest.findRouteByName(job.accepted.route());
@@ -37,13 +37,13 @@
     }
 
     /**
-     * Returns for how long this owner has known a job.
+     * Returns for how long a job has been accepted.
      *
      * @param job the job
      * @return the time, in milliseconds
      */
     long elapsedMillis(Job job) {
-        return context.now() - job.firstReadAtMillis;
+        return context.now() - job.acceptedAtMillis;
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
@@ -207,7 +207,7 @@
                 "state",
                 job.state,
                 "millis",
-                context.now() - job.firstReadAtMillis);
+                context.now() - job.acceptedAtMillis);
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionWatcher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionWatcher.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import org.damasktiller.scheduler.model.AcceptedSubmission;
+import org.damasktiller.scheduler.order.SubmissionAge;
 import org.damasktiller.scheduler.port.StoreEvent;
 import org.damasktiller.scheduler.port.StoreItem;
 import org.damasktiller.scheduler.port.StoreReading;
@@ -150,7 +151,10 @@
             context.log.log("inbox.unreadable", "key", item.key(), "revision", item.revision());
             return;
         }
-        listener.onSubmission(new Job(accepted, item.revision(), context.now()));
+        long ageMillis =
+                SubmissionAge.estimateMillis(
+                        accepted.acceptedUnixMillis(), context.runtime.unixMillis());
+        listener.onSubmission(new Job(accepted, item.revision(), context.now() - ageMillis));
     }
 
     /**
