Elect an owner sooner after all entry VMs were restarted

Cause: a process registered only after a renewal that followed its first calls, and waited 400 ms more before its first election.

Change: the round trip is measured by renewals that follow each other at once, registration follows at once, and the first election 200 ms later.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
@@ -53,7 +53,7 @@
      * The delay between the first registration of this process and its first election, in
      * milliseconds, in which other processes that start at the same time can register.
      */
-    private static final long FIRST_ELECTION_DELAY_MILLIS = 400;
+    private static final long FIRST_ELECTION_DELAY_MILLIS = 200;
 
     /** The identity of this process. */
     private final NodeIdentity identity;
@@ -96,6 +96,9 @@
      */
     private long registeredMillis = -1;
 
+    /** Whether a registration has been sent and has no result yet. */
+    private boolean registrationPending;
+
     /** Whether the process is leaving the cluster. */
     private boolean leaving;
 
@@ -127,7 +130,8 @@
         this.workerClient = workerClient;
         this.adviceClient = adviceClient;
         this.formats = formats;
-        StoreSession session = new StoreSession(store, runtime, log, settings.storeLeaseMillis());
+        StoreSession session =
+                new StoreSession(store, runtime, log, settings.storeLeaseMillis(), this::register);
         ClusterView view = new ClusterView(store, runtime, log, this::attemptElections);
         this.context = new ClusterContext(store, session, view, runtime, log);
         this.layouts = new LayoutCoordinator(context, layoutSettings);
@@ -345,36 +349,47 @@
     }
 
     /**
-     * Registers the process, and at regular intervals checks that the registration still exists,
-     * since its key disappears with an expired lease. Waits for the first renewal of the lease,
-     * which measures the round trip to the store.
+     * Registers the process if it is not registered. Does nothing before the round trip to the
+     * store has been measured, which is part of the registration.
      */
-    private void registerPeriodically() {
-        if (leaving) {
-            return;
-        }
-        String key = ClusterView.NODE_PREFIX + identity.node();
+    private void register() {
         boolean registered =
                 context.view().nodes().stream()
                         .anyMatch(record -> record.process().equals(identity.process()));
-        long leaseId = context.session().leaseId();
-        boolean latencyKnown = context.session().fastestRenewalMillis() != Long.MAX_VALUE;
-        if (!registered && leaseId != StoreSession.NO_LEASE && latencyKnown) {
-            NodeRecord record =
-                    new NodeRecord(
-                            identity.node(),
-                            identity.process(),
-                            identity.zone(),
-                            context.session().fastestRenewalMillis() <= NEAR_STORE_MAX_MILLIS,
-                            identity.cpuMillicores());
-            context.store()
-                    .commit(
-                            new StoreTransaction()
-                                    .put(key, StoredValueCodec.encode(record), leaseId),
-                            result -> onRegistered(result.status()));
+        boolean possible = !leaving && context.session().isMeasured();
+        if (!possible || registered || registrationPending) {
+            return;
+        }
+        registrationPending = true;
+        NodeRecord record =
+                new NodeRecord(
+                        identity.node(),
+                        identity.process(),
+                        identity.zone(),
+                        context.session().fastestRenewalMillis() <= NEAR_STORE_MAX_MILLIS,
+                        identity.cpuMillicores(),
+                        identity.startedUnixMillis());
+        context.store()
+                .commit(
+                        new StoreTransaction()
+                                .put(
+                                        ClusterView.NODE_PREFIX + identity.node(),
+                                        StoredValueCodec.encode(record),
+                                        context.session().leaseId()),
+                        result -> onRegistered(result.status()));
+    }
+
+    /**
+     * Checks at regular intervals that the registration still exists, since its key disappears with
+     * an expired lease.
+     */
+    private void registerPeriodically() {
+        if (!leaving) {
+            register();
+            long pauseMillis =
+                    registeredMillis < 0 ? ELECTION_INTERVAL_MILLIS : REGISTRATION_CHECK_MILLIS;
+            context.runtime().schedule(pauseMillis, this::registerPeriodically);
         }
-        long pause = registeredMillis < 0 ? ELECTION_INTERVAL_MILLIS : REGISTRATION_CHECK_MILLIS;
-        context.runtime().schedule(pause, this::registerPeriodically);
     }
 
     /**
@@ -383,6 +398,7 @@
      * @param status the result of the call to the store
      */
     private void onRegistered(StoreStatus status) {
+        registrationPending = false;
         if (status == StoreStatus.OK && registeredMillis < 0) {
             registeredMillis = context.runtime().nowMillis();
         }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/NodeIdentity.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/NodeIdentity.java
@@ -7,5 +7,7 @@
  * @param process a random identifier of the process, different after each start
  * @param zone the availability zone of the VM
  * @param cpuMillicores the processor time of the VM, in thousandths of a core, 0 if it is not known
+ * @param startedUnixMillis when the process started, in milliseconds since 1970
  */
-public record NodeIdentity(String node, String process, String zone, int cpuMillicores) {}
+public record NodeIdentity(
+        String node, String process, String zone, int cpuMillicores, long startedUnixMillis) {}
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/NodeRecord.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/NodeRecord.java
@@ -9,6 +9,13 @@
  * @param zone the availability zone of the VM
  * @param near whether the round trip to the store is short enough for both to be in one region
  * @param cpuMillicores the processor time of the VM, in thousandths of a core, 0 if it is not known
+ * @param startedUnixMillis when the process started, in milliseconds since 1970, 0 if it is not
+ *     known
  */
 public record NodeRecord(
-        String node, String process, String zone, boolean near, int cpuMillicores) {}
+        String node,
+        String process,
+        String zone,
+        boolean near,
+        int cpuMillicores,
+        long startedUnixMillis) {}
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/StoreSession.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/StoreSession.java
@@ -20,6 +20,12 @@
     /** The interval between renewals, in milliseconds: a quarter of the default lease duration. */
     private static final long RENEWAL_INTERVAL_MILLIS = 500;
 
+    /**
+     * The number of renewals at the start of a lease that follow each other without a pause. The
+     * first calls of a process are slow, and would not show how far away the store is.
+     */
+    private static final int MEASURING_RENEWALS = 3;
+
     /** The delay before a failed call is retried, in milliseconds. */
     private static final long RETRY_DELAY_MILLIS = 150;
 
@@ -38,6 +44,9 @@
     /** The requested duration of the lease without a renewal, in milliseconds. */
     private final long leaseDurationMillis;
 
+    /** Called each time that the round trip to the store has been measured for a new lease. */
+    private final Runnable onMeasured;
+
     /** The identifier of the current lease, or NO_LEASE. */
     private long leaseId = NO_LEASE;
 
@@ -49,6 +58,9 @@
     /** The round-trip time of the fastest renewal, in milliseconds; MAX_VALUE before the first. */
     private long fastestRenewalMillis = Long.MAX_VALUE;
 
+    /** The number of renewals of the current lease that the store has answered. */
+    private int renewalCount;
+
     /** Whether the store was reachable at the last check, to log changes only. */
     private boolean reachable;
 
@@ -63,16 +75,20 @@
      * @param log the log
      * @param leaseDurationMillis the requested duration of the lease without a renewal, in
      *     milliseconds
+     * @param onMeasured called each time that the round trip to the store has been measured for a
+     *     new lease
      */
     public StoreSession(
             MetadataStore store,
             ProcessRuntime runtime,
             DecisionLog log,
-            long leaseDurationMillis) {
+            long leaseDurationMillis,
+            Runnable onMeasured) {
         this.store = store;
         this.runtime = runtime;
         this.log = log;
         this.leaseDurationMillis = leaseDurationMillis;
+        this.onMeasured = onMeasured;
         this.lastResponseMillis = runtime.nowMillis() - REACHABILITY_WINDOW_MILLIS;
     }
 
@@ -121,6 +137,15 @@
         return nowReachable;
     }
 
+    /**
+     * Returns whether the round trip to the store has been measured for the current lease.
+     *
+     * @return whether a lease is held and enough renewals have been answered
+     */
+    boolean isMeasured() {
+        return leaseId != NO_LEASE && renewalCount >= MEASURING_RENEWALS;
+    }
+
     /**
      * Returns the round-trip time of the fastest renewal, which estimates the network latency to
      * the store.
@@ -146,6 +171,7 @@
             return;
         }
         leaseId = result.require().id();
+        renewalCount = 0;
         lastResponseMillis = runtime.nowMillis();
         log.log("session.began", "lease", leaseId, "lifeMillis", result.require().ttlMillis());
         renew();
@@ -175,7 +201,15 @@
         if (result.status() == StoreStatus.OK) {
             lastResponseMillis = nowMillis;
             fastestRenewalMillis = Math.min(fastestRenewalMillis, nowMillis - sentMillis);
-            runtime.schedule(RENEWAL_INTERVAL_MILLIS, this::renew);
+            renewalCount++;
+            if (renewalCount < MEASURING_RENEWALS) {
+                renew();
+            } else {
+                runtime.schedule(RENEWAL_INTERVAL_MILLIS, this::renew);
+            }
+            if (renewalCount == MEASURING_RENEWALS) {
+                onMeasured.run();
+            }
         } else if (result.status() == StoreStatus.ABSENT) {
             log.log("session.lapsed", "lease", leaseId);
             leaseId = NO_LEASE;
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -241,7 +241,8 @@
                 settings.node(),
                 UUID.randomUUID().toString(),
                 settings.zone(),
-                settings.cpuMillicores());
+                settings.cpuMillicores(),
+                runtime.unixMillis());
     }
 
     /**
--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/LayoutCoordinatorTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/LayoutCoordinatorTest.java
@@ -72,7 +72,8 @@
         MetadataStore client = new FaultInjectingStoreClient(store, runtime, FaultPlan.NO_FAULTS);
         ClusterView view = new ClusterView(client, runtime, (event, fields) -> {}, () -> {});
         view.start();
-        StoreSession session = new StoreSession(client, runtime, (event, fields) -> {}, 2_000);
+        StoreSession session =
+                new StoreSession(client, runtime, (event, fields) -> {}, 2_000, () -> {});
         ClusterContext context =
                 new ClusterContext(client, session, view, runtime, (event, fields) -> {});
         return new LayoutCoordinator(context, new LayoutSettings(ZONES, maxZonesPerCell));
--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/ManifestDistributionTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/ManifestDistributionTest.java
@@ -194,11 +194,12 @@
                             .put(
                                     ClusterView.NODE_PREFIX + name,
                                     StoredValueCodec.encode(
-                                            new NodeRecord(name, name, "zone", near, 1_000))));
+                                            new NodeRecord(name, name, "zone", near, 1_000, 0))));
             FaultInjectingStoreClient client =
                     new FaultInjectingStoreClient(store, runtime, faults);
             ClusterView view = new ClusterView(client, runtime, (event, fields) -> {}, () -> {});
-            StoreSession session = new StoreSession(client, runtime, (event, fields) -> {}, 2_000);
+            StoreSession session =
+                    new StoreSession(client, runtime, (event, fields) -> {}, 2_000, () -> {});
             publisher =
                     new ManifestPublisher(
                             new ClusterContext(
