Reject a submission at once when no time is left to store it

After 504 a caller must assume that its submission may run.

Change: a request without time for a write is rejected with 503 before any write, and the answer at the deadline is 504 only if some write may be applied. The first of two new tests fails before.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
@@ -189,6 +189,9 @@
          */
         private boolean uncertain;
 
+        /** Whether a write has been sent and has no result yet. */
+        private boolean writePending;
+
         /** Whether the response has been sent to the caller. */
         private boolean responded;
 
@@ -228,26 +231,40 @@
 
         /**
          * Sends the transaction, and schedules a response for the case that the store is too slow.
+         * A request without time for a write is rejected at once.
          */
         void start() {
             long responseDueMillis =
                     Math.min(
                             request.deadlineMillis() - DEADLINE_MARGIN_MILLIS,
                             startMillis + NO_RESPONSE_TIMEOUT_MILLIS);
-            runtime.schedule(
-                    Math.max(0, responseDueMillis - startMillis),
-                    () -> {
-                        uncertain = true;
-                        respond(
-                                StoreStatus.UNKNOWN,
-                                CallerResponse.outcomeUnknown("the store did not respond in time"));
-                    });
+            if (responseDueMillis <= startMillis) {
+                respond(
+                        StoreStatus.REFUSED,
+                        CallerResponse.notExecuted("no time is left to store the submission"));
+                return;
+            }
+            runtime.schedule(responseDueMillis - startMillis, this::onTimeout);
             send();
         }
 
+        /**
+         * Responds without the result of a further write. Unless some write may be applied, the
+         * submission is certainly not stored.
+         */
+        private void onTimeout() {
+            uncertain |= writePending;
+            respond(
+                    uncertain ? StoreStatus.UNKNOWN : StoreStatus.REFUSED,
+                    uncertain
+                            ? CallerResponse.outcomeUnknown("the store did not respond in time")
+                            : CallerResponse.notExecuted("the store refused the submission"));
+        }
+
         /** Sends the transaction, unless the caller already has a response. */
         private void send() {
             if (!responded) {
+                writePending = true;
                 store.commit(commit, this::onCommitResult);
             }
         }
@@ -259,6 +276,7 @@
          * @param result the store's response
          */
         private void onCommitResult(StoreResult<CommitReply> result) {
+            writePending = false;
             switch (result.status()) {
                 case OK, CONFLICT -> respond(result.status(), CallerResponse.accepted());
                 case UNKNOWN -> {
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/SubmissionAcceptorTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/SubmissionAcceptorTest.java
@@ -47,6 +47,9 @@
     /** What each task of the submission needs. */
     private Resources need = Resources.NONE;
 
+    /** How long the caller waits for a response, in milliseconds. */
+    private long patienceMillis = 3_000;
+
     /** When the last response was sent, on the clock of the test, in milliseconds. */
     private long respondedAtMillis;
 
@@ -87,6 +90,30 @@
         assertThat(store.value(CellKeys.submission(ID)), nullValue());
     }
 
+    /**
+     * The store is away, and a caller that has used up its time retries once more: a write that
+     * nobody waits for would leave the outcome unknown.
+     */
+    @Test
+    void requestWithoutTimeForWriteIsRejectedAtOnceAndNeverStored() {
+        patienceMillis = 100;
+        submit(List.of());
+        assertThat(status(), equalTo(503));
+        assertThat(respondedAtMillis, lessThan(10L));
+        runtime.advance(20_000);
+        assertThat(store.value(CellKeys.submission(ID)), nullValue());
+    }
+
+    /** Each write was refused before the time is up, between two of them. */
+    @Test
+    void submissionWhoseWritesWereAllRefusedIsRejectedAtTheDeadline() {
+        patienceMillis = 400;
+        submit(repeat(CallFault.REFUSED));
+        assertThat(status(), equalTo(503));
+        runtime.advance(20_000);
+        assertThat(store.value(CellKeys.submission(ID)), nullValue());
+    }
+
     @Test
     void refusalsAfterWriteWithoutResponseLeaveOutcomeUnknown() {
         List<CallFault> faults = new ArrayList<>(repeat(CallFault.REFUSED));
@@ -167,7 +194,7 @@
                         0, false, 0);
         responses.clear();
         acceptor.accept(
-                new CallerRequest(ID, route, 1, runtime.nowMillis() + 3_000),
+                new CallerRequest(ID, route, 1, runtime.nowMillis() + patienceMillis),
                 new Submission(ID, "", List.of(step), 0, 0, 0),
                 response -> {
                     responses.add(response);
