Slow no fillers down before the bound; pause them only

Cause: a filler that is slowed down when a serving task reaches its target stays for longer and disturbs for longer.

Change: FillerThrottle pauses the fillers of a worker near the bound of the time over target, as before, and sends no limits between 0 and 100%. The policy and its constants are removed.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerThrottle.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerThrottle.java
@@ -1,20 +1,19 @@
 package org.damasktiller.scheduler.cell;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.policy.Policy;
 
 /**
- * Throttles the filler tasks of a worker to protect the tail latency of the serving tasks that run
- * next to them.
+ * Protects the tail latency of serving tasks from the fillers next to them: predicts the impact of
+ * a filler before it starts, and pauses the fillers of a worker whose serving tasks are over their
+ * targets for too long.
  *
  * <p>Load pattern: a serving task exceeds its latency target while fillers run on the same worker.
  * The size of the effect depends on the pair of images, and the effect appears and disappears
- * within seconds. When a tail latency reaches its target, the CPU limits of the fillers that
- * contribute most to it are lowered; they are raised step by step after all serving tasks of the
- * worker have recovered. If the time over target approaches {@link
- * CellSettings#maximumOverTargetMillis()}, all fillers of the worker are paused.
+ * within seconds. Fillers are paused for a short time when the time over target approaches {@link
+ * CellSettings#maximumOverTargetMillis()}. They are not slowed down before: slower fillers stay for
+ * longer and disturb for longer.
  */
 final class FillerThrottle {
 
@@ -36,26 +35,9 @@
     /** The CPU limit of a paused filler, in percent of its request. */
     private static final int PAUSED_CPU_LIMIT_PERCENT = 0;
 
-    /** The factor by which the CPU limit of a throttled filler is multiplied. */
-    private static final double THROTTLE_FACTOR = 0.75;
-
-    /**
-     * The number of percentage points by which the CPU limit of a filler is raised after each poll
-     * at which all serving tasks of its worker have recovered.
-     */
-    private static final int RECOVERY_STEP_PERCENT = 30;
-
     /** The fraction of the latency target below which a serving task counts as recovered. */
     private static final double RECOVERED_FRACTION = 0.75;
 
-    /**
-     * The minimum contribution to the logarithm of a tail latency for which a filler is throttled.
-     */
-    private static final double MIN_CONTRIBUTION = 0.06;
-
-    /** The fraction of the largest contribution at or above which a filler is throttled. */
-    private static final double TOP_CONTRIBUTION_FRACTION = 0.4;
-
     /**
      * The fraction of the latency target at or above which a serving task counts as over its
      * target. It is below 1 because reported latencies are noisy, and counting the time over target
@@ -63,9 +45,6 @@
      */
     private static final double OVER_TARGET_FRACTION = 0.9;
 
-    /** The fraction of the latency target at or above which fillers are throttled. */
-    private static final double THROTTLE_FRACTION = 1;
-
     /**
      * The maximum time between two evaluations, in milliseconds, for which a latency report is
      * attributed to the fillers that ran at the earlier one.
@@ -167,7 +146,7 @@
         state.evaluatedAtMillis = now;
         state.predictedImpacts.clear();
         state.lastCpuShares = FillerCpuShares.current(worker);
-        updateLimits(worker, maxOverTargetMillis, maxLatencyRatio, now);
+        updatePause(worker, maxOverTargetMillis, maxLatencyRatio, now);
         sendLimits(worker);
     }
 
@@ -191,7 +170,7 @@
     }
 
     /**
-     * Pauses or resumes the fillers of a worker, and adjusts their CPU limits.
+     * Pauses or resumes the fillers of a worker.
      *
      * @param worker the worker
      * @param maxOverTargetMillis the longest time for which a serving task has been over its
@@ -199,7 +178,7 @@
      * @param maxLatencyRatio the highest tail latency, as a fraction of the target of its task
      * @param now the current time, in milliseconds
      */
-    private void updateLimits(
+    private void updatePause(
             WorkerRecord worker, long maxOverTargetMillis, double maxLatencyRatio, long now) {
         FillerThrottleState state = worker.throttleState;
         long millisInState = now - state.changedAtMillis;
@@ -215,80 +194,6 @@
             state.setPaused(true, now);
             context.log.log("filler.pause", "worker", worker.id, "overMillis", maxOverTargetMillis);
         }
-        if (maxLatencyRatio >= THROTTLE_FRACTION
-                && context.settings.policies().isEnabled(Policy.EARLY_THROTTLING)) {
-            throttleTopContributors(worker);
-        } else if (maxLatencyRatio < RECOVERED_FRACTION) {
-            raiseLimits(worker);
-        }
-    }
-
-    /**
-     * Lowers the CPU limits of the fillers that contribute most to the tail latencies that are over
-     * their targets.
-     *
-     * @param worker the worker
-     */
-    private void throttleTopContributors(WorkerRecord worker) {
-        Map<RunRecord, Double> contributions = new LinkedHashMap<>();
-        double largestContribution = 0;
-        for (RunRecord run : worker.runs.values()) {
-            if (run.isFiller()) {
-                double contribution = contribution(worker, run);
-                contributions.put(run, contribution);
-                largestContribution = Math.max(largestContribution, contribution);
-            }
-        }
-        double threshold =
-                Math.max(MIN_CONTRIBUTION, largestContribution * TOP_CONTRIBUTION_FRACTION);
-        contributions.forEach(
-                (run, contribution) -> {
-                    if (contribution >= threshold) {
-                        run.unpausedCpuLimitPercent =
-                                (int) (run.unpausedCpuLimitPercent * THROTTLE_FACTOR);
-                    }
-                });
-    }
-
-    /**
-     * Estimates the contribution of a filler to the tail latencies that are over their targets.
-     *
-     * @param worker the worker
-     * @param filler the run of the filler
-     * @return the sum of its contributions to the logarithms of these tail latencies
-     */
-    private double contribution(WorkerRecord worker, RunRecord filler) {
-        if (filler.task == null) {
-            return 0;
-        }
-        StepSpec spec = filler.task.step.spec;
-        double cpuShare = filler.cpuLimitFraction() * FillerCpuShares.atFullLimit(spec, worker);
-        double sum = 0;
-        for (RunRecord run : worker.runs.values()) {
-            if (run.isServing()
-                    && run.task != null
-                    && run.reportedLoad >= THROTTLE_FRACTION * run.latencyTargetMillis()) {
-                sum +=
-                        cpuShare
-                                * interference.coefficient(
-                                        run.task.step.spec.image(), spec.image());
-            }
-        }
-        return sum;
-    }
-
-    /**
-     * Raises the CPU limits of throttled fillers by one step.
-     *
-     * @param worker the worker
-     */
-    private static void raiseLimits(WorkerRecord worker) {
-        for (RunRecord run : worker.runs.values()) {
-            run.unpausedCpuLimitPercent =
-                    Math.min(
-                            RunRecord.FULL_PERCENT,
-                            run.unpausedCpuLimitPercent + RECOVERY_STEP_PERCENT);
-        }
     }
 
     /**
@@ -303,9 +208,7 @@
                 continue;
             }
             run.wantedCpuLimitPercent =
-                    worker.throttleState.paused
-                            ? PAUSED_CPU_LIMIT_PERCENT
-                            : run.unpausedCpuLimitPercent;
+                    worker.throttleState.paused ? PAUSED_CPU_LIMIT_PERCENT : RunRecord.FULL_PERCENT;
             long now = context.now();
             boolean mayBeOverridden =
                     now < run.cpuLimitUncertainUntilMillis
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
@@ -102,9 +102,6 @@
     /** The CPU limit that the worker should apply, in percent. */
     int wantedCpuLimitPercent = FULL_PERCENT;
 
-    /** The CPU limit of a filler while the fillers of its worker are not paused, in percent. */
-    int unpausedCpuLimitPercent = FULL_PERCENT;
-
     /** Whether a request to change the CPU limit is in flight. */
     boolean cpuLimitRequestInFlight;
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/policy/Policy.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/policy/Policy.java
@@ -89,12 +89,6 @@
             "the owner of a cell changes while fillers run",
             "each owner learns the effects of fillers anew"),
 
-    /** Fillers are throttled before the time over target approaches its bound. */
-    EARLY_THROTTLING(
-            "early-throttling",
-            "a serving task exceeds its target for less time than the bound allows",
-            "fillers are only paused near the bound"),
-
     /** Run times are learned for each image. */
     LEARNED_RUN_TIMES(
             "learned-run-times",
