Pass requests on to a peer while the store turns a VM away

Change: a VM whose calls to the store fail sends requests to up to three peers, the next one only if the one before has certainly not carried them out.

--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/EntryVmProcess.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/EntryVmProcess.java
@@ -71,7 +71,7 @@
         this.logFile = directory.resolve(name + ".log");
         List<String> lines =
                 PlatformRecordEncoder.settingsLines(
-                        name, zone, zones, callerAddress, freeAddress(), store);
+                        name, zone, zones, callerAddress, freeAddress(), freeAddress(), store);
         try {
             Files.write(settingsFile, lines);
         } catch (IOException exception) {
--- a/damasktiller-lab/src/test/java/org/damasktiller/lab/table/TableSessionTest.java
+++ b/damasktiller-lab/src/test/java/org/damasktiller/lab/table/TableSessionTest.java
@@ -13,7 +13,6 @@
 import org.damasktiller.lab.rig.Deployment;
 import org.damasktiller.lab.rig.LabEventLoop;
 import org.damasktiller.platform.emulator.LoopbackServer;
-import org.damasktiller.platform.emulator.PlatformRecordEncoder;
 import org.damasktiller.platform.emulator.StoreServlet;
 import org.damasktiller.platform.settings.Addresses;
 import org.damasktiller.standin.metadata.FaultPlan;
@@ -89,7 +88,6 @@
         InMemoryStore model = new InMemoryStore(platform.runtime());
         StoreServlet servlet = new StoreServlet(model, platform.runtime(), FaultPlan.NO_FAULTS, 0);
         return Addresses.parse(
-                PlatformRecordEncoder.formatAddress(
-                        LoopbackServer.start(platform.eventloop(), servlet)));
+                Addresses.format(LoopbackServer.start(platform.eventloop(), servlet)));
     }
 }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerServlet.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerServlet.java
@@ -1,5 +1,8 @@
 package org.damasktiller.node.caller;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import io.activej.bytebuf.ByteBuf;
 import io.activej.http.AsyncServlet;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpMethod;
@@ -7,11 +10,13 @@
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
+import java.io.IOException;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.regex.Pattern;
 import org.damasktiller.error.DamasktillerException;
 import org.damasktiller.node.cluster.ClusterMember;
+import org.damasktiller.platform.call.JsonBodies;
 import org.damasktiller.platform.ingress.CallerCodec;
 import org.damasktiller.scheduler.model.Manifest;
 import org.damasktiller.scheduler.model.Route;
@@ -30,6 +35,9 @@
     /** The timeout of a request without a valid deadline header, in milliseconds. */
     private static final long DEFAULT_TIMEOUT_MILLIS = 3_000;
 
+    /** The maximum size of a body before a manifest has been read, in bytes. */
+    private static final int DEFAULT_MAX_BODY_BYTES = 1 << 18;
+
     /** Matches a valid submission identifier. */
     private static final Pattern IDENTIFIER_PATTERN = Pattern.compile("[0-9a-fA-F]{16}");
 
@@ -42,9 +50,12 @@
     /** Handles state queries and cancellations. */
     private final SubmissionStateHandler stateHandler;
 
-    /** Provides the pending count of each route. */
+    /** Provides the pending count of each route, and whether the store can be reached. */
     private final ClusterMember clusterMember;
 
+    /** Passes requests on while the store can't be reached. */
+    private final CallerRelay relay;
+
     /** The clock from which deadlines are computed. */
     private final ProcessRuntime runtime;
 
@@ -63,7 +74,9 @@
      * @param manifest returns the current manifest, or null before the first one has been read
      * @param acceptor stores new submissions
      * @param stateHandler handles state queries and cancellations
-     * @param clusterMember provides the pending count of each route
+     * @param clusterMember provides the pending count of each route, and whether the store can be
+     *     reached
+     * @param relay passes requests on while the store can't be reached
      * @param runtime the clock from which deadlines are computed
      * @param log the log
      */
@@ -72,9 +85,11 @@
             SubmissionAcceptor acceptor,
             SubmissionStateHandler stateHandler,
             ClusterMember clusterMember,
+            CallerRelay relay,
             ProcessRuntime runtime,
             DecisionLog log) {
         this.manifest = manifest;
+        this.relay = relay;
         this.acceptor = acceptor;
         this.stateHandler = stateHandler;
         this.clusterMember = clusterMember;
@@ -99,37 +114,128 @@
     @Override
     public Promise<HttpResponse> serve(HttpRequest request) {
         requestsInFlight++;
-        return handle(request)
+        Incoming incoming =
+                new Incoming(
+                        request.getMethod(),
+                        host(request),
+                        request.getPath(),
+                        deadlineMillis(request),
+                        request::loadBody);
+        return (clusterMember.isStoreFailing() ? passOn(incoming) : handle(incoming))
                 .whenComplete((response, error) -> requestsInFlight--)
                 .map(this::render);
     }
 
+    /**
+     * Handles a request that a peer has passed on. It is rejected at once if this VM can't reach
+     * the store either.
+     *
+     * @param relayed the request
+     * @return the response
+     */
+    Promise<CallerResponse> serveRelayed(RelayedRequest relayed) {
+        if (clusterMember.isStoreFailing()) {
+            return Promise.of(CallerResponse.notExecuted("this VM can't reach the store either"));
+        }
+        HttpMethod method;
+        try {
+            method = HttpMethod.valueOf(relayed.method());
+        } catch (IllegalArgumentException exception) {
+            return Promise.of(CallerResponse.malformed("unknown method " + relayed.method()));
+        }
+        byte[] body = JsonBodies.write(relayed.body());
+        requestsInFlight++;
+        return handle(
+                        new Incoming(
+                                method,
+                                relayed.host(),
+                                relayed.path(),
+                                runtime.nowMillis() + relayed.timeoutMillis(),
+                                maxBytes -> Promise.of(ByteBuf.wrapForReading(body))))
+                .whenComplete((response, error) -> requestsInFlight--);
+    }
+
+    /**
+     * Passes a request on to a peer, or handles it if no peer can serve it.
+     *
+     * @param incoming the request
+     * @return the response
+     */
+    private Promise<CallerResponse> passOn(Incoming incoming) {
+        if (incoming.method() != HttpMethod.POST) {
+            return passOn(incoming, MissingNode.getInstance());
+        }
+        Manifest currentManifest = manifest.get();
+        int maxBodyBytes =
+                currentManifest == null
+                        ? DEFAULT_MAX_BODY_BYTES
+                        : currentManifest.limits().maxBodyBytes();
+        return incoming.body()
+                .load(maxBodyBytes)
+                .then(
+                        buffer -> {
+                            byte[] body = buffer.getArray();
+                            Incoming loaded =
+                                    incoming.withBody(
+                                            maxBytes -> Promise.of(ByteBuf.wrapForReading(body)));
+                            try {
+                                return passOn(loaded, JsonBodies.read(body));
+                            } catch (IOException exception) {
+                                return handle(loaded);
+                            }
+                        },
+                        error -> {
+                            log.log("body.unreadable", "path", incoming.path(), "error", error);
+                            return Promise.of(CallerResponse.bodyTooLarge(maxBodyBytes));
+                        });
+    }
+
+    /**
+     * Passes a request on whose body is loaded, or handles it if no peer can serve it.
+     *
+     * @param incoming the request
+     * @param body its JSON body, a missing node if it has none
+     * @return the response
+     */
+    private Promise<CallerResponse> passOn(Incoming incoming, JsonNode body) {
+        RelayedRequest relayed =
+                new RelayedRequest(
+                        incoming.method().name(),
+                        incoming.host(),
+                        incoming.path(),
+                        incoming.deadlineMillis() - runtime.nowMillis(),
+                        body);
+        SettablePromise<CallerResponse> promise = new SettablePromise<>();
+        relay.relay(relayed, promise::set, () -> handle(incoming).subscribe(promise));
+        return promise;
+    }
+
     /**
      * Matches a request to a route and dispatches it by its HTTP method.
      *
-     * @param request the request
+     * @param incoming the request
      * @return the response
      */
-    private Promise<CallerResponse> handle(HttpRequest request) {
+    private Promise<CallerResponse> handle(Incoming incoming) {
         Manifest currentManifest = manifest.get();
         if (currentManifest == null) {
             return Promise.of(CallerResponse.notExecuted("no manifest has been read yet"));
         }
-        String path = request.getPath();
-        Route route = currentManifest.findRoute(host(request), path);
+        String path = incoming.path();
+        Route route = currentManifest.findRoute(incoming.host(), path);
         if (route == null) {
             log.log(
                     "route.missing",
                     "path",
                     path,
                     "host",
-                    host(request),
+                    incoming.host(),
                     "manifest",
                     currentManifest.version());
             return Promise.of(CallerResponse.routeNotFound());
         }
         String id = path.substring(route.pathPrefix().length());
-        if (id.isEmpty() && request.getMethod() == HttpMethod.GET) {
+        if (id.isEmpty() && incoming.method() == HttpMethod.GET) {
             return Promise.of(CallerResponse.pending(clusterMember.pendingCount(route.name())));
         }
         if (!IDENTIFIER_PATTERN.matcher(id).matches()) {
@@ -137,9 +243,9 @@
                     CallerResponse.malformed("the identifier must have 16 hexadecimal digits"));
         }
         CallerRequest callerRequest =
-                new CallerRequest(id, route, currentManifest.version(), deadlineMillis(request));
-        return switch (request.getMethod()) {
-            case POST -> submit(request, callerRequest, currentManifest.limits().maxBodyBytes());
+                new CallerRequest(id, route, currentManifest.version(), incoming.deadlineMillis());
+        return switch (incoming.method()) {
+            case POST -> submit(incoming, callerRequest, currentManifest.limits().maxBodyBytes());
             case GET -> promise(callback -> stateHandler.queryState(callerRequest, callback));
             case DELETE -> promise(callback -> stateHandler.cancel(callerRequest, callback));
             default -> Promise.of(CallerResponse.malformed("the HTTP method is not supported"));
@@ -149,14 +255,15 @@
     /**
      * Loads the body of a submission and accepts it.
      *
-     * @param request the HTTP request, whose body has not been loaded
+     * @param incoming the request, whose body has not been loaded
      * @param callerRequest the same request after routing
      * @param maxBodyBytes the maximum size of a body, in bytes
      * @return the response; a body that can't be loaded is reported as too large
      */
     private Promise<CallerResponse> submit(
-            HttpRequest request, CallerRequest callerRequest, int maxBodyBytes) {
-        return request.loadBody(maxBodyBytes)
+            Incoming incoming, CallerRequest callerRequest, int maxBodyBytes) {
+        return incoming.body()
+                .load(maxBodyBytes)
                 .then(
                         buffer -> {
                             byte[] body = buffer.getArray();
@@ -256,4 +363,41 @@
         int colon = header.indexOf(':');
         return colon < 0 ? header : header.substring(0, colon);
     }
+
+    /** Loads the body of a request. */
+    @FunctionalInterface
+    private interface BodyLoader {
+
+        /**
+         * Loads the body.
+         *
+         * @param maxBytes the maximum size, in bytes
+         * @return the body
+         */
+        Promise<ByteBuf> load(int maxBytes);
+    }
+
+    /**
+     * A request of a caller, received here or passed on by a peer.
+     *
+     * @param method the HTTP method
+     * @param host the host that the caller named, without a port
+     * @param path the path
+     * @param deadlineMillis when the caller stops waiting for the response, on the monotonic clock,
+     *     in milliseconds
+     * @param body loads the body
+     */
+    private record Incoming(
+            HttpMethod method, String host, String path, long deadlineMillis, BodyLoader body) {
+
+        /**
+         * Returns the request with another way to load its body.
+         *
+         * @param loader loads the body
+         * @return the request
+         */
+        Incoming withBody(BodyLoader loader) {
+            return new Incoming(method, host, path, deadlineMillis, loader);
+        }
+    }
 }
--- /dev/null
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/RelayResult.java
@@ -0,0 +1,12 @@
+package org.damasktiller.node.caller;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The result of passing a request on to a peer.
+ *
+ * @param response the response of the peer, or null if there was none
+ * @param possiblySent whether the request may have reached the peer
+ * @param failure what went wrong, for the log; empty if there is a response
+ */
+record RelayResult(@Nullable CallerResponse response, boolean possiblySent, String failure) {}
--- /dev/null
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/RelayServlet.java
@@ -0,0 +1,85 @@
+package org.damasktiller.node.caller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import java.io.IOException;
+import org.damasktiller.platform.call.JsonBodies;
+import org.damasktiller.scheduler.port.DecisionLog;
+
+/** Serves the requests that peers pass on. They are not passed on once more. */
+public final class RelayServlet implements AsyncServlet {
+
+    /** The largest body of a request, in bytes: that of a caller and what is added to it. */
+    private static final int MAX_BODY_BYTES = 2 << 20;
+
+    /** The HTTP status of a request that was understood. */
+    private static final int OK = 200;
+
+    /** The HTTP status of a request that was not understood. */
+    private static final int BAD_REQUEST = 400;
+
+    /** Handles the requests. */
+    private final CallerServlet callers;
+
+    /** The log. */
+    private final DecisionLog log;
+
+    /**
+     * Creates a servlet.
+     *
+     * @param callers handles the requests
+     * @param log the log
+     */
+    public RelayServlet(CallerServlet callers, DecisionLog log) {
+        this.callers = callers;
+        this.log = log;
+    }
+
+    @Override
+    public Promise<HttpResponse> serve(HttpRequest request) {
+        if (!request.getPath().equals(HttpRelayTransport.PATH)) {
+            return HttpResponse.ofCode(BAD_REQUEST).toPromise();
+        }
+        return request.loadBody(MAX_BODY_BYTES).then(buffer -> handle(buffer.getArray()));
+    }
+
+    /**
+     * Handles a request.
+     *
+     * @param bytes the JSON body
+     * @return the response
+     */
+    private Promise<HttpResponse> handle(byte[] bytes) {
+        RelayedRequest relayed;
+        try {
+            relayed = RelayedRequest.decode(JsonBodies.read(bytes));
+        } catch (IOException exception) {
+            log.log("relay.malformed", "reason", String.valueOf(exception.getMessage()));
+            return HttpResponse.ofCode(BAD_REQUEST).toPromise();
+        }
+        return callers.serveRelayed(relayed).map(RelayServlet::render);
+    }
+
+    /**
+     * Converts a response to its HTTP form.
+     *
+     * @param response the response
+     * @return the HTTP response
+     */
+    private static HttpResponse render(CallerResponse response) {
+        JsonNode body;
+        try {
+            body = JsonBodies.read(response.body());
+        } catch (IOException exception) {
+            throw new IllegalStateException("a response has no JSON body", exception);
+        }
+        return HttpResponse.ofCode(OK)
+                .withHeader(HttpHeaders.CONTENT_TYPE, "application/json")
+                .withBody(JsonBodies.write(HttpRelayTransport.encode(response, body)))
+                .build();
+    }
+}
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
@@ -224,6 +224,26 @@
         return context.session().isReachable();
     }
 
+    /**
+     * Tells whether the store turns this process away or does not answer it.
+     *
+     * @return whether its last calls have failed
+     */
+    public boolean isStoreFailing() {
+        return context.session().isFailing();
+    }
+
+    /**
+     * Returns the processes on other VMs that were registered when the store last answered.
+     *
+     * @return the processes
+     */
+    public List<NodeRecord> peers() {
+        return context.view().nodes().stream()
+                .filter(record -> !record.node().equals(identity.node()))
+                .toList();
+    }
+
     /**
      * Returns how many submissions of a route are pending, that is, wait for the start of their
      * first task.
@@ -368,7 +388,8 @@
                         identity.zone(),
                         context.session().fastestRenewalMillis() <= NEAR_STORE_MAX_MILLIS,
                         identity.cpuMillicores(),
-                        identity.startedUnixMillis());
+                        identity.startedUnixMillis(),
+                        identity.peerAddress());
         context.store()
                 .commit(
                         new StoreTransaction()
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/NodeRecord.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/NodeRecord.java
@@ -1,5 +1,7 @@
 package org.damasktiller.node.cluster;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * The stored value of the key that registers a living process. The key is written under the lease
  * of the process, so that it disappears soon after the process dies.
@@ -11,6 +13,8 @@
  * @param cpuMillicores the processor time of the VM, in thousandths of a core, 0 if it is not known
  * @param startedUnixMillis when the process started, in milliseconds since 1970, 0 if it is not
  *     known
+ * @param peerAddress the address on which the process takes requests of its peers, in the form
+ *     IP:PORT; null or empty if it takes none
  */
 public record NodeRecord(
         String node,
@@ -18,4 +22,5 @@
         String zone,
         boolean near,
         int cpuMillicores,
-        long startedUnixMillis) {}
+        long startedUnixMillis,
+        @Nullable String peerAddress) {}
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/StoreSession.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/StoreSession.java
@@ -29,6 +29,12 @@
     /** The delay before a failed call is retried, in milliseconds. */
     private static final long RETRY_DELAY_MILLIS = 150;
 
+    /**
+     * The number of refusals in a row after which the store counts as failing; a call without a
+     * response counts as that many.
+     */
+    private static final int FAILING_REFUSALS = 2;
+
     /** How long the store counts as reachable after its last response, in milliseconds. */
     private static final long REACHABILITY_WINDOW_MILLIS = 1_800;
 
@@ -61,6 +67,9 @@
     /** The number of renewals of the current lease that the store has answered. */
     private int renewalCount;
 
+    /** How often the store has failed to answer since its last answer, as counted here. */
+    private int failures;
+
     /** Whether the store was reachable at the last check, to log changes only. */
     private boolean reachable;
 
@@ -156,6 +165,17 @@
         return fastestRenewalMillis;
     }
 
+    /**
+     * Tells whether the last calls to the store have failed. That shows sooner than {@link
+     * #isReachable} that it turns this process away, and may be wrong if it only failed for a
+     * moment.
+     *
+     * @return whether calls have failed since the last response
+     */
+    boolean isFailing() {
+        return failures >= FAILING_REFUSALS;
+    }
+
     /**
      * Handles the response to a lease request.
      *
@@ -166,10 +186,12 @@
             return;
         }
         if (result.status() != StoreStatus.OK) {
+            countFailure(result.status());
             isReachable();
             runtime.schedule(RETRY_DELAY_MILLIS, this::start);
             return;
         }
+        failures = 0;
         leaseId = result.require().id();
         renewalCount = 0;
         lastResponseMillis = runtime.nowMillis();
@@ -199,6 +221,7 @@
         }
         long nowMillis = runtime.nowMillis();
         if (result.status() == StoreStatus.OK) {
+            failures = 0;
             lastResponseMillis = nowMillis;
             fastestRenewalMillis = Math.min(fastestRenewalMillis, nowMillis - sentMillis);
             renewalCount++;
@@ -215,8 +238,18 @@
             leaseId = NO_LEASE;
             start();
         } else {
+            countFailure(result.status());
             runtime.schedule(RETRY_DELAY_MILLIS, this::renew);
         }
         isReachable();
     }
+
+    /**
+     * Counts a call that has failed.
+     *
+     * @param status the result of the call
+     */
+    private void countFailure(StoreStatus status) {
+        failures += status == StoreStatus.UNKNOWN ? FAILING_REFUSALS : 1;
+    }
 }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -16,7 +16,9 @@
 import org.damasktiller.error.ErrorCode;
 import org.damasktiller.error.Operation;
 import org.damasktiller.error.Outcome;
+import org.damasktiller.node.caller.CallerRelay;
 import org.damasktiller.node.caller.CallerServlet;
+import org.damasktiller.node.caller.RelayServlet;
 import org.damasktiller.node.caller.SubmissionAcceptor;
 import org.damasktiller.node.caller.SubmissionStateHandler;
 import org.damasktiller.node.cluster.ClusterMember;
@@ -32,12 +34,14 @@
 import org.damasktiller.platform.metadata.HttpMetadataStore;
 import org.damasktiller.platform.order.HttpWorkerClient;
 import org.damasktiller.platform.record.JsonPlatformRecordDecoder;
+import org.damasktiller.platform.settings.Addresses;
 import org.damasktiller.platform.settings.PlatformSettings;
 import org.damasktiller.platform.settings.SettingsReader;
 import org.damasktiller.scheduler.cell.CellSettings;
 import org.damasktiller.scheduler.policy.PolicySet;
 import org.damasktiller.scheduler.port.AdviceClient;
 import org.damasktiller.scheduler.port.MetadataStore;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The process of an entry VM. It wires all components to one event loop, listens for callers and
@@ -58,6 +62,12 @@
     /** The timeout of a poll of a worker, in milliseconds; the worker may hold it for 0.5 s. */
     private static final long WORKER_POLL_TIMEOUT_MILLIS = 1_200;
 
+    /**
+     * The timeout of a request that is passed on to a peer, in milliseconds: longer than a peer
+     * waits for the store.
+     */
+    private static final long RELAY_TIMEOUT_MILLIS = 1_700;
+
     /** The timeout of a call to the advice service, in milliseconds. */
     private static final long ADVICE_TIMEOUT_MILLIS = 3_000;
 
@@ -121,6 +131,9 @@
     /** The HTTP server for callers. */
     private final HttpServer callerServer;
 
+    /** The HTTP server for requests that peers pass on, or null if the VM has no port for it. */
+    private final @Nullable HttpServer peerServer;
+
     /** The HTTP server for the load balancer's readiness checks and for the metrics. */
     private final HttpServer readinessServer;
 
@@ -169,20 +182,12 @@
                 new ManifestWatcher(
                         store, records, runtime, log, clusterMember::isStoreFar, clusterMember);
         clusterMember.setManifestChangeListener(manifestWatcher::onPublished);
-        callerServlet =
-                new CallerServlet(
-                        manifestWatcher::current,
-                        new SubmissionAcceptor(
-                                store,
-                                clusterMember::layout,
-                                settings.zone(),
-                                clusterMember::largestWorkers,
-                                runtime,
-                                log),
-                        new SubmissionStateHandler(store, clusterMember, runtime, log),
-                        clusterMember,
-                        runtime,
-                        log);
+        callerServlet = createCallerServlet(store);
+        InetSocketAddress peerAddress = settings.peerAddress();
+        peerServer =
+                peerAddress == null
+                        ? null
+                        : newServer(new RelayServlet(callerServlet, log), peerAddress);
         callerServer = newServer(callerServlet, settings.callerAddress());
         readinessServer =
                 newServer(request -> serveStatus(request).toPromise(), settings.readinessAddress());
@@ -213,6 +218,9 @@
         try {
             callerServer.listen();
             readinessServer.listen();
+            if (peerServer != null) {
+                peerServer.listen();
+            }
         } catch (IOException exception) {
             throw new DamasktillerException(
                     ErrorCode.BAD_SETTING,
@@ -231,6 +239,35 @@
         eventloop.run();
     }
 
+    /**
+     * Creates the servlet for callers.
+     *
+     * @param store the store
+     * @return the servlet
+     */
+    private CallerServlet createCallerServlet(MetadataStore store) {
+        return new CallerServlet(
+                manifestWatcher::current,
+                new SubmissionAcceptor(
+                        store,
+                        clusterMember::layout,
+                        settings.zone(),
+                        clusterMember::largestWorkers,
+                        runtime,
+                        log),
+                new SubmissionStateHandler(store, clusterMember, runtime, log),
+                clusterMember,
+                CallerRelay.create(
+                        clusterMember,
+                        settings.zone(),
+                        settings.regionByZone(),
+                        new JsonHttpClient(eventloop, RELAY_TIMEOUT_MILLIS),
+                        runtime,
+                        log),
+                runtime,
+                log);
+    }
+
     /**
      * Creates the identity of this process.
      *
@@ -242,7 +279,8 @@
                 UUID.randomUUID().toString(),
                 settings.zone(),
                 settings.cpuMillicores(),
-                runtime.unixMillis());
+                runtime.unixMillis(),
+                settings.peerAddress() == null ? "" : Addresses.format(settings.peerAddress()));
     }
 
     /**
--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/ElectionRankTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/ElectionRankTest.java
@@ -14,9 +14,9 @@
     /** The registered processes. */
     private static final List<NodeRecord> NODES =
             List.of(
-                    new NodeRecord("far-1", "p", "c", false, 750, 0),
-                    new NodeRecord("near-1", "p", "a", true, 750, 0),
-                    new NodeRecord("near-2", "p", "b", true, 750, 0));
+                    new NodeRecord("far-1", "p", "c", false, 750, 0, ""),
+                    new NodeRecord("near-1", "p", "a", true, 750, 0, ""),
+                    new NodeRecord("near-2", "p", "b", true, 750, 0, ""));
 
     /** The zones of a cell that spans all zones. */
     private static final Set<String> ALL_ZONES = Set.of("a", "b", "c");
@@ -29,8 +29,8 @@
     void strongVmFarFromTheStoreRanksBeforeWeakOneNearIt() {
         List<NodeRecord> nodes =
                 List.of(
-                        new NodeRecord("near-weak", "p", "a", true, 360, 0),
-                        new NodeRecord("far-strong", "p", "c", false, 1_500, 0));
+                        new NodeRecord("near-weak", "p", "a", true, 360, 0, ""),
+                        new NodeRecord("far-strong", "p", "c", false, 1_500, 0, ""));
         assertThat(ElectionRank.of("cell", ALL_ZONES, nodes, "far-strong"), equalTo(0));
         assertThat(ElectionRank.of("cell", ALL_ZONES, nodes, "near-weak"), equalTo(1));
     }
@@ -59,10 +59,10 @@
     void processThatWasRestartedLastRanksFirst() {
         List<NodeRecord> nodes =
                 List.of(
-                        new NodeRecord("near-1", "p", "a", true, 750, 60_000),
-                        new NodeRecord("near-2", "p", "b", true, 750, 10_000),
-                        new NodeRecord("near-3", "p", "a", true, 750, 70_000),
-                        new NodeRecord("far-1", "p", "c", false, 750, 90_000));
+                        new NodeRecord("near-1", "p", "a", true, 750, 60_000, ""),
+                        new NodeRecord("near-2", "p", "b", true, 750, 10_000, ""),
+                        new NodeRecord("near-3", "p", "a", true, 750, 70_000, ""),
+                        new NodeRecord("far-1", "p", "c", false, 750, 90_000, ""));
         assertThat(ElectionRank.of("cell", ALL_ZONES, nodes, "near-3"), equalTo(0));
         assertThat(ElectionRank.of("cell", ALL_ZONES, nodes, "near-1"), equalTo(1));
         assertThat(ElectionRank.of("cell", ALL_ZONES, nodes, "near-2"), equalTo(2));
@@ -74,12 +74,12 @@
     void processesThatStartTogetherAreOrderedByTheirVms() {
         List<NodeRecord> nodes =
                 List.of(
-                        new NodeRecord("near-1", "p", "a", true, 750, 60_100),
-                        new NodeRecord("near-2", "p", "b", true, 750, 60_900));
+                        new NodeRecord("near-1", "p", "a", true, 750, 60_100, ""),
+                        new NodeRecord("near-2", "p", "b", true, 750, 60_900, ""));
         List<NodeRecord> swapped =
                 List.of(
-                        new NodeRecord("near-1", "p", "a", true, 750, 60_900),
-                        new NodeRecord("near-2", "p", "b", true, 750, 60_100));
+                        new NodeRecord("near-1", "p", "a", true, 750, 60_900, ""),
+                        new NodeRecord("near-2", "p", "b", true, 750, 60_100, ""));
         assertThat(
                 ElectionRank.of("cell", ALL_ZONES, nodes, "near-1"),
                 equalTo(ElectionRank.of("cell", ALL_ZONES, swapped, "near-1")));
--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/ManifestDistributionTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/ManifestDistributionTest.java
@@ -194,7 +194,8 @@
                             .put(
                                     ClusterView.NODE_PREFIX + name,
                                     StoredValueCodec.encode(
-                                            new NodeRecord(name, name, "zone", near, 1_000, 0))));
+                                            new NodeRecord(
+                                                    name, name, "zone", near, 1_000, 0, ""))));
             FaultInjectingStoreClient client =
                     new FaultInjectingStoreClient(store, runtime, faults);
             ClusterView view = new ClusterView(client, runtime, (event, fields) -> {}, () -> {});
