Move run time estimates and the model of interference to packages of their own

No behaviour changes: classes move out of scheduler.cell, which shares its context with everything, and become public. Neither uses the store, workers or a clock.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerThrottle.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FillerThrottle.java
@@ -1,6 +1,7 @@
 package org.damasktiller.scheduler.cell;
 
 import java.util.Map;
+import org.damasktiller.scheduler.interference.InterferenceModel;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.policy.Policy;
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/InterferenceKeeper.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/InterferenceKeeper.java
@@ -1,5 +1,7 @@
 package org.damasktiller.scheduler.cell;
 
+import org.damasktiller.scheduler.interference.InterferenceModel;
+import org.damasktiller.scheduler.interference.InterferenceRecord;
 import org.damasktiller.scheduler.port.StoreItem;
 import org.damasktiller.scheduler.port.StoreReading;
 import org.damasktiller.scheduler.port.StoreResult;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobObjectives.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobObjectives.java
@@ -1,5 +1,6 @@
 package org.damasktiller.scheduler.cell;
 
+import org.damasktiller.scheduler.estimate.RunTimeEstimator;
 import org.damasktiller.scheduler.model.Route;
 import org.damasktiller.scheduler.model.StepSpec;
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.damasktiller.scheduler.estimate.RunTimeEstimator;
 import org.damasktiller.scheduler.model.EndKind;
 import org.damasktiller.scheduler.model.EndedRun;
 import org.damasktiller.scheduler.model.Route;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/LookAheadPlacement.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/LookAheadPlacement.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import org.damasktiller.scheduler.estimate.RunTimeEstimator;
 import org.damasktiller.scheduler.lookahead.ExpectedEnd;
 import org.damasktiller.scheduler.lookahead.Reservation;
 import org.damasktiller.scheduler.lookahead.ReservationPlanner;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StragglerMitigator.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StragglerMitigator.java
@@ -1,6 +1,7 @@
 package org.damasktiller.scheduler.cell;
 
 import java.util.ArrayList;
+import org.damasktiller.scheduler.estimate.RunTimeEstimator;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.policy.Policy;
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import org.damasktiller.scheduler.estimate.RunTimeEstimator;
 import org.damasktiller.scheduler.model.Route;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.order.ArrivalOrder;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/DeclaredRunTimes.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/estimate/DeclaredRunTimes.java
@@ -1,12 +1,12 @@
-package org.damasktiller.scheduler.cell;
+package org.damasktiller.scheduler.estimate;
 
 import org.damasktiller.scheduler.model.StepSpec;
 
 /** Takes run times as they are declared. */
-final class DeclaredRunTimes implements RunTimeEstimator {
+public final class DeclaredRunTimes implements RunTimeEstimator {
 
     /** Creates an estimator. */
-    DeclaredRunTimes() {}
+    public DeclaredRunTimes() {}
 
     @Override
     public void observe(StepSpec spec, long millis) {
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/LearnedRunTimes.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/estimate/LearnedRunTimes.java
@@ -1,4 +1,4 @@
-package org.damasktiller.scheduler.cell;
+package org.damasktiller.scheduler.estimate;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -10,7 +10,7 @@
  * <p>Load pattern: the run times that callers declare are wrong by a large factor, which tasks of
  * one image share.
  */
-final class LearnedRunTimes implements RunTimeEstimator {
+public final class LearnedRunTimes implements RunTimeEstimator {
 
     /** The weight of a new observation. */
     private static final double OBSERVATION_WEIGHT = 0.2;
@@ -25,7 +25,7 @@
     private final Map<String, Double> factors = new HashMap<>();
 
     /** Creates an estimator without observations. */
-    LearnedRunTimes() {}
+    public LearnedRunTimes() {}
 
     @Override
     public void observe(StepSpec spec, long millis) {
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunTimeEstimator.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/estimate/RunTimeEstimator.java
@@ -1,9 +1,9 @@
-package org.damasktiller.scheduler.cell;
+package org.damasktiller.scheduler.estimate;
 
 import org.damasktiller.scheduler.model.StepSpec;
 
 /** Estimates the run times of tasks. */
-interface RunTimeEstimator {
+public interface RunTimeEstimator {
 
     /**
      * Learns from a run that has completed its task.
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/InterferenceModel.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/interference/InterferenceModel.java
@@ -1,4 +1,4 @@
-package org.damasktiller.scheduler.cell;
+package org.damasktiller.scheduler.interference;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -15,7 +15,7 @@
  * coefficient of the pair. Each observation corrects the coefficients in proportion to these shares
  * (normalized least mean squares). All workers of a cell share one model.
  */
-final class InterferenceModel {
+public final class InterferenceModel {
 
     /**
      * The variance of the logarithm of an observed tail latency. Reports are noisy, and load
@@ -80,7 +80,7 @@
     private final Map<String, Double> baselines = new HashMap<>();
 
     /** Creates a model without observations. */
-    InterferenceModel() {}
+    public InterferenceModel() {}
 
     /**
      * Learns from a reported tail latency.
@@ -90,7 +90,7 @@
      * @param cpuShares the CPU shares that the fillers used when the latency was measured, by
      *     image, as fractions of the worker's CPU; empty if there were no fillers
      */
-    void observe(String servingImage, double latencyRatio, Map<String, Double> cpuShares) {
+    public void observe(String servingImage, double latencyRatio, Map<String, Double> cpuShares) {
         if (cpuShares.isEmpty()) {
             double bounded = Math.min(MAX_BASELINE, latencyRatio);
             baselines.merge(
@@ -135,7 +135,7 @@
      * @return the logarithm of the growth of the tail latency if the filler used the worker's whole
      *     CPU
      */
-    double coefficient(String servingImage, String fillerImage) {
+    public double coefficient(String servingImage, String fillerImage) {
         Effect effect = effects.getOrDefault(servingImage, Map.of()).get(fillerImage);
         return effect == null ? INITIAL_COEFFICIENT : effect.coefficient;
     }
@@ -147,7 +147,7 @@
      * @param cpuShares the CPU shares of the fillers, by image, as fractions of the worker's CPU
      * @return the logarithm of the ratio of the tail latency to its level without fillers
      */
-    double predictLogGrowth(String servingImage, Map<String, Double> cpuShares) {
+    public double predictLogGrowth(String servingImage, Map<String, Double> cpuShares) {
         double sum = 0;
         for (Map.Entry<String, Double> filler : cpuShares.entrySet()) {
             sum += coefficient(servingImage, filler.getKey()) * filler.getValue();
@@ -161,7 +161,7 @@
      * @param servingImage the image of the serving task
      * @return the tail latency, as a fraction of the target
      */
-    double baseline(String servingImage) {
+    public double baseline(String servingImage) {
         return baselines.getOrDefault(servingImage, INITIAL_BASELINE);
     }
 
@@ -170,7 +170,7 @@
      *
      * @return the estimates, at most {@link #MAX_RECORDED_PAIRS} pairs
      */
-    InterferenceRecord toRecord() {
+    public InterferenceRecord toRecord() {
         Map<String, Map<String, InterferenceRecord.PairRecord>> pairs = new TreeMap<>();
         int count = 0;
         for (Map.Entry<String, Map<String, Effect>> serving : effects.entrySet()) {
@@ -197,7 +197,7 @@
      *
      * @param record the estimates
      */
-    void restore(InterferenceRecord record) {
+    public void restore(InterferenceRecord record) {
         record.effects()
                 .forEach(
                         (serving, pairs) ->
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/InterferenceRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/interference/InterferenceRecord.java
@@ -1,4 +1,4 @@
-package org.damasktiller.scheduler.cell;
+package org.damasktiller.scheduler.interference;
 
 import java.util.Map;
 import java.util.TreeMap;
@@ -12,11 +12,11 @@
  * @param baselines the tail latencies without fillers, as fractions of the target, by the image of
  *     the serving task
  */
-record InterferenceRecord(
+public record InterferenceRecord(
         Map<String, Map<String, PairRecord>> effects, Map<String, Double> baselines) {
 
     /** Copies the maps, and leaves out what a stored record omits or has as null. */
-    InterferenceRecord {
+    public InterferenceRecord {
         effects = withoutNulls(effects);
         effects.replaceAll((serving, pairs) -> withoutNulls(pairs));
         baselines = withoutNulls(baselines);
@@ -49,5 +49,5 @@
      *     whole CPU of the worker
      * @param variance the variance of the estimate
      */
-    record PairRecord(double coefficient, double variance) {}
+    public record PairRecord(double coefficient, double variance) {}
 }
--- a/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/cell/InterferenceModelTest.java
+++ b/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/interference/InterferenceModelTest.java
@@ -1,4 +1,4 @@
-package org.damasktiller.scheduler.cell;
+package org.damasktiller.scheduler.interference;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static java.util.Objects.requireNonNull;
@@ -10,7 +10,8 @@
 
 import java.util.Map;
 import java.util.SplittableRandom;
-import org.damasktiller.scheduler.cell.InterferenceRecord.PairRecord;
+import org.damasktiller.scheduler.cell.StoredValueCodec;
+import org.damasktiller.scheduler.interference.InterferenceRecord.PairRecord;
 import org.junit.jupiter.api.Test;
 
 /**
