Hold a worker for a suspect task that waits although there is room

Cause: a suspect task starts only on a worker without recent starts, so that a crash has a single likely cause. Under load each worker gets starts all the time, and the suspect waits until the load is over.

Change: after 6 s the worker whose loss harms least gets no other starts for 1.5 s, until its runs are known to be sound.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SuspectPlacement.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SuspectPlacement.java
@@ -1,5 +1,9 @@
 package org.damasktiller.scheduler.cell;
 
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
 import org.damasktiller.scheduler.model.Resources;
 import org.jspecify.annotations.Nullable;
 
@@ -8,7 +12,8 @@
  *
  * <p>Load pattern: a task takes down its worker and all other runs there each time that it starts.
  * Until a sound run shows that a suspect is not such a task, it runs where its crash would harm
- * least, and only few suspects run at a time.
+ * least, and only few suspects run at a time. Where every worker gets starts all the time, one is
+ * held for a suspect that has waited long.
  */
 final class SuspectPlacement {
 
@@ -23,6 +28,18 @@
      */
     private static final long SUSPECT_PATIENCE_MILLIS = 5_000;
 
+    /**
+     * How long a suspect task waits for a worker without recent starts before one is held for it,
+     * in milliseconds.
+     */
+    private static final long HOLD_PATIENCE_MILLIS = 6_000;
+
+    /**
+     * How long a worker is held for a suspect task at a time, in milliseconds: until the runs that
+     * have started there last are known not to crash it.
+     */
+    private static final long HOLD_MILLIS = 1_500;
+
     /** The harm done by the loss of a long-running task, relative to that of an urgent one. */
     private static final double LONG_RUNNING_HARM = 10;
 
@@ -64,19 +81,11 @@
         if (context.allWorkers().stream().filter(WorkerRecord::isQuarantined).count() >= limit) {
             return null;
         }
-        boolean waitedLong = context.now() - task.crashedAtMillis >= SUSPECT_PATIENCE_MILLIS;
+        List<WorkerRecord> candidates = candidates(task);
         WorkerRecord best = null;
         double leastHarm = Double.MAX_VALUE;
-        boolean ticketRequired = advice.isRequired(task.step);
-        Resources need = task.step.spec.reserved();
-        for (WorkerRecord worker : context.allWorkers()) {
-            boolean mayTakeSuspect =
-                    worker.startsInFlight == 0
-                            && (waitedLong || worker.longRunningMillicores() == 0)
-                            && worker.runs.values().stream().allMatch(CommonCauseDetector::isSound);
-            if (!mayTakeSuspect
-                    || !worker.hasRoomFor(need)
-                    || !workerSelector.isEligible(task, worker, ticketRequired)) {
+        for (WorkerRecord worker : candidates) {
+            if (hasRecentStart(worker)) {
                 continue;
             }
             if (task.recordedStart != null && task.recordedStart.worker().equals(worker.id)) {
@@ -88,9 +97,71 @@
                 leastHarm = harm;
             }
         }
+        if (best == null && context.now() - task.crashedAtMillis >= HOLD_PATIENCE_MILLIS) {
+            holdOneOf(candidates, task);
+        }
         return best;
     }
 
+    /**
+     * Lists the workers that a suspect task may run on, whatever has started there.
+     *
+     * @param task the task
+     * @return the workers with room that are eligible
+     */
+    private List<WorkerRecord> candidates(TaskRecord task) {
+        boolean waitedLong = context.now() - task.crashedAtMillis >= SUSPECT_PATIENCE_MILLIS;
+        boolean ticketRequired = advice.isRequired(task.step);
+        Resources need = task.step.spec.reserved();
+        List<WorkerRecord> candidates = new ArrayList<>();
+        for (WorkerRecord worker : context.allWorkers()) {
+            if ((waitedLong || worker.longRunningMillicores() == 0)
+                    && worker.hasRoomFor(need)
+                    && workerSelector.isEligible(task, worker, ticketRequired)) {
+                candidates.add(worker);
+            }
+        }
+        return candidates;
+    }
+
+    /**
+     * Returns whether a run on a worker is so recent that it might be the cause of a crash there.
+     *
+     * @param worker the worker
+     * @return whether a start is in flight or a run is not known to be sound
+     */
+    private static boolean hasRecentStart(WorkerRecord worker) {
+        return worker.startsInFlight > 0
+                || !worker.runs.values().stream().allMatch(CommonCauseDetector::isSound);
+    }
+
+    /**
+     * Holds the worker whose loss harms least for a suspect task, unless one is held already.
+     *
+     * @param candidates the workers on which the task may run
+     * @param task the task
+     */
+    private void holdOneOf(List<WorkerRecord> candidates, TaskRecord task) {
+        long now = context.now();
+        boolean held =
+                candidates.stream().anyMatch(worker -> worker.suspectHold.isFor(task.id, now));
+        if (held || candidates.isEmpty()) {
+            return;
+        }
+        WorkerRecord worker =
+                Collections.min(
+                        candidates, Comparator.comparingDouble(SuspectPlacement::harmOfLoss));
+        worker.suspectHold.hold(task.id, now + HOLD_MILLIS);
+        context.log.log(
+                "worker.held",
+                "worker",
+                worker.id,
+                "task",
+                task.id,
+                "waited",
+                now - task.crashedAtMillis);
+    }
+
     /**
      * Estimates the harm that the loss of a worker would do.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
@@ -49,6 +49,9 @@
     /** Detects whether runs fail because of the worker. */
     final WorkerFailureDetector failureDetector = new WorkerFailureDetector();
 
+    /** Whether the worker is held for a suspect task. */
+    final SuspectHold suspectHold = new SuspectHold();
+
     /** The throttling state of the fillers of the worker. */
     final FillerThrottleState throttleState = new FillerThrottleState();
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -191,7 +191,7 @@
         if (!context.mayStartOn(worker, now)) {
             return PlacementVerdict.ZONE_CLOSED;
         }
-        if (!acceptsStarts(worker)) {
+        if (!acceptsStarts(worker) || worker.suspectHold.excludes(task.id, now)) {
             return PlacementVerdict.BUSY;
         }
         if (!hasRequiredLabel(task.step.spec, worker)) {
