--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/EntryVmProcess.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/EntryVmProcess.java
@@ -19,7 +19,10 @@
 /** Starts, signals and restarts the process that runs the program of one entry VM. */
 public final class EntryVmProcess {
 
-    /** The JVM options, identical to those in the deployment file {@code deploy/system.toml}. */
+    /**
+     * The JVM options, identical to those in the deployment file {@code deploy/system.toml} but for
+     * the class data archive.
+     */
     private static final List<String> JAVA_OPTIONS =
             List.of("-Xmx128m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
 
