Pass a final rejection of a peer on, and reword what a newcomer reads twice

Cause: a peer's 503 counted as a fault of the peer whatever its reason, so that a submission that no worker can hold was sent to three peers, which were left out for 2 s, and then answered as a failure of the store with a retry in 1 s.

Change: only a 503 that another VM may serve is followed by the next peer. The new test fails without that. Read again with it: one margin before a caller's deadline instead of three, RelayPeerSelector for RelayPeers, the field's words for calls that the store rejects, load patterns of WorkerSelector and WorkerScorer told apart, worker.held logs how long the task has waited in this term (a crash under an earlier owner has no time), and the verdict on busy workers names held ones.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerRelay.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerRelay.java
@@ -18,17 +18,11 @@
  */
 public final class CallerRelay {
 
-    /** How long before the caller's deadline the response is sent, in milliseconds. */
-    private static final long DEADLINE_MARGIN_MILLIS = 150;
-
-    /** The HTTP status of a request that certainly had no effect. */
-    private static final int SERVICE_UNAVAILABLE = 503;
-
     /** Returns the known peers. */
     private final Supplier<Collection<RelayPeer>> peers;
 
-    /** Decides which peers are tried. */
-    private final RelayPeers choice;
+    /** Selects the peers that are tried. */
+    private final RelayPeerSelector selector;
 
     /** Sends the requests. */
     private final RelayTransport transport;
@@ -43,19 +37,19 @@
      * Creates a relay.
      *
      * @param peers returns the known peers
-     * @param choice decides which peers are tried
+     * @param selector selects the peers that are tried
      * @param transport sends the requests
      * @param runtime the clock
      * @param log the log
      */
     CallerRelay(
             Supplier<Collection<RelayPeer>> peers,
-            RelayPeers choice,
+            RelayPeerSelector selector,
             RelayTransport transport,
             ProcessRuntime runtime,
             DecisionLog log) {
         this.peers = peers;
-        this.choice = choice;
+        this.selector = selector;
         this.transport = transport;
         this.runtime = runtime;
         this.log = log;
@@ -81,7 +75,7 @@
             DecisionLog log) {
         return new CallerRelay(
                 () -> toRelayPeers(clusterMember.peers()),
-                new RelayPeers(zone, regionByZone),
+                new RelayPeerSelector(zone, regionByZone),
                 new HttpRelayTransport(client),
                 runtime,
                 log);
@@ -113,7 +107,7 @@
      */
     void relay(RelayedRequest request, Consumer<CallerResponse> callback, Runnable fallback) {
         long nowMillis = runtime.nowMillis();
-        new Attempts(request, choice.choose(peers.get(), nowMillis), callback, fallback).next(0);
+        new Attempts(request, selector.select(peers.get(), nowMillis), callback, fallback).next(0);
     }
 
     /** The attempts to have one request served. */
@@ -161,7 +155,7 @@
         void next(int index) {
             long leftMillis =
                     request.timeoutMillis()
-                            - DEADLINE_MARGIN_MILLIS
+                            - CallerRequest.DEADLINE_MARGIN_MILLIS
                             - (runtime.nowMillis() - startMillis);
             if (index >= candidates.size() || leftMillis <= 0) {
                 fallback.run();
@@ -201,11 +195,11 @@
                     result.failure(),
                     "millis",
                     runtime.nowMillis() - startMillis);
-            if (response != null && response.status() != SERVICE_UNAVAILABLE) {
+            if (response != null && !response.mayBeTriedElsewhere()) {
                 callback.accept(response);
                 return;
             }
-            choice.onFailed(peer, runtime.nowMillis());
+            selector.onFailed(peer, runtime.nowMillis());
             if (response == null && result.possiblySent()) {
                 callback.accept(
                         CallerResponse.outcomeUnknown(
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerRequest.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerRequest.java
@@ -11,4 +11,17 @@
  * @param deadlineMillis when the caller stops waiting for the response, on the monotonic clock, in
  *     milliseconds
  */
-record CallerRequest(String id, Route route, long manifestVersion, long deadlineMillis) {}
+record CallerRequest(String id, Route route, long manifestVersion, long deadlineMillis) {
+
+    /** How long before the caller's deadline the response is sent, in milliseconds. */
+    static final long DEADLINE_MARGIN_MILLIS = 150;
+
+    /**
+     * Returns when the response has to be sent at the latest.
+     *
+     * @return the time on the monotonic clock, in milliseconds
+     */
+    long latestResponseMillis() {
+        return deadlineMillis - DEADLINE_MARGIN_MILLIS;
+    }
+}
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerResponse.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerResponse.java
@@ -165,4 +165,14 @@
                 CallerCodec.encodeError(ErrorCode.STORE_UNAVAILABLE, message),
                 RETRY_AFTER_SECONDS);
     }
+
+    /**
+     * Returns whether another VM may be able to carry out the request. A submission that no worker
+     * can hold is rejected everywhere, which its longer Retry-After shows.
+     *
+     * @return whether the request certainly had no effect, and a retry is of use soon
+     */
+    boolean mayBeTriedElsewhere() {
+        return status == SERVICE_UNAVAILABLE && retryAfterSeconds == RETRY_AFTER_SECONDS;
+    }
 }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/RelayPeers.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/RelayPeerSelector.java
@@ -7,14 +7,14 @@
 import java.util.Map;
 
 /**
- * Decides to which peers a VM that can't reach the store passes requests on.
+ * Selects the peers to which a VM that can't reach the store passes requests on.
  *
- * <p>Load pattern: the store turns some VMs away and serves the others. Callers of these VMs would
- * wait and come back to the same zone. Peers of the own zone come first, then those of the own
- * region, since the link between regions is narrow. A peer that could not serve a request is left
- * out for a while, as the same fault often concerns several VMs of a zone.
+ * <p>Load pattern: the store rejects the calls of some VMs and serves the others. Callers of these
+ * VMs would wait, and retry in the same zone. Peers of the own zone come first, then those of the
+ * own region, since the link between regions is narrow. A peer that could not serve a request is
+ * left out for a while, as the same fault often concerns several VMs of a zone.
  */
-final class RelayPeers {
+final class RelayPeerSelector {
 
     /** The most peers that are tried for one request. */
     private static final int MAX_ATTEMPTS = 3;
@@ -31,35 +31,35 @@
     /** Until when peers are left out, in milliseconds, by the name of the VM. */
     private final Map<String, Long> failedUntilMillis = new HashMap<>();
 
-    /** The number of requests for which peers were chosen; spreads them over equal peers. */
-    private int choices;
+    /** The number of selections so far; spreads requests over equal peers. */
+    private int selections;
 
     /**
-     * Creates a choice without failed peers.
+     * Creates a selector without failed peers.
      *
      * @param zone the availability zone of this VM
      * @param regionByZone the region of each availability zone
      */
-    RelayPeers(String zone, Map<String, String> regionByZone) {
+    RelayPeerSelector(String zone, Map<String, String> regionByZone) {
         this.zone = zone;
         this.regionByZone = Map.copyOf(regionByZone);
     }
 
     /**
-     * Chooses the peers for a request.
+     * Selects the peers for a request.
      *
      * @param peers the known peers
      * @param nowMillis the current time, in milliseconds
      * @return the peers to try, in this order; may be empty
      */
-    List<RelayPeer> choose(Collection<RelayPeer> peers, long nowMillis) {
-        int choice = choices++;
+    List<RelayPeer> select(Collection<RelayPeer> peers, long nowMillis) {
+        int selection = selections++;
         String region = regionByZone.getOrDefault(zone, "");
         Comparator<RelayPeer> order =
                 Comparator.<RelayPeer, Boolean>comparing(peer -> !peer.zone().equals(zone))
                         .thenComparing(
                                 peer -> !regionByZone.getOrDefault(peer.zone(), "").equals(region))
-                        .thenComparingInt(peer -> (peer.node() + '/' + choice).hashCode());
+                        .thenComparingInt(peer -> (peer.node() + '/' + selection).hashCode());
         return peers.stream()
                 .filter(peer -> failedUntilMillis.getOrDefault(peer.node(), 0L) <= nowMillis)
                 .sorted(order)
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
@@ -47,9 +47,6 @@
      */
     private static final long NO_RESPONSE_TIMEOUT_MILLIS = 1_500;
 
-    /** How long before the caller's deadline the response is sent, in milliseconds. */
-    private static final long DEADLINE_MARGIN_MILLIS = 150;
-
     /** The store. */
     private final MetadataStore store;
 
@@ -236,7 +233,7 @@
         void start() {
             long responseDueMillis =
                     Math.min(
-                            request.deadlineMillis() - DEADLINE_MARGIN_MILLIS,
+                            request.latestResponseMillis(),
                             startMillis + NO_RESPONSE_TIMEOUT_MILLIS);
             if (responseDueMillis <= startMillis) {
                 respond(
@@ -294,8 +291,7 @@
          */
         private long retryDeadlineMillis() {
             long timeoutMillis = uncertain ? NO_RESPONSE_TIMEOUT_MILLIS : REFUSAL_TIMEOUT_MILLIS;
-            return Math.min(
-                    request.deadlineMillis() - DEADLINE_MARGIN_MILLIS, startMillis + timeoutMillis);
+            return Math.min(request.latestResponseMillis(), startMillis + timeoutMillis);
         }
 
         /**
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionStateHandler.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionStateHandler.java
@@ -32,9 +32,6 @@
      */
     private static final long NO_RESPONSE_TIMEOUT_MILLIS = 1_500;
 
-    /** How long before the caller's deadline the response is sent, in milliseconds. */
-    private static final long DEADLINE_MARGIN_MILLIS = 150;
-
     /** The store. */
     private final MetadataStore store;
 
@@ -108,8 +105,7 @@
                         callback.accept(response);
                     }
                 };
-        long remainingMillis =
-                request.deadlineMillis() - DEADLINE_MARGIN_MILLIS - runtime.nowMillis();
+        long remainingMillis = request.latestResponseMillis() - runtime.nowMillis();
         runtime.schedule(
                 Math.max(0, Math.min(remainingMillis, NO_RESPONSE_TIMEOUT_MILLIS)),
                 () ->
@@ -241,8 +237,7 @@
             boolean cancel,
             Consumer<CallerResponse> callback,
             StoreStatus status) {
-        if (runtime.nowMillis() + RETRY_DELAY_MILLIS
-                < request.deadlineMillis() - DEADLINE_MARGIN_MILLIS) {
+        if (runtime.nowMillis() + RETRY_DELAY_MILLIS < request.latestResponseMillis()) {
             runtime.schedule(RETRY_DELAY_MILLIS, () -> readRecord(request, cancel, callback));
         } else {
             callback.accept(
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
@@ -225,7 +225,7 @@
     }
 
     /**
-     * Tells whether the store turns this process away or does not answer it.
+     * Tells whether the store rejects the calls of this process or does not respond.
      *
      * @return whether its last calls have failed
      */
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/StoreSession.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/StoreSession.java
@@ -30,10 +30,10 @@
     private static final long RETRY_DELAY_MILLIS = 150;
 
     /**
-     * The number of refusals in a row after which the store counts as failing; a call without a
-     * response counts as that many.
+     * The number of failures in a row from which on the store counts as failing. A call without a
+     * response suffices alone, since it has taken a whole timeout.
      */
-    private static final int FAILING_REFUSALS = 2;
+    private static final int FAILING_THRESHOLD = 2;
 
     /** How long the store counts as reachable after its last response, in milliseconds. */
     private static final long REACHABILITY_WINDOW_MILLIS = 1_800;
@@ -67,7 +67,7 @@
     /** The number of renewals of the current lease that the store has answered. */
     private int renewalCount;
 
-    /** How often the store has failed to answer since its last answer, as counted here. */
+    /** The number of failures since the last successful call, see {@link #countFailure}. */
     private int failures;
 
     /** Whether the store was reachable at the last check, to log changes only. */
@@ -166,14 +166,13 @@
     }
 
     /**
-     * Tells whether the last calls to the store have failed. That shows sooner than {@link
-     * #isReachable} that it turns this process away, and may be wrong if it only failed for a
-     * moment.
+     * Tells whether the last calls to the store have failed. This shows an outage sooner than
+     * {@link #isReachable}, and also short disturbances.
      *
-     * @return whether calls have failed since the last response
+     * @return whether enough calls have failed since the last successful one
      */
     boolean isFailing() {
-        return failures >= FAILING_REFUSALS;
+        return failures >= FAILING_THRESHOLD;
     }
 
     /**
@@ -250,6 +249,6 @@
      * @param status the result of the call
      */
     private void countFailure(StoreStatus status) {
-        failures += status == StoreStatus.UNKNOWN ? FAILING_REFUSALS : 1;
+        failures += status == StoreStatus.UNKNOWN ? FAILING_THRESHOLD : 1;
     }
 }
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/CallerRelayTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/CallerRelayTest.java
@@ -16,8 +16,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Replays a fault in which the store turns the VMs of one zone away and serves the others. This VM
- * is in zone a; the link to zone c is narrow.
+ * Replays a fault in which the store rejects the calls of the VMs of one zone and serves the
+ * others. This VM is in zone a; the link to zone c is narrow.
  */
 final class CallerRelayTest {
 
@@ -62,12 +62,12 @@
     private final CallerRelay relay =
             new CallerRelay(
                     () -> PEERS,
-                    new RelayPeers("a", REGIONS),
+                    new RelayPeerSelector("a", REGIONS),
                     this::send,
                     runtime,
                     (event, fields) -> {});
 
-    /** The other VM of the zone is turned away as well. */
+    /** The calls of the other VM of the zone are rejected as well. */
     @Test
     void peerOfAnotherZoneServesWhatTheOwnZoneCannot() {
         results.put("a-2", REJECTED);
@@ -119,6 +119,20 @@
         assertThat(fallbacks, equalTo(1));
     }
 
+    /** No peer could serve the submission, and none of them is at fault. */
+    @Test
+    void submissionThatNoWorkerCanHoldIsRejectedByTheFirstPeer() {
+        results.put(
+                "a-2", new RelayResult(CallerResponse.unservable("no worker holds it"), true, ""));
+        results.put("b-1", ACCEPTED);
+        submit();
+        submit();
+        assertThat(sentTo, contains("a-2", "a-2"));
+        assertThat(responses, hasSize(2));
+        assertThat(responses.get(0).status(), equalTo(503));
+        assertThat(fallbacks, equalTo(0));
+    }
+
     @Test
     void peerGetsTheTimeThatIsLeft() {
         results.put("a-2", ACCEPTED);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PlacementVerdict.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PlacementVerdict.java
@@ -11,8 +11,12 @@
     /** The zone is evacuated, or it is not known whether it is. */
     ZONE_CLOSED("in an evacuated zone, or the evacuated zones are not known"),
 
-    /** The worker has refused a start, has too many in flight, or is suspect or quarantined. */
-    BUSY("busy: full, suspect, quarantined, or with too many starts in flight"),
+    /**
+     * The worker has refused a start, has too many in flight, or is suspect, quarantined or held.
+     */
+    BUSY(
+            "busy: full, suspect, quarantined, held for a suspect task, or with too many starts in"
+                    + " flight"),
 
     /** The worker lacks the label that the step requires. */
     LABEL_MISSING("without the required label"),
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SuspectPlacement.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SuspectPlacement.java
@@ -159,7 +159,7 @@
                 "task",
                 task.id,
                 "waited",
-                now - task.crashedAtMillis);
+                now - task.readySinceMillis);
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -12,11 +12,11 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Selects the workers on which tasks start.
+ * Selects the workers on which tasks start: decides which workers are eligible, and takes the one
+ * that {@link WorkerScorer} ranks first.
  *
- * <p>Load patterns: tasks of different sizes with free capacity fragmented over many workers, steps
- * that must spread over workers, input data on one rack, and fillers that use the CPU that serving
- * tasks leave idle.
+ * <p>Load patterns: tasks of different sizes with free capacity fragmented over many workers, and
+ * steps that must spread over workers.
  */
 final class WorkerSelector {
 
