Log why a step waits although its turn has come

step.waiting names the step, one of its waiting tasks, how many wait and for how long, the need, the limit per worker and the cause: ownership not verified, previous owners not excluded, held by a run on a closed worker (with the worker), a start that may still arrive or a run that has not stopped (with worker, run, phase and age), an outcome that is pending, a suspect task, a gang that is not ready; else how many workers each rule refuses. From 2 s on, every 5 s for a step, 8 steps a second at most, long-running ones first, so that the looks at all workers stay bounded. `damasktiller explain` shows the line, since it names the step.

--- a/damasktiller-lab/src/test/java/org/damasktiller/lab/explain/TimelineTest.java
+++ b/damasktiller-lab/src/test/java/org/damasktiller/lab/explain/TimelineTest.java
@@ -37,6 +37,7 @@
             {"time":2500,"node":"vm-2","event":"run.lost","task":"fc03fb14264fec1d.0.0.0","run":1,"worker":"w0","reason":"the worker restarted"}
             {"time":2550,"node":"vm-2","event":"zone.evacuated","zone":"east","revision":7}
             {"time":2560,"node":"vm-2","event":"room.reserved","step":"fc03fb14264fec1d.0.0","worker":"w1"}
+            {"time":2570,"node":"vm-2","event":"step.waiting","step":"fc03fb14264fec1d.0.0","cause":"NO_WORKER","workers":"{NO_ROOM=2}"}
             {"time":2600,"node":"vm-2","event":"run.start","task":"fc03fb14264fec1d.0.0.0","run":2,"worker":"w1"}
             {"time":3600,"node":"vm-2","event":"job.closed","id":"fc03fb14264fec1d","state":"SUCCEEDED"}
             """;
@@ -47,13 +48,14 @@
     void showsTheSubmissionAndTheEventsOfItsWorkers() throws IOException {
         Timeline timeline = new Timeline(ID, readLogs());
         List<String> lines = timeline.lines();
-        assertThat(lines, hasSize(9));
+        assertThat(lines, hasSize(10));
         assertThat(lines, hasItem(containsString("filler.pause")));
         assertThat(lines, hasItem(containsString("zone.evacuated")));
         assertThat(lines, hasItem(containsString("room.reserved")));
+        assertThat(lines, hasItem(containsString("NO_ROOM=2")));
         assertThat(lines, not(hasItem(containsString("w9"))));
         assertThat(
-                lines.get(8),
+                lines.get(9),
                 is(
                         "summary: 2 starts of 1 tasks, 1 runs lost, 0 starts refused; last"
                                 + " job.closed after 2600 ms"));
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -93,6 +93,9 @@
     /** Explains where tasks would start. */
     private final PlacementExplainer placementExplainer;
 
+    /** Logs why tasks wait for long. */
+    private final WaitingReporter waitingReporter;
+
     /** Watches the evacuated zones. */
     private final EvacuationWatcher evacuationWatcher;
 
@@ -144,6 +147,8 @@
         WorkerSelector workerSelector =
                 new WorkerSelector(context, fillerThrottle, advice, lookAhead);
         placementExplainer = new PlacementExplainer(context, workerSelector);
+        waitingReporter =
+                new WaitingReporter(context, workerSelector, ownership, jobTracker.crashTracker());
         stragglerMitigator =
                 new StragglerMitigator(context, workerSelector, requestSender, runTimes);
         drainController = new DrainController(context, requestSender, runTimes);
@@ -312,6 +317,7 @@
         ownership.start();
         tick();
         counts.start();
+        waitingReporter.start();
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PlacementExplainer.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PlacementExplainer.java
@@ -1,9 +1,7 @@
 package org.damasktiller.scheduler.cell;
 
 import java.util.ArrayList;
-import java.util.EnumMap;
 import java.util.List;
-import java.util.Map;
 import org.damasktiller.scheduler.model.AcceptedSubmission;
 import org.damasktiller.scheduler.model.Route;
 import org.damasktiller.scheduler.model.StepSpec;
@@ -53,10 +51,6 @@
                         0,
                         context.now());
         TaskRecord task = job.beginOccurrence(0).steps.get(0).tasks.get(0);
-        Map<PlacementVerdict, Integer> counts = new EnumMap<>(PlacementVerdict.class);
-        for (WorkerRecord worker : context.allWorkers()) {
-            counts.merge(workerSelector.explain(task, worker), 1, Integer::sum);
-        }
         List<String> lines = new ArrayList<>();
         lines.add(
                 "cell %s, generation %d: %d workers, entries confirmed %d ms ago, %d steps waiting"
@@ -66,7 +60,9 @@
                                 context.workers.size(),
                                 context.now() - context.workerEntriesReadAtMillis.getAsLong(),
                                 context.waitingSteps));
-        counts.forEach((verdict, count) -> lines.add("  " + count + " " + verdict.text()));
+        workerSelector
+                .countVerdicts(task)
+                .forEach((verdict, count) -> lines.add("  " + count + " " + verdict.text()));
         lines.add(describeChoice(workerSelector.selectWorker(task)));
         return lines;
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PreviousOwners.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PreviousOwners.java
@@ -162,6 +162,19 @@
         return heldTasks.containsKey(task);
     }
 
+    /**
+     * Lists the closed workers on which a task of an earlier submission may still have a run.
+     *
+     * @param task the identifier of the task
+     * @return the identifiers of the workers
+     */
+    List<String> holdersOf(TaskId task) {
+        return unfencedEntries.entrySet().stream()
+                .filter(entry -> entry.getValue().tasks().contains(task))
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
     /**
      * Excludes the workers on which all leases are over, and checks whether previous owners can no
      * longer start anything. Logs the outcome, and while they can, the workers that have not
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -1,7 +1,9 @@
 package org.damasktiller.scheduler.cell;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.placement.ReserveCandidate;
@@ -232,6 +234,20 @@
                 : PlacementVerdict.ELIGIBLE;
     }
 
+    /**
+     * Counts the workers by why {@link #selectWorker} may or may not choose them for a task.
+     *
+     * @param task the task
+     * @return the number of workers by the first rule that refuses, without rules that refuse none
+     */
+    Map<PlacementVerdict, Integer> countVerdicts(TaskRecord task) {
+        Map<PlacementVerdict, Integer> counts = new EnumMap<>(PlacementVerdict.class);
+        for (WorkerRecord worker : context.allWorkers()) {
+            counts.merge(explain(task, worker), 1, Integer::sum);
+        }
+        return counts;
+    }
+
     /**
      * Returns whether a usable worker may get one more start now, whatever the task.
      *
