Add failing tests: workers that host long-running tasks stay excluded

Each of 8 workers hosts a long-running task that needs a quarter of it; then come submissions whose runs all fail, two a second, or the workers fail all runs for a while. 11 s after the first of them all workers are on probation, and nothing starts any more: step.waiting has workers {ON_PROBATION=8} until the end. Neither 12 short tasks nor 8 long-running ones start within 3 s, 10 s after the last failure, with three quarters of the room free. The tests are tagged known-red.

--- /dev/null
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/ProbationTest.java
@@ -0,0 +1,138 @@
+package org.damasktiller.verification.owner;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.damasktiller.scheduler.model.Resources;
+import org.damasktiller.scheduler.model.StepSpec;
+import org.damasktiller.scheduler.model.TaskId;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Replays runs that fail on workers which host long-running tasks: of submissions that can never be
+ * done, which count on the first worker that fails them, or on workers that recover.
+ */
+final class ProbationTest {
+
+    /** The number of workers. */
+    private static final int WORKERS = 8;
+
+    /** The identifier of the submission whose tasks run on all workers. */
+    private static final String LONG_RUNNING = "00000000000000f1";
+
+    /** A step with a long-running task for each worker, which needs a quarter of it. */
+    private static final StepSpec ON_EACH_WORKER =
+            StepSpec.builder(WORKERS, new Resources(2_000, 1_000, 0))
+                    .lasting(true)
+                    .maximumPerWorker(1)
+                    .build();
+
+    /**
+     * The longest time that a task may wait while half of the cell is free, in milliseconds; given
+     * by the platform's documentation.
+     */
+    private static final long MAX_WAIT_MILLIS = 3_000;
+
+    /** The cell. */
+    private final CellSimulation simulation = new CellSimulation(WORKERS);
+
+    /** The number of short submissions sent. */
+    private int submissionCount;
+
+    /** Workers that host a long-running task stayed excluded after such submissions. */
+    @Tag("known-red")
+    @Test
+    void soundTasksStartOnWorkersThatHostLongRunningTasksAfterHopelessSubmissions() {
+        failSubmissions();
+        assertThat(lateTasks(submitSoundTasks()), empty());
+        assertThat(simulation.invariants.violations(), empty());
+    }
+
+    /** As above, with workers that fail all runs for a while. */
+    @Tag("known-red")
+    @Test
+    void soundTasksStartOnWorkersThatHostLongRunningTasksOnceTheyHaveRecovered() {
+        hostLongRunningTasks();
+        simulation.failingWorkers.addAll(simulation.workers.keySet());
+        for (int number = 0; number < 60; number++) {
+            submit();
+            simulation.runtime.advance(500);
+        }
+        simulation.failingWorkers.clear();
+        simulation.runtime.advance(10_000);
+        assertThat(lateTasks(submitSoundTasks()), empty());
+        assertThat(simulation.invariants.violations(), empty());
+    }
+
+    /** As above, with long-running tasks that wait. */
+    @Tag("known-red")
+    @Test
+    void longRunningTasksStartBesideOthersAfterHopelessSubmissions() {
+        failSubmissions();
+        String id = "00000000000000f2";
+        simulation.submit(id, ON_EACH_WORKER);
+        simulation.runtime.advance(MAX_WAIT_MILLIS);
+        List<TaskId> tasks = new ArrayList<>();
+        for (int index = 0; index < WORKERS; index++) {
+            tasks.add(new TaskId(id, 0, 0, index));
+        }
+        assertThat(lateTasks(tasks), empty());
+        assertThat(simulation.invariants.violations(), empty());
+    }
+
+    /** Starts a long-running task on each worker. */
+    private void hostLongRunningTasks() {
+        simulation.startOwner();
+        simulation.submit(LONG_RUNNING, ON_EACH_WORKER);
+        simulation.runtime.advance(3_000);
+    }
+
+    /** Starts a long-running task on each worker, then sends submissions that can't be done. */
+    private void failSubmissions() {
+        hostLongRunningTasks();
+        for (int number = 0; number < 60; number++) {
+            simulation.failingSubmissions.add(submit().submission());
+            simulation.runtime.advance(500);
+        }
+        simulation.runtime.advance(10_000);
+    }
+
+    /**
+     * Submits short tasks that need half of the free room together.
+     *
+     * @return the tasks, of which the last was submitted the longest allowed wait ago
+     */
+    private List<TaskId> submitSoundTasks() {
+        List<TaskId> tasks = new ArrayList<>();
+        for (int number = 0; number < 12; number++) {
+            tasks.add(submit());
+        }
+        simulation.runtime.advance(MAX_WAIT_MILLIS);
+        return tasks;
+    }
+
+    /**
+     * Lists the tasks that have not started.
+     *
+     * @param tasks the tasks
+     * @return those that no worker has started
+     */
+    private List<TaskId> lateTasks(List<TaskId> tasks) {
+        return tasks.stream().filter(task -> simulation.invariants.startCount(task) == 0).toList();
+    }
+
+    /**
+     * Submits a step of one short task.
+     *
+     * @return the task
+     */
+    private TaskId submit() {
+        String id = String.format("%016x", 0x7000 + submissionCount);
+        submissionCount++;
+        simulation.submit(id, CellSimulation.shortStep(1));
+        return new TaskId(id, 0, 0, 0);
+    }
+}
