Give a worker on probation starts beside its established long-running tasks

Cause: a worker on which runs of two submissions failed in a row took a start only while it had no run at all, until a run there succeeded. A long-running task does not succeed while it runs, so that a worker that hosts one stayed excluded for good with all of its room. The suspicion itself is limited in time and to a quarter of the workers; probation was limited in neither. A submission that can never be done counts on the first worker that fails it, so that a few of them exclude one worker after the other.

Change: on probation a worker has one run at a time that has yet to show whether it fails. A long-running task that has been active for 1 s does not count as such. It doesn't end the probation either, since it may have started before the worker began to fail; only a run that succeeds does.

A worker that goes on failing all runs beside a long-running task has at most one other run at a time, and the 750 short tasks sent meanwhile all succeed.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PlacementVerdict.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PlacementVerdict.java
@@ -21,7 +21,7 @@
     /** The worker lacks the label that the step requires. */
     LABEL_MISSING("without the required label"),
 
-    /** The worker is on probation after failed runs, and has a run. */
+    /** The worker is on probation after failed runs, and has a run that may fail as well. */
     ON_PROBATION("on probation after failed runs"),
 
     /** The step needs a ticket of the advice service, and there is none for the worker. */
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerFailureDetector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerFailureDetector.java
@@ -82,8 +82,8 @@
     }
 
     /**
-     * Returns whether the worker may run only one task at a time, because no run has succeeded
-     * since it became suspect.
+     * Returns whether the worker may run only one task at a time that has not shown whether it
+     * fails, because no run has succeeded since the worker became suspect.
      *
      * @return whether it is on probation
      */
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
@@ -32,6 +32,12 @@
      */
     private static final long MAX_ANSWER_AGE_MILLIS = 1_000;
 
+    /**
+     * How long a long-running task must be active until a worker that has failed runs gets another
+     * start, in milliseconds.
+     */
+    private static final long ESTABLISHED_MILLIS = 1_000;
+
     /** The average CPU use of a serving task, as a fraction of its request. */
     private static final double SERVING_CPU_USE_FRACTION = 0.35;
 
@@ -262,6 +268,21 @@
         return unsizedRuns == 0;
     }
 
+    /**
+     * Returns whether a run has yet to show whether the worker fails it. A long-running task that
+     * has been active for some time does not: it may go on for good.
+     *
+     * @return whether one of the runs has not been active for long enough, or ends by itself
+     */
+    boolean hasProbe() {
+        for (RunRecord run : runs.values()) {
+            if (!run.isLongRunning() || run.knownActiveMillis() < ESTABLISHED_MILLIS) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /**
      * Records that a run is not likely to crash the worker, or is over.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -199,7 +199,7 @@
         if (!hasRequiredLabel(task.step.spec, worker)) {
             return PlacementVerdict.LABEL_MISSING;
         }
-        if (worker.failureDetector.isOnProbation() && !worker.runs.isEmpty()) {
+        if (worker.failureDetector.isOnProbation() && worker.hasProbe()) {
             return PlacementVerdict.ON_PROBATION;
         }
         if (ticketRequired && advice.usableTicket(task.step, worker).isEmpty()) {
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/ProbationTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/ProbationTest.java
@@ -2,13 +2,14 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
 
 import java.util.ArrayList;
 import java.util.List;
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.StepSpec;
+import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.scheduler.model.TaskId;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -36,6 +37,12 @@
      */
     private static final long MAX_WAIT_MILLIS = 3_000;
 
+    /**
+     * The time in which a worker that fails everything is found out, and the runs end that have
+     * started there before, in milliseconds.
+     */
+    private static final long LEARNING_MILLIS = 3_000;
+
     /** The cell. */
     private final CellSimulation simulation = new CellSimulation(WORKERS);
 
@@ -43,7 +50,6 @@
     private int submissionCount;
 
     /** Workers that host a long-running task stayed excluded after such submissions. */
-    @Tag("known-red")
     @Test
     void soundTasksStartOnWorkersThatHostLongRunningTasksAfterHopelessSubmissions() {
         failSubmissions();
@@ -52,7 +58,6 @@
     }
 
     /** As above, with workers that fail all runs for a while. */
-    @Tag("known-red")
     @Test
     void soundTasksStartOnWorkersThatHostLongRunningTasksOnceTheyHaveRecovered() {
         hostLongRunningTasks();
@@ -68,7 +73,6 @@
     }
 
     /** As above, with long-running tasks that wait. */
-    @Tag("known-red")
     @Test
     void longRunningTasksStartBesideOthersAfterHopelessSubmissions() {
         failSubmissions();
@@ -83,6 +87,30 @@
         assertThat(simulation.invariants.violations(), empty());
     }
 
+    /** A worker that never recovers must not get more than one start to show that. */
+    @Test
+    void workerThatGoesOnFailingBesideALongRunningTaskGetsOneProbeAtATime() {
+        hostLongRunningTasks();
+        simulation.failingWorkers.add("w0");
+        List<TaskId> tasks = new ArrayList<>();
+        int mostRuns = 0;
+        for (long elapsed = 0; elapsed < 15_000; elapsed += 20) {
+            tasks.add(submit());
+            simulation.runtime.advance(20);
+            if (elapsed >= LEARNING_MILLIS) {
+                int runs = simulation.workers.get("w0").activeRunCount();
+                mostRuns = Math.max(mostRuns, runs);
+            }
+        }
+        simulation.runtime.advance(5_000);
+        assertThat(mostRuns, equalTo(2));
+        for (TaskId task : tasks) {
+            assertThat(
+                    simulation.submissionState(task.submission()),
+                    equalTo(SubmissionState.SUCCEEDED));
+        }
+    }
+
     /** Starts a long-running task on each worker. */
     private void hostLongRunningTasks() {
         simulation.startOwner();
