Start no task again on a suspect worker that has failed it

A task that waits despite room may start on a suspect worker. If that worker failed it, nothing kept the task from starting there again at once, so that its attempts were used up within some hundred milliseconds and the submission was shown as failed, though other workers would have run it a little later.

The task gets no start there now until the suspicion has passed; it keeps its other attempts for other workers. taskThatFailedOnASuspectWorkerKeepsItsOtherAttempts failed before ("Expected: <SUCCEEDED> but: was <FAILED>").

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -267,7 +267,7 @@
     /**
      * Returns whether a worker has failed runs and may not get a start of a task now: while another
      * run has yet to show whether it fails, and while the worker is suspect, unless the task has
-     * waited for long with room in the cell.
+     * waited for long with room in the cell and has not failed there.
      *
      * @param task the task
      * @param worker the worker
@@ -277,7 +277,10 @@
         if (!worker.failureDetector.isOnProbation()) {
             return false;
         }
-        boolean needed = task.isWaiting(context.now()) && hasWaitedDespiteRoom(task);
+        boolean needed =
+                task.isWaiting(context.now())
+                        && hasWaitedDespiteRoom(task)
+                        && !task.avoidedWorkerIds.contains(worker.id);
         return worker.hasProbe() || (worker.failureDetector.isSuspect(context.now()) && !needed);
     }
 
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/ProbationTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/ProbationTest.java
@@ -95,6 +95,30 @@
         assertThat(simulation.invariants.violations(), empty());
     }
 
+    /** A task must not use up its attempts on the only worker that is left, which fails it. */
+    @Test
+    void taskThatFailedOnASuspectWorkerKeepsItsOtherAttempts() {
+        simulation.startOwner();
+        simulation.failingWorkers.add("w0");
+        while (suspicionCount("w0") < 4) {
+            submit();
+            simulation.runtime.advance(20);
+        }
+        simulation.runtime.advance(500);
+        String id = "00000000000000f3";
+        simulation.taskDurationMillis = 6_000;
+        simulation.submit(
+                id,
+                StepSpec.builder(WORKERS, new Resources(2_000, 1_000, 0))
+                        .maximumPerWorker(1)
+                        .build());
+        simulation.runtime.advance(1_000);
+        simulation.taskDurationMillis = 100;
+        simulation.runtime.advance(10_000);
+        assertThat(simulation.submissionState(id), equalTo(SubmissionState.SUCCEEDED));
+        assertThat(simulation.invariants.violations(), empty());
+    }
+
     /** A worker that never recovers must not get more than one start to show that. */
     @Test
     void workerThatGoesOnFailingBesideALongRunningTaskGetsOneProbeAtATime() {
