--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -43,7 +43,10 @@
 import org.damasktiller.standin.time.VirtualTimeRuntime;
 import org.jspecify.annotations.Nullable;
 
-/** A simulation of one cell, with its store, its workers and its owners, on a virtual clock. */
+/**
+ * A simulation of a cell, with its store, its workers and its owners, on a virtual clock. Other
+ * cells of the same service may be added.
+ */
 final class CellSimulation implements TaskBehaviour, RunObserver {
 
     /** The name of the cell and of the service that its workers belong to. */
@@ -130,7 +133,10 @@
     /** How soon an evacuation must be in effect, in milliseconds, or 0 if zones never are. */
     long evacuationBoundMillis;
 
-    /** The generation of the owner that started last. */
+    /** The cells of workers that do not belong to {@code CELL}, by identifier. */
+    private final Map<String, String> cellsByWorker = new HashMap<>();
+
+    /** The generation of the owner that started last, over all cells. */
     private long generation;
 
     /**
@@ -153,6 +159,17 @@
         addWorker(id, 1 + ports.size());
     }
 
+    /**
+     * Boots a worker of another cell and registers it.
+     *
+     * @param id the identifier of the worker
+     * @param cell the name of the cell
+     */
+    void addWorker(String id, String cell) {
+        cellsByWorker.put(id, cell);
+        addWorker(id);
+    }
+
     /**
      * Boots a worker at a port and registers it.
      *
@@ -252,6 +269,10 @@
     private void crashed(String id) {
         unreachable.add(id);
         runtime.schedule(ENTRY_EXPIRY_MILLIS, () -> unregister(id));
+        String cell = cellsByWorker.get(id);
+        if (cell != null) {
+            cellsByWorker.put(id + "'", cell);
+        }
         runtime.schedule(DOWN_MILLIS, () -> addWorker(id + "'", ports.get(id)));
     }
 
@@ -346,14 +367,30 @@
      */
     OwnerProcess startOwner(
             FaultPlan storeFaults, FaultPlan workerFaults, Set<String> cutOffWorkers) {
+        return startOwner(CELL, storeFaults, workerFaults, cutOffWorkers);
+    }
+
+    /**
+     * Starts an owner of a cell with a new generation that cannot reach some workers. Owners that
+     * run already are not stopped.
+     *
+     * @param cell the name of the cell
+     * @param storeFaults the faults of the owner's calls to the store
+     * @param workerFaults the faults of the owner's calls to workers
+     * @param cutOffWorkers the identifiers of the workers that this owner cannot reach; may change
+     *     later
+     * @return the process of the owner
+     */
+    OwnerProcess startOwner(
+            String cell, FaultPlan storeFaults, FaultPlan workerFaults, Set<String> cutOffWorkers) {
         generation++;
         OwnerRecord record = new OwnerRecord("node" + generation, "process", generation);
         HeadRecord head = new HeadRecord(generation, 0, record.node());
         long revision =
                 store.commit(
                                 new StoreTransaction()
-                                        .put(CellKeys.owner(CELL), StoredValueCodec.encode(record))
-                                        .put(CellKeys.head(CELL), StoredValueCodec.encode(head)))
+                                        .put(CellKeys.owner(cell), StoredValueCodec.encode(record))
+                                        .put(CellKeys.head(cell), StoredValueCodec.encode(head)))
                         .require()
                         .revision();
         FreezableRuntime clock = new FreezableRuntime(runtime);
@@ -378,7 +415,11 @@
         OwnerProcess process = new OwnerProcess(storeClient, workerClient, clock);
         CellOwner owner =
                 new CellOwner(
-                        environment, CELL, term, entry -> true, reason -> process.ended = true);
+                        environment,
+                        cell,
+                        term,
+                        entry -> cellsByWorker.getOrDefault(entry.id(), CELL).equals(cell),
+                        reason -> process.ended = true);
         process.owner = owner;
         owner.start();
         return process;
