Move long-running tasks that wait in vain to another cell

Cause: a submission belongs to the cell that accepted it. A step that allows one task a worker can be wider than that cell, and nothing ever left a cell.

Change: each task has one home cell. The owner of the home moves tasks that have waited for 2 s to the cell with the most published room, in one transaction that expects the head of its cell, both entries of the submission, its record, and the record of the cells that have a part.

Evidence: WideStepTest failed before ("Expected: <7> but: was <4>") and passes.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionStateHandler.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionStateHandler.java
@@ -2,8 +2,10 @@
 
 import java.util.function.Consumer;
 import org.damasktiller.node.cluster.ClusterMember;
+import org.damasktiller.scheduler.cell.CancelTransaction;
 import org.damasktiller.scheduler.cell.CellKeys;
 import org.damasktiller.scheduler.cell.StoredValueCodec;
+import org.damasktiller.scheduler.model.PartsRecord;
 import org.damasktiller.scheduler.model.SubmissionRecord;
 import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.scheduler.port.CommitReply;
@@ -15,6 +17,7 @@
 import org.damasktiller.scheduler.port.StoreResult;
 import org.damasktiller.scheduler.port.StoreStatus;
 import org.damasktiller.scheduler.port.StoreTransaction;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Handles state queries and cancellations of submissions. A submission is reported as unknown only
@@ -154,10 +157,69 @@
         } else if (record.state().isFinal() || !cancel) {
             callback.accept(CallerResponse.state(reportedState(request, record)));
         } else {
-            writeCancellation(request, callback, record, item.revision());
+            writeCancellation(request, callback, record, item.revision(), null, StoreItem.ABSENT);
         }
     }
 
+    /**
+     * Reads which cells have parts of a submission, after a cancellation has conflicted, and then
+     * the record again.
+     *
+     * @param request the request
+     * @param callback the callback for the response
+     */
+    private void readParts(CallerRequest request, Consumer<CallerResponse> callback) {
+        store.read(
+                CellKeys.parts(request.id()),
+                result -> {
+                    StoreItem item =
+                            result.status() == StoreStatus.OK ? result.require().item() : null;
+                    PartsRecord parts =
+                            item == null
+                                    ? null
+                                    : StoredValueCodec.decode(item.value(), PartsRecord.class);
+                    if (item != null && parts != null) {
+                        cancelParts(request, callback, parts, item.revision());
+                    } else {
+                        log.log("parts.unread", "id", request.id(), "status", result.status());
+                        retryOrRespond(request, true, callback, result.status());
+                    }
+                });
+    }
+
+    /**
+     * Cancels a submission in all cells that have a part of it, unless it has ended.
+     *
+     * @param request the request
+     * @param callback the callback for the response
+     * @param parts the cells that have parts
+     * @param partsRevision the revision of the record of these cells
+     */
+    private void cancelParts(
+            CallerRequest request,
+            Consumer<CallerResponse> callback,
+            PartsRecord parts,
+            long partsRevision) {
+        store.read(
+                CellKeys.submission(request.id()),
+                result -> {
+                    StoreItem item =
+                            result.status() == StoreStatus.OK ? result.require().item() : null;
+                    SubmissionRecord record =
+                            item == null
+                                    ? null
+                                    : StoredValueCodec.decode(item.value(), SubmissionRecord.class);
+                    if (item == null || record == null) {
+                        retryOrRespond(request, true, callback, result.status());
+                    } else if (record.state().isFinal()) {
+                        callback.accept(CallerResponse.state(record.state()));
+                    } else {
+                        writeCancellation(
+                                request, callback, record, item.revision(), parts, partsRevision);
+                    }
+                });
+    }
+
     /**
      * Returns the state to report. The record says QUEUED until the submission ends; if it has not
      * ended, the state comes from the owner of the cell.
@@ -182,12 +244,16 @@
      * @param callback the callback for the response
      * @param record the stored record
      * @param revision the revision of the record, which must not have changed
+     * @param parts the cells that have parts, or null if no task is known to have moved
+     * @param partsRevision the revision of the record of these cells, or {@link StoreItem#ABSENT}
      */
     private void writeCancellation(
             CallerRequest request,
             Consumer<CallerResponse> callback,
             SubmissionRecord record,
-            long revision) {
+            long revision,
+            @Nullable PartsRecord parts,
+            long partsRevision) {
         SubmissionRecord cancelledRecord =
                 new SubmissionRecord(
                         record.cell(),
@@ -195,12 +261,8 @@
                         SubmissionState.CANCELLED,
                         runtime.unixMillis());
         StoreTransaction commit =
-                new StoreTransaction()
-                        .expectRevision(CellKeys.submission(request.id()), revision)
-                        .put(
-                                CellKeys.submission(request.id()),
-                                StoredValueCodec.encode(cancelledRecord))
-                        .remove(CellKeys.openSubmissionsPrefix(record.cell()) + request.id());
+                CancelTransaction.create(
+                        request.id(), cancelledRecord, revision, parts, partsRevision);
         store.commit(commit, result -> onCancellationResult(request, callback, result));
     }
 
@@ -218,6 +280,8 @@
             StoreResult<CommitReply> result) {
         if (result.status() == StoreStatus.OK) {
             callback.accept(CallerResponse.state(SubmissionState.CANCELLED));
+        } else if (result.status() == StoreStatus.CONFLICT) {
+            readParts(request, callback);
         } else {
             retryOrRespond(request, true, callback, result.status());
         }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
@@ -446,7 +446,8 @@
                         formats,
                         context.runtime(),
                         context.log(),
-                        currentManifest);
+                        currentManifest,
+                        layout.siblingsOf(cell));
         CellOwner owner =
                 new CellOwner(
                         environment,
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
@@ -53,6 +53,9 @@
      */
     final Map<String, WorkerRecord> workers = new LinkedHashMap<>();
 
+    /** The names of the other cells of the service. */
+    final Set<String> siblingCells;
+
     /** The manifest in effect. */
     Manifest manifest;
 
@@ -109,6 +112,7 @@
         this.runtime = environment.runtime();
         this.log = environment.log();
         this.manifest = environment.manifest();
+        this.siblingCells = environment.siblingCells();
         this.leases = new LeaseCalculator(settings);
         this.onTermEnd = onTermEnd;
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellEnvironment.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellEnvironment.java
@@ -1,5 +1,7 @@
 package org.damasktiller.scheduler.cell;
 
+import java.util.Set;
+import java.util.TreeSet;
 import org.damasktiller.scheduler.model.Manifest;
 import org.damasktiller.scheduler.port.AdviceClient;
 import org.damasktiller.scheduler.port.DecisionLog;
@@ -19,6 +21,7 @@
  * @param runtime the clock and the timers
  * @param log the log of scheduling decisions
  * @param manifest the manifest in effect when the term starts
+ * @param siblingCells the names of the other cells of the service
  */
 public record CellEnvironment(
         CellSettings settings,
@@ -28,4 +31,11 @@
         PlatformRecordDecoder formats,
         ProcessRuntime runtime,
         DecisionLog log,
-        Manifest manifest) {}
+        Manifest manifest,
+        Set<String> siblingCells) {
+
+    /** Copies the names, sorted. */
+    public CellEnvironment {
+        siblingCells = new TreeSet<>(siblingCells);
+    }
+}
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellKeys.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellKeys.java
@@ -40,6 +40,17 @@
         return SUBMISSION_PREFIX + id;
     }
 
+    /**
+     * Returns the key of the cells that have a part of a submission; it exists once tasks of the
+     * submission have moved to another cell.
+     *
+     * @param id the identifier of the submission
+     * @return the key
+     */
+    public static String parts(String id) {
+        return "parts/" + id;
+    }
+
     /**
      * Returns the key that names the owner of a cell; it exists while the cell has an owner.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellLayout.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellLayout.java
@@ -94,6 +94,22 @@
         return cells;
     }
 
+    /**
+     * Returns the other cells of a cell's service.
+     *
+     * @param cell the name of the cell
+     * @return the names of the cells, empty if the service has a single cell
+     */
+    public Set<String> siblingsOf(String cell) {
+        int separatorIndex = cell.indexOf(ZONE_SEPARATOR);
+        if (separatorIndex < 0) {
+            return Set.of();
+        }
+        Set<String> siblings = cellsOf(cell.substring(0, separatorIndex));
+        siblings.remove(cell);
+        return siblings;
+    }
+
     /**
      * Returns the zones that a cell spans.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -81,7 +81,10 @@
     /** Starts waiting tasks. */
     private final TaskScheduler taskScheduler;
 
-    /** Publishes the pending counts and the largest workers. */
+    /** Moves tasks that wait in vain to other cells. */
+    private final TaskMover taskMover;
+
+    /** Publishes the pending counts, the largest workers and the free room. */
     private final CountPublisher counts;
 
     /** Watches the open submissions. */
@@ -163,7 +166,8 @@
                         jobTracker.crashTracker(),
                         lookAhead,
                         new JobObjectives(context, runTimes));
-        counts = new CountPublisher(context, jobTracker);
+        taskMover = new TaskMover(context, commits, ownership);
+        counts = new CountPublisher(context, jobTracker, new FreeRooms(context, workerSelector));
         submissionWatcher = new SubmissionWatcher(context, new SubmissionListener());
         workerWatcher =
                 new WorkerEntryWatcher(
@@ -348,6 +352,7 @@
                 commits.enqueueRoster();
             }
         }
+        taskMover.update();
         schedulePass();
         context.schedule(context.settings.halfTickMillis() * 2, this::tick);
     }
@@ -460,6 +465,11 @@
             }
         }
 
+        @Override
+        public void onPartChanged() {
+            ownership.verify();
+        }
+
         @Override
         public void onCancelled(Job job) {
             jobTracker.cancel(job);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitQueue.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitQueue.java
@@ -2,17 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
-import java.util.Map;
 import java.util.Set;
-import org.damasktiller.scheduler.model.SubmissionRecord;
 import org.damasktiller.scheduler.port.CommitReply;
 import org.damasktiller.scheduler.port.StoreItem;
 import org.damasktiller.scheduler.port.StoreReading;
 import org.damasktiller.scheduler.port.StoreResult;
 import org.damasktiller.scheduler.port.StoreStatus;
-import org.damasktiller.scheduler.port.StoreTransaction;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -22,18 +18,6 @@
  */
 final class CommitQueue {
 
-    /**
-     * The most rows of a transaction, given by the platform's documentation; each condition, write
-     * and removal is a row.
-     */
-    private static final int MAX_TRANSACTION_ROWS = 32;
-
-    /** The rows for the head, its condition and the roster, which are reserved in each batch. */
-    private static final int RESERVED_ROWS = 3;
-
-    /** The most rows of a finished job: its record, the condition on it, and two removals. */
-    private static final int FINISHED_JOB_ROWS = 4;
-
     /** The delay after a call that was refused or got no answer, in milliseconds. */
     private static final long RETRY_MILLIS = 60;
 
@@ -43,9 +27,18 @@
     /** Called when a change is stored or a job turns out to be cancelled. */
     private final Listener listener;
 
+    /** Adds jobs to transactions. */
+    private final JobRows jobRows;
+
+    /** Reads which cells have parts of finished jobs. */
+    private final PartsReader partsReader;
+
     /** The jobs whose changes are not in a batch yet, in the order of their first change. */
     private final Set<Job> queuedJobs = new LinkedHashSet<>();
 
+    /** The move that is not in a batch yet, or null. */
+    private @Nullable PendingMove queuedMove;
+
     /** The revision of the head key after the last batch that was stored. */
     private long headRevision;
 
@@ -53,7 +46,7 @@
     private long sequence;
 
     /** The batch whose outcome is not known yet, or null. */
-    private @Nullable Batch batchInFlight;
+    private @Nullable CommitBatch batchInFlight;
 
     /** Whether the next batch is scheduled. */
     private boolean sendScheduled;
@@ -76,6 +69,8 @@
     CommitQueue(CellContext context, Listener listener) {
         this.context = context;
         this.listener = listener;
+        this.jobRows = new JobRows(context);
+        this.partsReader = new PartsReader(context);
         this.headRevision = context.term.headRevision();
     }
 
@@ -96,6 +91,16 @@
         scheduleSend();
     }
 
+    /**
+     * Queues a move of tasks to another cell, which gets a batch of its own.
+     *
+     * @param move the move; the outcome of the one before is known
+     */
+    void enqueueMove(PendingMove move) {
+        queuedMove = move;
+        scheduleSend();
+    }
+
     /**
      * Sends a roster that has all workers closed, with the changes that are queued. Nothing may be
      * started or granted after the listener has been called.
@@ -132,35 +137,71 @@
     /** Builds the next batch from the queued changes and sends it. */
     private void sendNext() {
         sendScheduled = false;
-        if (batchInFlight != null || (queuedJobs.isEmpty() && !rosterQueued)) {
+        PendingMove move = takeMove();
+        if (batchInFlight != null || (queuedJobs.isEmpty() && !rosterQueued && move == null)) {
             return;
         }
         sequence++;
-        Batch batch = new Batch(sequence);
-        StoreTransaction commit = batch.commit;
-        commit.expectRevision(CellKeys.head(context.cell), headRevision);
-        commit.put(
+        CommitBatch batch = new CommitBatch(sequence, move);
+        batch.commit.expectRevision(CellKeys.head(context.cell), headRevision);
+        batch.commit.put(
                 CellKeys.head(context.cell),
                 StoredValueCodec.encode(
                         new HeadRecord(
                                 context.term.generation(), sequence, context.term.owner().node())));
+        if (move != null) {
+            move.addTo(batch.commit);
+        } else {
+            addQueued(batch);
+        }
+        batchInFlight = batch;
+        sendBatch();
+    }
+
+    /**
+     * Takes the queued move, unless a batch is in flight or the cell is handed over.
+     *
+     * @return the move, or null if there is none that may be sent
+     */
+    private @Nullable PendingMove takeMove() {
+        PendingMove move = queuedMove;
+        if (move == null || batchInFlight != null) {
+            return null;
+        }
+        queuedMove = null;
+        if (handedOverListener != null || !move.isPossible()) {
+            move.onRefused("a task has got a run, or the job or the term is over");
+            return null;
+        }
+        return move;
+    }
+
+    /**
+     * Adds the roster and the jobs that are queued to a batch, as many as it can hold.
+     *
+     * @param batch the batch
+     */
+    private void addQueued(CommitBatch batch) {
         if (rosterQueued) {
             rosterQueued = false;
             addRoster(batch);
         }
-        int rows = RESERVED_ROWS;
+        int rows = JobRows.RESERVED_ROWS;
         for (Job job : new ArrayList<>(queuedJobs)) {
-            int needed = job.state.isFinal() ? FINISHED_JOB_ROWS : 1;
-            if (rows + needed > MAX_TRANSACTION_ROWS) {
+            if (job.state.isFinal() && job.part != null && job.parts == null) {
+                queuedJobs.remove(job);
+                partsReader.read(job, known -> onPartsRead(job, known));
+                continue;
+            }
+            int needed = JobRows.countRows(job);
+            if (rows + needed > JobRows.MAX_TRANSACTION_ROWS) {
                 break;
             }
             rows += needed;
             queuedJobs.remove(job);
             batch.add(job);
-            addJob(commit, job);
+            jobRows.add(batch.commit, job);
         }
-        batchInFlight = batch;
-        sendBatch();
     }
 
     /**
@@ -168,7 +209,7 @@
      *
      * @param batch the batch
      */
-    private void addRoster(Batch batch) {
+    private void addRoster(CommitBatch batch) {
         batch.commit.put(
                 CellKeys.roster(context.cell),
                 StoredValueCodec.encode(context.roster.createRecord()));
@@ -177,38 +218,23 @@
     }
 
     /**
-     * Adds a job to a transaction: its progress, or its final state and the removal of its open
-     * records.
+     * Queues a finished job again once it is known which cells have parts of it.
      *
-     * @param commit the transaction
-     * @param job the job
+     * @param job the finished job
+     * @param known whether that is known; otherwise its record has changed
      */
-    private void addJob(StoreTransaction commit, Job job) {
-        String progress = CellKeys.progressPrefix(context.cell) + job.id();
-        if (!job.state.isFinal()) {
-            job.progressStored = true;
-            commit.put(progress, StoredValueCodec.encode(ProgressRecord.of(job)));
-            return;
-        }
-        String key = CellKeys.submission(job.id());
-        commit.expectRevision(key, job.createdRevision);
-        commit.put(
-                key,
-                StoredValueCodec.encode(
-                        new SubmissionRecord(
-                                context.cell,
-                                job.accepted.route(),
-                                job.state,
-                                context.runtime.unixMillis())));
-        commit.remove(CellKeys.openSubmissionsPrefix(context.cell) + job.id());
-        if (job.progressStored) {
-            commit.remove(progress);
+    private void onPartsRead(Job job, boolean known) {
+        if (known) {
+            queuedJobs.add(job);
+            scheduleSend();
+        } else {
+            checkRecord(job);
         }
     }
 
     /** Sends the current batch, for the first time or again after a failure. */
     private void sendBatch() {
-        Batch batch = batchInFlight;
+        CommitBatch batch = batchInFlight;
         if (batch == null || context.ended) {
             return;
         }
@@ -222,7 +248,7 @@
      * @param batch the batch
      * @param result the answer
      */
-    private void onReply(Batch batch, StoreResult<CommitReply> result) {
+    private void onReply(CommitBatch batch, StoreResult<CommitReply> result) {
         if (context.ended || batchInFlight != batch) {
             return;
         }
@@ -234,7 +260,7 @@
                 context.schedule(RETRY_MILLIS, () -> readHead(batch));
             }
             default -> {
-                if (batch.hasRoster && !batch.mayBeStored) {
+                if ((batch.hasRoster || batch.move != null) && !batch.mayBeStored) {
                     discardBatch(batch);
                 } else {
                     context.schedule(RETRY_MILLIS, this::sendBatch);
@@ -250,11 +276,16 @@
      *
      * @param batch the batch, which is certainly not stored
      */
-    private void discardBatch(Batch batch) {
+    private void discardBatch(CommitBatch batch) {
         batchInFlight = null;
         queuedJobs.addAll(batch.jobVersions.keySet());
-        rosterQueued = true;
-        context.roster.onDiscarded();
+        if (batch.hasRoster) {
+            rosterQueued = true;
+            context.roster.onDiscarded();
+        }
+        if (batch.move != null) {
+            batch.move.onRefused("the store rejects writes");
+        }
         sendScheduled = true;
         context.schedule(RETRY_MILLIS, this::sendNext);
     }
@@ -262,12 +293,12 @@
     /**
      * Handles a conflict. If the head key is unchanged, the record of a finished job has changed.
      * The jobs of the batch are then queued again, a finished job only if its own record is
-     * unchanged. Otherwise the head record shows whether the batch was stored.
+     * unchanged. Otherwise, and for a move, the head record shows whether the batch was stored.
      *
      * @param batch the batch
      * @param reply the current items, or null if the answer did not include them
      */
-    private void handleConflict(Batch batch, @Nullable CommitReply reply) {
+    private void handleConflict(CommitBatch batch, @Nullable CommitReply reply) {
         context.log.log(
                 "commit.conflict",
                 "cell",
@@ -280,7 +311,10 @@
                 batch.commit.expectedRevisions().size(),
                 "told",
                 reply == null ? 0 : reply.currentItems().size());
-        if (reply == null || reply.currentRevision(CellKeys.head(context.cell)) != headRevision) {
+        batch.conflicted = true;
+        if (batch.move != null
+                || reply == null
+                || reply.currentRevision(CellKeys.head(context.cell)) != headRevision) {
             readHead(batch);
             return;
         }
@@ -327,7 +361,8 @@
             return;
         }
         StoreItem item = absent ? null : result.require().item();
-        if (item != null && item.revision() == job.createdRevision) {
+        if (item != null && item.revision() == job.recordRevision) {
+            job.parts = null;
             queuedJobs.add(job);
         } else {
             discard(job);
@@ -342,7 +377,7 @@
      *
      * @param batch the batch whose outcome is unknown
      */
-    private void readHead(Batch batch) {
+    private void readHead(CommitBatch batch) {
         if (!context.ended && batchInFlight == batch) {
             context.store.read(CellKeys.head(context.cell), result -> onHead(batch, result));
         }
@@ -355,7 +390,7 @@
      * @param batch the batch whose outcome is unknown
      * @param result the reading of the head
      */
-    private void onHead(Batch batch, StoreResult<StoreReading> result) {
+    private void onHead(CommitBatch batch, StoreResult<StoreReading> result) {
         if (context.ended || batchInFlight != batch) {
             return;
         }
@@ -370,10 +405,14 @@
             context.endTerm("the head belongs to another generation");
         } else if (head.sequence() == batch.sequence) {
             completeBatch(batch, item.revision());
-        } else if (item.revision() == headRevision) {
-            sendBatch();
-        } else {
+        } else if (item.revision() != headRevision) {
             context.endTerm("the head was changed by another process of this generation");
+        } else if (batch.move != null && batch.conflicted) {
+            batchInFlight = null;
+            batch.move.onRefused("its submission has changed");
+            scheduleSend();
+        } else {
+            sendBatch();
         }
     }
 
@@ -384,7 +423,7 @@
      * @param batch the batch
      * @param revision the revision of the head key that the batch wrote
      */
-    private void completeBatch(Batch batch, long revision) {
+    private void completeBatch(CommitBatch batch, long revision) {
         batchInFlight = null;
         headRevision = revision;
         batch.jobVersions.forEach(
@@ -397,12 +436,15 @@
         if (batch.hasRoster) {
             context.roster.onStored();
         }
+        if (batch.move != null) {
+            batch.move.onStored(revision);
+        }
         if (batch.handsOver && handedOverListener != null) {
             handedOverListener.run();
             return;
         }
         advanceAcknowledgements();
-        if (!queuedJobs.isEmpty() || rosterQueued) {
+        if (!queuedJobs.isEmpty() || rosterQueued || queuedMove != null) {
             scheduleSend();
         }
     }
@@ -447,44 +489,4 @@
          */
         void onEndsStored(WorkerRecord worker);
     }
-
-    /** The changes that are stored in one transaction. */
-    private static final class Batch {
-
-        /** The number of the batch in the term. */
-        private final long sequence;
-
-        /** The transaction. */
-        private final StoreTransaction commit = new StoreTransaction();
-
-        /** The jobs that the batch stores, each with the version that is stored. */
-        private final Map<Job, Long> jobVersions = new LinkedHashMap<>();
-
-        /** Whether the batch stores the roster. */
-        private boolean hasRoster;
-
-        /** Whether the roster of the batch has all workers closed. */
-        private boolean handsOver;
-
-        /** Whether a call with the batch got no answer, so that it may be carried out later. */
-        private boolean mayBeStored;
-
-        /**
-         * Creates an empty batch.
-         *
-         * @param sequence the number of the batch in the term
-         */
-        Batch(long sequence) {
-            this.sequence = sequence;
-        }
-
-        /**
-         * Notes that the batch stores a job at its current version.
-         *
-         * @param job the job
-         */
-        void add(Job job) {
-            jobVersions.put(job, job.version);
-        }
-    }
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CountPublisher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CountPublisher.java
@@ -3,12 +3,13 @@
 import java.util.List;
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.placement.LargestWorkers;
+import org.damasktiller.scheduler.placement.WorkerRoom;
 import org.damasktiller.scheduler.port.StoreStatus;
 import org.damasktiller.scheduler.port.StoreTransaction;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Publishes the pending counts and the largest workers of the cell in the store.
+ * Publishes the pending counts, the largest workers and the free room of the cell in the store.
  *
  * <p>The capacity of a worker counts once the worker has answered this owner under its identifier,
  * and from then on for the whole term: any client of the store may have written an entry behind
@@ -27,12 +28,24 @@
      */
     private static final long FIRST_ANSWER_MILLIS = 10_000;
 
+    /** The shortest time between two changes of the published room, in milliseconds. */
+    private static final long ROOMS_INTERVAL_MILLIS = 1_000;
+
     /** The shared state of the cell's owner. */
     private final CellContext context;
 
     /** Counts the pending submissions. */
     private final JobTracker jobTracker;
 
+    /** Sums up the free room of the workers. */
+    private final FreeRooms freeRooms;
+
+    /** The free room that is published, or about to be. */
+    private List<WorkerRoom> rooms = List.of();
+
+    /** When the free room was last summed up, in milliseconds. */
+    private long roomsAtMillis;
+
     /** The largest workers that have answered in this term. */
     private final LargestWorkers largestWorkers = new LargestWorkers();
 
@@ -50,10 +63,12 @@
      *
      * @param context the shared state of the cell's owner
      * @param jobTracker counts the pending submissions
+     * @param freeRooms sums up the free room of the workers
      */
-    CountPublisher(CellContext context, JobTracker jobTracker) {
+    CountPublisher(CellContext context, JobTracker jobTracker, FreeRooms freeRooms) {
         this.context = context;
         this.jobTracker = jobTracker;
+        this.freeRooms = freeRooms;
     }
 
     /**
@@ -77,12 +92,17 @@
     }
 
     /**
-     * Publishes the counts and the largest workers if they have changed, and schedules the next
-     * check.
+     * Publishes the counts, the largest workers and the free room if they have changed, and
+     * schedules the next check.
      */
     void start() {
+        updateRooms();
         PendingRecord record =
-                new PendingRecord(jobTracker.countQueuedByRoute(), largestCapacities());
+                new PendingRecord(
+                        jobTracker.countQueuedByRoute(),
+                        largestCapacities(),
+                        context.term.generation(),
+                        rooms);
         if (!record.equals(published)) {
             published = record;
             StoreTransaction commit = new StoreTransaction();
@@ -115,4 +135,16 @@
         }
         return counted.capacities();
     }
+
+    /** Sums up the free room, unless no other cell could use it or that was done recently. */
+    private void updateRooms() {
+        long now = context.now();
+        if (!context.siblingCells.isEmpty() && now - roomsAtMillis >= ROOMS_INTERVAL_MILLIS) {
+            List<WorkerRoom> current = freeRooms.list();
+            if (!current.equals(rooms)) {
+                rooms = current;
+                roomsAtMillis = now;
+            }
+        }
+    }
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
@@ -1,11 +1,14 @@
 package org.damasktiller.scheduler.cell;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import org.damasktiller.scheduler.model.AcceptedSubmission;
+import org.damasktiller.scheduler.model.PartsRecord;
 import org.damasktiller.scheduler.model.Submission;
+import org.damasktiller.scheduler.model.SubmissionPart;
 import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.scheduler.model.TaskId;
 import org.jspecify.annotations.Nullable;
@@ -19,6 +22,21 @@
     /** The store revision at which the submission was stored. */
     final long createdRevision;
 
+    /** The revision of the submission's record, on which its final state depends. */
+    final long recordRevision;
+
+    /** The store revision of the submission's entry in the cell, as of the last reading. */
+    long openRevision;
+
+    /** The tasks that have their home in the cell, or null if no task has ever moved. */
+    @Nullable SubmissionPart part;
+
+    /** The cells that have parts, or null if they are not known. */
+    @Nullable PartsRecord parts;
+
+    /** The revision of the record of these cells. */
+    long partsRevision;
+
     /** The occurrences that have begun, by number. */
     final Map<Integer, OccurrenceRecord> occurrences = new TreeMap<>();
 
@@ -55,6 +73,53 @@
         if (!accepted.submission().scheduled()) {
             beginOccurrence(0);
         }
+        SubmissionPart stored = accepted.part();
+        this.recordRevision = stored == null ? createdRevision : stored.recordRevision();
+        this.openRevision = createdRevision;
+        if (stored != null) {
+            applyPart(stored, createdRevision);
+        }
+    }
+
+    /**
+     * Takes over which tasks have their home in the cell, unless a later state is known.
+     *
+     * @param newPart the tasks
+     * @param revision the revision of the submission's entry
+     */
+    void applyPart(SubmissionPart newPart, long revision) {
+        if (revision < openRevision) {
+            return;
+        }
+        openRevision = revision;
+        part = newPart;
+        for (OccurrenceRecord occurrence : occurrences.values()) {
+            for (StepRecord step : occurrence.steps) {
+                step.tasks.forEach(task -> task.applyPart(newPart));
+            }
+        }
+    }
+
+    /**
+     * Returns the tasks that have their home in the cell.
+     *
+     * @return the stored part, or that of a first cell which no task has left
+     */
+    SubmissionPart partOrWhole() {
+        SubmissionPart present = part;
+        return present == null
+                ? new SubmissionPart(true, recordRevision, List.of(), List.of())
+                : present;
+    }
+
+    /**
+     * Returns whether other cells count the submission and know its first state.
+     *
+     * @return whether the submission was accepted by another cell
+     */
+    boolean isGuest() {
+        SubmissionPart present = part;
+        return present != null && !present.first();
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
@@ -75,11 +75,13 @@
      * Finds the task of an open submission.
      *
      * @param id the identifier of the task
-     * @return the task, or null if the submission is not open or has no such task
+     * @return the task, or null if the submission is not open or has no such task, or the task has
+     *     its home in another cell
      */
     @Nullable TaskRecord findTask(TaskId id) {
         Job job = context.jobs.get(id.submission());
-        return job == null || job.state.isFinal() ? null : job.findTask(id);
+        TaskRecord task = job == null || job.state.isFinal() ? null : job.findTask(id);
+        return task == null || task.away ? null : task;
     }
 
     /**
@@ -219,7 +221,7 @@
     Map<String, Integer> countQueuedByRoute() {
         Map<String, Integer> counts = new TreeMap<>();
         for (Job job : context.jobs.values()) {
-            if (job.state == SubmissionState.QUEUED) {
+            if (job.state == SubmissionState.QUEUED && !job.isGuest()) {
                 counts.merge(job.accepted.route(), 1, Integer::sum);
             }
         }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PendingEnd.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PendingEnd.java
@@ -23,4 +23,16 @@
     boolean isStored() {
         return job == null || job.committedVersion >= version;
     }
+
+    /**
+     * Returns whether a previous owner may have started the run. The number of the run does not
+     * tell that if tasks of the submission have moved, or if the submission is not known.
+     *
+     * @param runNumberBase the highest number of a run that a previous owner can have used for a
+     *     task that has never moved
+     * @return whether it may have
+     */
+    boolean mayBeOfPreviousOwner(int runNumberBase) {
+        return run <= runNumberBase || job == null || job.part != null;
+    }
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressRecord.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.damasktiller.scheduler.crash.CrashHistory;
 import org.damasktiller.scheduler.crash.RecordedStart;
+import org.damasktiller.scheduler.model.SubmissionPart;
 import org.damasktiller.scheduler.model.TaskId;
 import org.jspecify.annotations.Nullable;
 
@@ -25,18 +26,26 @@
      * Creates the record of a job's current progress.
      *
      * @param job the job
-     * @return the progress of its tasks; tasks without progress are left out
+     * @return the progress of its tasks; tasks without progress, and those that have their home in
+     *     another cell, are left out
      */
     static ProgressRecord of(Job job) {
+        return of(job, job.partOrWhole());
+    }
+
+    /**
+     * Creates the record of a job's progress after a move.
+     *
+     * @param job the job
+     * @param part the tasks that have their home in the cell after the move
+     * @return the progress of these tasks; tasks without progress are left out
+     */
+    static ProgressRecord of(Job job, SubmissionPart part) {
         List<Entry> entries = new ArrayList<>();
         for (OccurrenceRecord occurrence : job.occurrences.values()) {
             for (StepRecord step : occurrence.steps) {
                 for (TaskRecord task : step.tasks) {
-                    if (task.highestEndedRunNumber > 0
-                            || task.done
-                            || task.everRan
-                            || task.recordedStart != null
-                            || !task.crashes.equals(CrashHistory.NONE)) {
+                    if (hasProgress(task) && part.holds(task.id)) {
                         entries.add(Entry.of(task));
                     }
                 }
@@ -45,6 +54,20 @@
         return new ProgressRecord(entries);
     }
 
+    /**
+     * Returns whether a task has progress to store.
+     *
+     * @param task the task
+     * @return whether it differs from a task that has not run
+     */
+    private static boolean hasProgress(TaskRecord task) {
+        return task.highestEndedRunNumber > 0
+                || task.done
+                || task.everRan
+                || task.recordedStart != null
+                || !task.crashes.equals(CrashHistory.NONE);
+    }
+
     /**
      * Applies the stored progress to a job that was just read from the store. Entries of tasks that
      * the submission does not have are ignored.
@@ -59,7 +82,7 @@
                 continue;
             }
             task.failedRunNumbers.addAll(entry.failedRuns());
-            task.everRan = entry.ran();
+            task.everRan |= entry.ran();
             task.highestEndedRunNumber = entry.run();
             task.highestRunNumber = entry.run();
             task.checkpoint = entry.checkpoint();
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StepRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StepRecord.java
@@ -37,6 +37,11 @@
     /** Whether the job can still be on time, as of the last pass in which a task waited. */
     Lateness lateness = Lateness.ON_TIME;
 
+    /**
+     * Whether tasks of the step came from another cell, whose owner has seen the earlier steps end.
+     */
+    boolean readyElsewhere;
+
     /** The number of tasks that are done. */
     int doneCount;
 
@@ -81,6 +86,9 @@
      * @return whether the step may start
      */
     boolean areDependenciesDone() {
+        if (readyElsewhere) {
+            return true;
+        }
         for (int earlier : spec.after()) {
             if (!occurrence.steps.get(earlier).isDone()) {
                 return false;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionWatcher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionWatcher.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import org.damasktiller.scheduler.model.AcceptedSubmission;
+import org.damasktiller.scheduler.model.SubmissionPart;
 import org.damasktiller.scheduler.order.SubmissionAge;
 import org.damasktiller.scheduler.port.StoreEvent;
 import org.damasktiller.scheduler.port.StoreItem;
@@ -96,7 +97,7 @@
             }
         } else if (job == null && event.revision() <= snapshotRevision) {
             reread(event.key());
-        } else if (job == null) {
+        } else {
             admit(item);
         }
     }
@@ -135,14 +136,16 @@
     }
 
     /**
-     * Reports a submission unless it is already open or closed. A record that can't be decoded is
-     * logged and skipped.
+     * Reports a submission unless it is already open or closed, or takes over which tasks of an
+     * open one have their home here. A record that can't be decoded is logged and skipped.
      *
      * @param item the stored submission
      */
     private void admit(StoreItem item) {
         String id = idOf(item.key());
-        if (context.isKnown(id)) {
+        Job open = context.jobs.get(id);
+        boolean changed = open != null && item.revision() > open.openRevision;
+        if (context.isKnown(id) && !changed) {
             return;
         }
         AcceptedSubmission accepted =
@@ -151,10 +154,57 @@
             context.log.log("inbox.unreadable", "key", item.key(), "revision", item.revision());
             return;
         }
+        if (open != null) {
+            updatePart(open, accepted, item.revision());
+            return;
+        }
         long ageMillis =
                 SubmissionAge.estimateMillis(
                         accepted.acceptedUnixMillis(), context.runtime.unixMillis());
-        listener.onSubmission(new Job(accepted, item.revision(), context.now() - ageMillis));
+        Job job = new Job(accepted, item.revision(), context.now() - ageMillis);
+        logPart(job);
+        listener.onSubmission(job);
+    }
+
+    /**
+     * Takes over a change of the tasks that have their home in the cell.
+     *
+     * @param job the open job
+     * @param accepted the new entry of the submission
+     * @param revision the revision of the entry
+     */
+    private void updatePart(Job job, AcceptedSubmission accepted, long revision) {
+        SubmissionPart part = accepted.part();
+        if (part != null && !job.state.isFinal()) {
+            job.applyPart(part, revision);
+            logPart(job);
+            listener.onPartChanged();
+        }
+    }
+
+    /**
+     * Logs which tasks of a submission have their home in this cell, if any have moved.
+     *
+     * @param job the job
+     */
+    private void logPart(Job job) {
+        SubmissionPart part = job.part;
+        if (part != null) {
+            context.log.log(
+                    "part.admitted",
+                    "id",
+                    job.id(),
+                    "cell",
+                    context.cell,
+                    "first",
+                    part.first(),
+                    "arrived",
+                    part.arrived().size(),
+                    "departed",
+                    part.departed().size(),
+                    "revision",
+                    job.openRevision);
+        }
     }
 
     /**
@@ -180,6 +230,9 @@
          */
         void onSubmission(Job job);
 
+        /** Called when the tasks of an open submission that have their home here have changed. */
+        void onPartChanged();
+
         /**
          * Called when the caller has cancelled a submission.
          *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecord.java
@@ -7,6 +7,8 @@
 import java.util.TreeSet;
 import org.damasktiller.scheduler.crash.CrashHistory;
 import org.damasktiller.scheduler.crash.RecordedStart;
+import org.damasktiller.scheduler.model.MovedTask;
+import org.damasktiller.scheduler.model.SubmissionPart;
 import org.damasktiller.scheduler.model.TaskId;
 import org.jspecify.annotations.Nullable;
 
@@ -43,6 +45,18 @@
     /** The highest number of a run that was started or reported, 0 for none. */
     int highestRunNumber;
 
+    /** Whether the task has its home in another cell, whose owner starts it. */
+    boolean away;
+
+    /** Whether the task is about to move to another cell and must not start meanwhile. */
+    boolean moving;
+
+    /** Whether the task came from another cell. */
+    boolean arrived;
+
+    /** The highest run number that owners of former homes may have used, 0 in the first home. */
+    int runNumberOffset;
+
     /** The crashes of workers under runs of the task. */
     CrashHistory crashes = CrashHistory.NONE;
 
@@ -82,9 +96,49 @@
      * Returns whether the task waits for a worker.
      *
      * @param nowMillis the current time, in milliseconds
-     * @return whether the task is not done, has no run and may start
+     * @return whether the task is not done, has no run, is at home here and may start
      */
     boolean isWaiting(long nowMillis) {
-        return !done && runs.isEmpty() && nowMillis >= earliestStartMillis;
+        return !done && !away && !moving && runs.isEmpty() && nowMillis >= earliestStartMillis;
+    }
+
+    /**
+     * Returns what the next home of the task has to know of it.
+     *
+     * @param term the term of the owner of the present home
+     * @return the record of the task
+     */
+    MovedTask toMovedTask(CellTerm term) {
+        return new MovedTask(
+                id.step(),
+                id.index(),
+                Math.max(highestRunNumber, runNumberOffset + term.runNumberBase()),
+                everRan,
+                crashes.crashes(),
+                crashes.bystanderCrashes(),
+                crashes.unknownOutcomes());
+    }
+
+    /**
+     * Takes over where the task has its home.
+     *
+     * @param part the tasks of the submission that have their home in this cell
+     */
+    void applyPart(SubmissionPart part) {
+        away = !part.holds(id);
+        MovedTask arrival = part.arrival(id);
+        if (arrival != null && (!arrived || arrival.run() != runNumberOffset)) {
+            runNumberOffset = arrival.run();
+            everRan |= arrival.ran();
+            crashes =
+                    new CrashHistory(
+                            arrival.crashes(),
+                            arrival.bystanderCrashes(),
+                            arrival.unknownOutcomes());
+            recordedStart = null;
+            readySinceMillis = 0;
+            step.readyElsewhere = true;
+        }
+        arrived = arrival != null;
     }
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
@@ -169,17 +169,19 @@
 
     /**
      * Returns whether tasks of a job may start. The job must be open and covered by a check of
-     * ownership, and no previous owner may have left a run of it that this owner does not know.
+     * ownership, and no previous owner may have left a run of it that this owner does not know. The
+     * entry of a job of which tasks have moved may be newer than the term although tasks ran
+     * before.
      *
      * @param job the job
      * @return whether its tasks may start
      */
     private boolean mayStart(Job job) {
-        if (job.state.isFinal() || !ownership.covers(job.createdRevision)) {
+        if (job.state.isFinal() || !ownership.covers(job.openRevision)) {
             return false;
         }
         return context.previousOwners.areFenced()
-                || job.createdRevision > context.term.headRevision();
+                || (job.part == null && job.createdRevision > context.term.headRevision());
     }
 
     /**
@@ -312,7 +314,7 @@
             requestSender.start(
                     task,
                     worker,
-                    nextRunNumber(task.highestRunNumber),
+                    nextRunNumber(task, task.highestRunNumber),
                     advice.usableTicket(step, worker));
             crashTracker.onStartSent(task);
             lookAhead.onStarted(task, worker);
@@ -342,7 +344,7 @@
         if (!areStartsRecorded(step.tasks, workers)) {
             return;
         }
-        int runNumber = nextRunNumber(highestRunNumber);
+        int runNumber = nextRunNumber(step.tasks.get(0), highestRunNumber);
         for (int index = 0; index < workers.size(); index++) {
             WorkerRecord worker = workers.get(index);
             requestSender.start(
@@ -384,11 +386,13 @@
     /**
      * Returns the number of the next run of a task.
      *
+     * @param task the task, or the first member of a gang
      * @param highestRunNumber the highest known number of a run of the task
      * @return the number, higher than those that any previous owner has used
      */
-    private int nextRunNumber(int highestRunNumber) {
-        return Math.max(highestRunNumber, context.term.runNumberBase()) + 1;
+    private int nextRunNumber(TaskRecord task, int highestRunNumber) {
+        int base = task.runNumberOffset + context.term.runNumberBase();
+        return Math.max(highestRunNumber, base) + 1;
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
@@ -422,7 +422,8 @@
     void advanceAcknowledgement(boolean previousOwnersFenced, int runNumberBase) {
         while (!pendingEnds.isEmpty()) {
             PendingEnd first = pendingEnds.peekFirst();
-            if (!first.isStored() || (!previousOwnersFenced && first.run() <= runNumberBase)) {
+            if (!first.isStored()
+                    || (!previousOwnersFenced && first.mayBeOfPreviousOwner(runNumberBase))) {
                 return;
             }
             acknowledgedSequence = first.sequence();
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -138,6 +138,16 @@
         }
     }
 
+    /**
+     * Returns whether a worker is kept for urgent tasks, however long others wait.
+     *
+     * @param worker the worker
+     * @return whether new long-running tasks may not use it
+     */
+    boolean isKeptForUrgentTasks(WorkerRecord worker) {
+        return urgentReserve.contains(worker.id) && reservedFraction >= RESERVE_YIELD_FRACTION;
+    }
+
     /**
      * Selects the worker with the lowest score for a task.
      *
--- /dev/null
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/model/MovedTask.java
@@ -0,0 +1,36 @@
+package org.damasktiller.scheduler.model;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+
+/**
+ * A task that has moved to another cell.
+ *
+ * @param step the number of its step in the submission, from 0
+ * @param index the number of the task in the step, from 0
+ * @param run the highest run number that the owners of its former homes may have used
+ * @param ran whether one of its runs was ever confirmed
+ * @param crashes the number of crashes of workers that it may have caused
+ * @param bystanderCrashes the number of crashes of workers under runs that had been active for some
+ *     time
+ * @param unknownOutcomes the number of runs that may have crashed their worker
+ */
+@JsonInclude(JsonInclude.Include.NON_DEFAULT)
+public record MovedTask(
+        int step,
+        int index,
+        int run,
+        boolean ran,
+        int crashes,
+        int bystanderCrashes,
+        int unknownOutcomes) {
+
+    /**
+     * Returns whether this is the record of a task.
+     *
+     * @param id the identifier of a task of the same submission, in occurrence 0
+     * @return whether it names the task
+     */
+    public boolean names(TaskId id) {
+        return id.occurrence() == 0 && id.step() == step && id.index() == index;
+    }
+}
--- /dev/null
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/placement/WorkerRoom.java
@@ -0,0 +1,44 @@
+package org.damasktiller.scheduler.placement;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import java.util.List;
+import org.damasktiller.scheduler.model.Resources;
+import org.damasktiller.scheduler.model.StepSpec;
+
+/**
+ * Workers of a cell that have the same free room and the same labels.
+ *
+ * @param free the free room of each, rounded down
+ * @param labels the labels of each
+ * @param workers the number of workers
+ */
+@JsonInclude(JsonInclude.Include.NON_DEFAULT)
+public record WorkerRoom(Resources free, List<String> labels, int workers) {
+
+    /** Copies the labels, which a stored record leaves out if there are none. */
+    @SuppressWarnings("ConstantConditions")
+    public WorkerRoom {
+        free = free == null ? Resources.NONE : free;
+        labels = labels == null ? List.of() : List.copyOf(labels);
+    }
+
+    /**
+     * Returns how many tasks of a step the workers can take.
+     *
+     * @param spec the step
+     * @return the number of tasks, within the limit of tasks per worker
+     */
+    int slots(StepSpec spec) {
+        if (!spec.requiredLabel().isEmpty() && !labels.contains(spec.requiredLabel())) {
+            return 0;
+        }
+        int limit = spec.maximumPerWorker() > 0 ? spec.maximumPerWorker() : spec.count();
+        Resources left = free;
+        int tasks = 0;
+        while (tasks < limit && left.covers(spec.reserved())) {
+            left = left.minus(spec.reserved());
+            tasks++;
+        }
+        return tasks * workers;
+    }
+}
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/policy/Policy.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/policy/Policy.java
@@ -99,7 +99,13 @@
     STRAGGLER_MOVES(
             "straggler-moves",
             "runs hang, or their workers are slow, and each delays its step",
-            "runs stay where they are");
+            "runs stay where they are"),
+
+    /** Long-running tasks that wait in vain move to another cell. */
+    TASK_MOVES(
+            "task-moves",
+            "a long-running step needs more workers than its cell has, while other cells have room",
+            "tasks wait for workers of the cell that accepted them");
 
     /** The name of the policy in settings and logs. */
     private final String externalName;
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -2,12 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import org.damasktiller.scheduler.cell.CancelTransaction;
 import org.damasktiller.scheduler.cell.CellEnvironment;
 import org.damasktiller.scheduler.cell.CellKeys;
 import org.damasktiller.scheduler.cell.CellOwner;
@@ -20,6 +22,7 @@
 import org.damasktiller.scheduler.model.EndKind;
 import org.damasktiller.scheduler.model.IngressLimits;
 import org.damasktiller.scheduler.model.Manifest;
+import org.damasktiller.scheduler.model.PartsRecord;
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.Route;
 import org.damasktiller.scheduler.model.StepSpec;
@@ -30,6 +33,9 @@
 import org.damasktiller.scheduler.policy.PolicySet;
 import org.damasktiller.scheduler.port.AdviceReply;
 import org.damasktiller.scheduler.port.StoreItem;
+import org.damasktiller.scheduler.port.StoreReading;
+import org.damasktiller.scheduler.port.StoreResult;
+import org.damasktiller.scheduler.port.StoreStatus;
 import org.damasktiller.scheduler.port.StoreTransaction;
 import org.damasktiller.standin.fleet.FaultInjectingWorkerClient;
 import org.damasktiller.standin.fleet.RunInvariantChecker;
@@ -133,6 +139,12 @@
     /** How soon an evacuation must be in effect, in milliseconds, or 0 if zones never are. */
     long evacuationBoundMillis;
 
+    /** The runs that have started, by task and number. */
+    private final Set<String> startedRuns = new HashSet<>();
+
+    /** The runs that have started more than once. */
+    final Set<String> repeatedRuns = new TreeSet<>();
+
     /** The cells of workers that do not belong to {@code CELL}, by identifier. */
     private final Map<String, String> cellsByWorker = new HashMap<>();
 
@@ -313,13 +325,26 @@
      * @param id the identifier of the submission
      */
     void cancel(String id) {
+        StoreResult<StoreReading> stored = store.read(CellKeys.submission(id));
+        StoreItem item = stored.status() == StoreStatus.OK ? stored.require().item() : null;
+        if (item == null) {
+            return;
+        }
         SubmissionRecord record =
                 new SubmissionRecord(
                         CELL, "route", SubmissionState.CANCELLED, runtime.unixMillis());
+        StoreResult<StoreReading> partsReading = store.read(CellKeys.parts(id));
+        StoreItem partsItem =
+                partsReading.status() == StoreStatus.OK ? partsReading.require().item() : null;
         store.commit(
-                new StoreTransaction()
-                        .put(CellKeys.submission(id), StoredValueCodec.encode(record))
-                        .remove(CellKeys.openSubmissionsPrefix(CELL) + id));
+                CancelTransaction.create(
+                        id,
+                        record,
+                        item.revision(),
+                        partsItem == null
+                                ? null
+                                : StoredValueCodec.decode(partsItem.value(), PartsRecord.class),
+                        partsItem == null ? StoreItem.ABSENT : partsItem.revision()));
     }
 
     /**
@@ -411,7 +436,8 @@
                         new TestRecordCodec(),
                         clock,
                         this::log,
-                        manifest());
+                        manifest(),
+                        siblings(cell));
         OwnerProcess process = new OwnerProcess(storeClient, workerClient, clock);
         CellOwner owner =
                 new CellOwner(
@@ -425,6 +451,21 @@
         return process;
     }
 
+    /**
+     * Returns the other cells than one.
+     *
+     * @param cell the name of the cell
+     * @return the names of the cells
+     */
+    private Set<String> siblings(String cell) {
+        Set<String> siblings = new TreeSet<>(cellsByWorker.values());
+        if (!siblings.isEmpty()) {
+            siblings.add(CELL);
+        }
+        siblings.remove(cell);
+        return siblings;
+    }
+
     /**
      * Returns the workers to which any owner has sent a start.
      *
@@ -513,6 +554,9 @@
 
     @Override
     public void started(String worker, TaskId task, int run) {
+        if (!startedRuns.add(task + " run " + run)) {
+            repeatedRuns.add(task + " run " + run);
+        }
         invariants.started(worker, task, run);
     }
 
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/WideStepTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/WideStepTest.java
@@ -8,7 +8,6 @@
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.model.TaskId;
 import org.damasktiller.standin.metadata.FaultPlan;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Tests steps that need more workers than the cell that accepts them has. */
@@ -37,7 +36,6 @@
 
     // A long-running step that needs more workers than its cell has must use those of other cells.
     @Test
-    @Tag("known-red")
     void longRunningStepWiderThanItsCellRunsWhole() {
         CellSimulation simulation = new CellSimulation(WORKER_COUNT);
         for (int number = 0; number < OTHER_WORKER_COUNT; number++) {
