--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionStateHandler.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionStateHandler.java
@@ -1,7 +1,7 @@
 package org.damasktiller.node.caller;
 
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
-import org.damasktiller.node.cluster.ClusterMember;
 import org.damasktiller.scheduler.cell.CancelTransaction;
 import org.damasktiller.scheduler.cell.CellKeys;
 import org.damasktiller.scheduler.cell.StoredValueCodec;
@@ -38,8 +38,8 @@
     /** The store. */
     private final MetadataStore store;
 
-    /** Knows the current states of submissions in the cells that this process owns. */
-    private final ClusterMember clusterMember;
+    /** Returns the state of a submission in a cell that this process owns, null for others. */
+    private final BiFunction<String, String, @Nullable SubmissionState> ownerStates;
 
     /** The clock and the timers. */
     private final ProcessRuntime runtime;
@@ -51,18 +51,18 @@
      * Creates a handler.
      *
      * @param store the store
-     * @param clusterMember knows the current states of submissions in the cells that this process
-     *     owns
+     * @param ownerStates returns the state of a submission, by the name of its cell and its
+     *     identifier, or null if this process does not own the cell or does not know the submission
      * @param runtime the clock and the timers
      * @param log the log
      */
     public SubmissionStateHandler(
             MetadataStore store,
-            ClusterMember clusterMember,
+            BiFunction<String, String, @Nullable SubmissionState> ownerStates,
             ProcessRuntime runtime,
             DecisionLog log) {
         this.store = store;
-        this.clusterMember = clusterMember;
+        this.ownerStates = ownerStates;
         this.runtime = runtime;
         this.log = log;
     }
@@ -233,7 +233,7 @@
         if (record.state().isFinal()) {
             return record.state();
         }
-        SubmissionState ownerState = clusterMember.submissionState(record.cell(), request.id());
+        SubmissionState ownerState = ownerStates.apply(record.cell(), request.id());
         return ownerState == null || ownerState.isFinal() ? SubmissionState.RUNNING : ownerState;
     }
 
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -255,7 +255,7 @@
                         clusterMember::largestWorkers,
                         runtime,
                         log),
-                new SubmissionStateHandler(store, clusterMember, runtime, log),
+                new SubmissionStateHandler(store, clusterMember::submissionState, runtime, log),
                 clusterMember,
                 CallerRelay.create(
                         clusterMember,
