Count tasks that have moved away as not waiting in the waiting report

The report of waiting steps would explain tasks that have their home in another cell. The constant that both changes of the selector use has one name.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WaitingReporter.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WaitingReporter.java
@@ -124,13 +124,15 @@
     }
 
     /**
-     * Returns whether a task of a step whose turn has come is neither done nor active.
+     * Returns whether a task of a step whose turn has come is at home in the cell and neither done
+     * nor active.
      *
      * @param task the task
      * @return whether it has no run that is active or about to start
      */
     private static boolean isWaiting(TaskRecord task) {
         return !task.done
+                && !task.away
                 && task.runs.stream()
                         .allMatch(
                                 run ->
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -145,7 +145,7 @@
      * @return whether new long-running tasks may not use it
      */
     boolean isKeptForUrgentTasks(WorkerRecord worker) {
-        return urgentReserve.contains(worker.id) && reservedFraction >= RESERVE_YIELD_FRACTION;
+        return urgentReserve.contains(worker.id) && reservedFraction >= YIELD_FRACTION;
     }
 
     /**
