--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/FaultInjectingWorkerClient.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/FaultInjectingWorkerClient.java
@@ -225,23 +225,31 @@
             case LOST -> failAfterTimeout(callback);
             case ANSWER_LOST -> {
                 runtime.schedule(
-                        ONE_WAY_LATENCY_MILLIS,
-                        () -> {
-                            WorkerReply unused = operation.apply(simulatedWorker);
-                        });
+                        ONE_WAY_LATENCY_MILLIS, () -> deliverRequest(simulatedWorker, operation));
                 failAfterTimeout(callback);
             }
             default -> {
                 runtime.schedule(
-                        LATE_CALL_DELAY_MILLIS,
-                        () -> {
-                            WorkerReply unused = operation.apply(simulatedWorker);
-                        });
+                        LATE_CALL_DELAY_MILLIS, () -> deliverRequest(simulatedWorker, operation));
                 failAfterTimeout(callback);
             }
         }
     }
 
+    /**
+     * Delivers a request whose answer the caller does not get. A worker that has crashed and has
+     * not booted again carries nothing out.
+     *
+     * @param worker the worker
+     * @param operation executes the call on the worker
+     */
+    private static void deliverRequest(
+            SimulatedWorker worker, Function<SimulatedWorker, WorkerReply> operation) {
+        if (worker.isAlive()) {
+            WorkerReply unused = operation.apply(worker);
+        }
+    }
+
     /**
      * Fails a call with status UNKNOWN after the timeout.
      *
