--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -1,6 +1,5 @@
 package org.damasktiller.scheduler.cell;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -75,8 +74,8 @@
     /** Moves runs that progress too slowly. */
     private final StragglerMitigator stragglerMitigator;
 
-    /** Moves work off draining workers. */
-    private final DrainController drainController;
+    /** Ends what is over on the workers. */
+    private final WorkerSupervisor workerSupervisor;
 
     /** Starts waiting tasks. */
     private final TaskScheduler taskScheduler;
@@ -130,11 +129,7 @@
             Predicate<WorkerEntry> belongsToCell,
             Consumer<String> onEnd) {
         context = new CellContext(environment, cell, term, reason -> onTermEnded(reason, onEnd));
-        PolicySet policies = context.settings.policies();
-        RunTimeEstimator runTimes =
-                policies.isEnabled(Policy.LEARNED_RUN_TIMES)
-                        ? new LearnedRunTimes()
-                        : new DeclaredRunTimes();
+        RunTimeEstimator runTimes = createRunTimes(context.settings.policies());
         ownership = new OwnershipVerifier(context, this::schedulePass);
         RunRequestSender requestSender =
                 new RunRequestSender(context, this::schedulePass, this::onFenced);
@@ -154,7 +149,9 @@
                 new WaitingReporter(context, workerSelector, ownership, jobTracker.crashTracker());
         stragglerMitigator =
                 new StragglerMitigator(context, workerSelector, requestSender, runTimes);
-        drainController = new DrainController(context, requestSender, runTimes);
+        DrainController drainController = new DrainController(context, requestSender, runTimes);
+        workerSupervisor =
+                new WorkerSupervisor(context, poller, drainController, jobTracker.crashTracker());
         taskScheduler =
                 new TaskScheduler(
                         context,
@@ -179,6 +176,18 @@
         context.zoneGuard = evacuationWatcher.guard();
     }
 
+    /**
+     * Creates the estimator of run times.
+     *
+     * @param policies the policies in force
+     * @return an estimator that learns, unless that policy is off
+     */
+    private static RunTimeEstimator createRunTimes(PolicySet policies) {
+        return policies.isEnabled(Policy.LEARNED_RUN_TIMES)
+                ? new LearnedRunTimes()
+                : new DeclaredRunTimes();
+    }
+
     /** Starts to load the cell; tasks are scheduled once all records have been read. */
     public void start() {
         context.log.log(
@@ -324,28 +333,10 @@
         waitingReporter.start();
     }
 
-    /**
-     * Does the periodic work: ends the runs of replaced workers and expired runs, handles draining
-     * workers, removes workers that are gone, and schedules a pass.
-     */
+    /** Does the periodic work, and schedules a pass. */
     private void tick() {
         long now = context.now();
-        boolean checkNeeded = context.previousOwners.needsOwnershipCheck();
-        ReplacementDetector replacements = new ReplacementDetector(context.allWorkers());
-        for (WorkerRecord worker : new ArrayList<>(context.allWorkers())) {
-            poller.endRunsIfReplaced(worker, replacements);
-            checkNeeded |= poller.expireRuns(worker);
-            drainController.update(worker);
-            boolean gone =
-                    !worker.listed && worker.runs.isEmpty() && now >= worker.leasesExpireAtMillis;
-            if (gone) {
-                context.workers.remove(worker.id);
-                jobTracker.crashTracker().onGone(worker);
-                context.log.log("worker.gone", "worker", worker.id);
-            }
-        }
-        context.previousOwners.excludeReplaced(replacements);
-        if (checkNeeded) {
+        if (workerSupervisor.update()) {
             ownership.verifySoon();
         }
         checkPreviousOwners();
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
@@ -172,20 +172,8 @@
     /** Whether the stored roster of the cell certainly allows leases for the worker. */
     boolean rosterAllowsLeases;
 
-    /** The number of runs that reserve an unknown amount of resources. */
-    private int unsizedRuns;
-
-    /** The number of runs of suspect tasks that have not been active for long enough yet. */
-    private int quarantinedRuns;
-
-    /** The CPU that the runs of serving tasks reserve, in millicores. */
-    private long servingMillicores;
-
-    /** The CPU that the runs of long-running tasks reserve, in millicores. */
-    private long longRunningMillicores;
-
-    /** The CPU that the fillers request, in millicores. */
-    private long fillerMillicores;
+    /** The sums over the runs. */
+    private final RunSums sums = new RunSums();
 
     /**
      * Creates a record of a worker that has not been polled.
@@ -271,7 +259,7 @@
      * @return whether a suspect task has started there a short time ago
      */
     boolean isQuarantined() {
-        return quarantinedRuns > 0;
+        return sums.quarantinedRuns() > 0;
     }
 
     /**
@@ -280,7 +268,7 @@
      * @return whether no run there reserves an unknown amount
      */
     boolean isRoomKnown() {
-        return unsizedRuns == 0;
+        return sums.unsizedRuns() == 0;
     }
 
     /**
@@ -304,10 +292,7 @@
      * @param record the run
      */
     void endQuarantine(RunRecord record) {
-        if (record.quarantined) {
-            record.quarantined = false;
-            quarantinedRuns--;
-        }
+        sums.endQuarantine(record);
     }
 
     /**
@@ -349,7 +334,7 @@
      * @return the CPU, in millicores
      */
     long longRunningMillicores() {
-        return longRunningMillicores;
+        return sums.longRunningMillicores();
     }
 
     /**
@@ -358,7 +343,7 @@
      * @return the CPU, in millicores
      */
     long fillerMillicores() {
-        return fillerMillicores;
+        return sums.fillerMillicores();
     }
 
     /**
@@ -367,7 +352,7 @@
      * @return the CPU, in millicores
      */
     long idleMillicores() {
-        long unused = (long) (servingMillicores * (1 - SERVING_CPU_USE_FRACTION));
+        long unused = (long) (sums.servingMillicores() * (1 - SERVING_CPU_USE_FRACTION));
         return entry.capacity().cpuMillicores() - reserved.cpuMillicores() + unused;
     }
 
@@ -379,9 +364,8 @@
     void addRun(RunRecord record) {
         if (runs.put(record.key(), record) == null) {
             reserved = reserved.plus(record.reserved);
-            addToSums(record, 1);
-            quarantinedRuns += record.quarantined ? 1 : 0;
-            unsizedRuns += record.sizeUnknown ? 1 : 0;
+            sums.add(record);
+            throttleState.predictedImpacts.clear();
         }
         if (record.task != null && !record.task.runs.contains(record)) {
             record.task.runs.add(record);
@@ -396,35 +380,14 @@
     void removeRun(RunRecord record) {
         if (runs.remove(record.key()) != null) {
             reserved = reserved.minus(record.reserved);
-            addToSums(record, -1);
-            endQuarantine(record);
-            unsizedRuns -= record.sizeUnknown ? 1 : 0;
+            sums.remove(record);
+            throttleState.predictedImpacts.clear();
         }
         if (record.task != null) {
             record.task.runs.remove(record);
         }
     }
 
-    /**
-     * Adds a run to the sums over the runs of the worker, or takes it out of them, and discards the
-     * predictions that no longer hold.
-     *
-     * @param record the run
-     * @param sign 1 to add the run, -1 to take it out
-     */
-    private void addToSums(RunRecord record, int sign) {
-        if (record.isServing()) {
-            servingMillicores += sign * record.reserved.cpuMillicores();
-        }
-        if (record.isLongRunning()) {
-            longRunningMillicores += sign * record.reserved.cpuMillicores();
-        }
-        if (record.isFiller() && record.task != null) {
-            fillerMillicores += sign * record.task.step.spec.need().cpuMillicores();
-        }
-        throttleState.predictedImpacts.clear();
-    }
-
     /**
      * Advances the acknowledged sequence number past the ends whose changes are stored.
      *
