Take a worker for replaced only at an address at which it has answered

A foreign writer that puts the address of another worker into the entry of a live one made the other one answer "at its address", so that its runs counted as over at once, while they went on until the end of their leases.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PreviousOwners.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PreviousOwners.java
@@ -88,8 +88,7 @@
 
     /**
      * Returns the entry to write for a worker that previous owners may still use. Since this owner
-     * grants nothing there, the remaining time is reduced by the age of the term. If the worker is
-     * listed, its address is added, since its successors may not find it listed any more.
+     * grants nothing there, the remaining time is reduced by the age of the term.
      *
      * @param workerId the identifier of the worker
      * @return the entry, or null if the worker is excluded
@@ -100,25 +99,7 @@
         if (entry == null || recent) {
             return entry;
         }
-        RosterEntry reduced = entry.withRemainingMillis(remainingMillis(entry));
-        String address = addressOf(workerId, entry);
-        return address == null ? reduced : reduced.withAddress(address);
-    }
-
-    /**
-     * Returns the address of a worker of the roster.
-     *
-     * @param workerId the identifier of the worker
-     * @param entry its entry
-     * @return the host and the port from the entry or else from the registration of the worker, or
-     *     null if neither has them
-     */
-    private @Nullable String addressOf(String workerId, RosterEntry entry) {
-        WorkerRecord worker = context.workers.get(workerId);
-        if (entry.address() != null || worker == null) {
-            return entry.address();
-        }
-        return worker.addressText();
+        return entry.withRemainingMillis(remainingMillis(entry));
     }
 
     /**
@@ -175,7 +156,7 @@
     void excludeReplaced(ReplacementDetector replacements) {
         for (Map.Entry<String, RosterEntry> entry : List.copyOf(unfencedEntries.entrySet())) {
             String workerId = entry.getKey();
-            String address = addressOf(workerId, entry.getValue());
+            String address = entry.getValue().address();
             WorkerRecord replacement =
                     address == null ? null : replacements.lastAnsweredAt(address);
             if (replacement != null && !replacement.id.equals(workerId)) {
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ReplacementDetector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ReplacementDetector.java
@@ -33,7 +33,8 @@
      * @return the worker, or null if that is not known of any
      */
     @Nullable WorkerRecord replacementOf(WorkerRecord worker) {
-        WorkerRecord last = lastAnsweredAt(worker.addressText());
+        String address = worker.answeredAddress;
+        WorkerRecord last = address == null ? null : lastAnsweredAt(address);
         return last != null && last.hasReplaced(worker) ? last : null;
     }
 
@@ -48,8 +49,9 @@
         if (byAddress == null) {
             byAddress = new HashMap<>();
             for (WorkerRecord worker : workers) {
-                if (worker.fenced) {
-                    byAddress.merge(worker.addressText(), worker, ReplacementDetector::later);
+                String answeredAddress = worker.answeredAddress;
+                if (worker.fenced && answeredAddress != null) {
+                    byAddress.merge(answeredAddress, worker, ReplacementDetector::later);
                 }
             }
             lastAnswered = byAddress;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Roster.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Roster.java
@@ -141,7 +141,7 @@
         RosterEntry stored = storedEntries.get(worker.id);
         RosterEntry sent = entries.get(worker.id);
         worker.rosterAllowsStarts =
-                RosterEntry.OPEN.equals(stored) && RosterEntry.OPEN.equals(sent);
+                stored != null && stored.allowsStarts() && sent != null && sent.allowsStarts();
         worker.rosterAllowsLeases =
                 (stored == null || stored.allowsLeases()) && (sent == null || sent.allowsLeases());
     }
@@ -199,7 +199,7 @@
             return entries.get(worker.id);
         }
         if (!handingOver && worker.isReachable(context.now()) && !worker.entry.draining()) {
-            return RosterEntry.OPEN;
+            return RosterEntry.OPEN.withAddress(worker.answeredAddress);
         }
         return closedEntry(worker);
     }
@@ -225,7 +225,7 @@
         if (tasks.isEmpty()) {
             return null;
         }
-        RosterEntry entry = RosterEntry.closed(tasks).withAddress(worker.addressText());
+        RosterEntry entry = RosterEntry.closed(tasks).withAddress(worker.answeredAddress);
         boolean leasesGoOn = worker.isAnswering(context.now()) && !handingOver;
         return leasesGoOn || !endsStored
                 ? entry
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RosterEntry.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RosterEntry.java
@@ -13,8 +13,8 @@
  *     empty if the entry is open
  * @param remainingMillis how long after a successor's term began a former owner may still have
  *     something active on the worker at most, in milliseconds, or {@link #LONGEST_LEASE}
- * @param address the host and the port of the worker, or null if it is not known; nothing is active
- *     on the worker any more once another one answers there
+ * @param address the host and the port at which the worker has answered an owner, or null if they
+ *     are not known; nothing is active on the worker any more once another one answers there
  */
 record RosterEntry(
         boolean open, Set<TaskId> tasks, long remainingMillis, @Nullable String address) {
@@ -47,10 +47,10 @@
     /**
      * Creates the same entry with an address.
      *
-     * @param newAddress the host and the port of the worker
+     * @param newAddress the host and the port of the worker, or null if they are not known
      * @return the entry
      */
-    RosterEntry withAddress(String newAddress) {
+    RosterEntry withAddress(@Nullable String newAddress) {
         return new RosterEntry(open, tasks, remainingMillis, newAddress);
     }
 
@@ -66,6 +66,15 @@
         return new RosterEntry(open, tasks, units * REMAINING_UNIT_MILLIS, address);
     }
 
+    /**
+     * Returns whether the owner may start tasks on the worker.
+     *
+     * @return whether the entry is open and the worker may get leases
+     */
+    boolean allowsStarts() {
+        return open && allowsLeases();
+    }
+
     /**
      * Returns whether the owner may grant leases to the worker.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerPoller.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerPoller.java
@@ -83,6 +83,7 @@
         long pollNumber = worker.lastPollNumber;
         long now = context.now();
         worker.pollSentAtMillis = now;
+        worker.polledAddress = worker.addressText();
         boolean awaitingOwnershipCheck =
                 !worker.fenced || worker.verifiedClockMillis == WorkerRecord.NO_CLOCK;
         long leaseEnd = WorkerClient.LEASE_UNCHANGED;
@@ -137,6 +138,7 @@
         worker.clockReadAtMillis = now;
         worker.answeredAtMillis = now;
         worker.answeredPollSentAtMillis = worker.pollSentAtMillis;
+        worker.answeredAddress = worker.polledAddress;
         worker.missedPolls = 0;
         boolean first = !worker.fenced;
         worker.fenced = true;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
@@ -7,6 +7,7 @@
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.WorkerEntry;
 import org.damasktiller.scheduler.port.WorkerAddress;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A worker of the cell as known to its owner: registration, leases, runs, and unacknowledged ends.
@@ -136,6 +137,15 @@
     /** When the worker last answered a poll, in milliseconds, or -1 if it never has. */
     long answeredAtMillis = -1;
 
+    /** The host and the port to which the last poll was sent. */
+    String polledAddress = "";
+
+    /**
+     * The host and the port at which the worker last answered, or null if it never has. Its entry
+     * may name another address, since any client of the store can write to it.
+     */
+    @Nullable String answeredAddress;
+
     /** When the poll that it answered last was sent, in milliseconds, or -1 if there is none. */
     long answeredPollSentAtMillis = -1;
 
@@ -306,7 +316,8 @@
     boolean hasReplaced(WorkerRecord other) {
         return this != other
                 && fenced
-                && entry.address().equals(other.entry.address())
+                && answeredAddress != null
+                && answeredAddress.equals(other.answeredAddress)
                 && answeredPollSentAtMillis > other.answeredAtMillis;
     }
 
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -300,6 +300,19 @@
         return successorId;
     }
 
+    /**
+     * Overwrites the entry of a worker with the address of another one, as a foreign writer could.
+     * Calls to the worker then reach the other one, which rejects them; the worker keeps running.
+     *
+     * @param id the identifier of the worker
+     * @param otherId the identifier of the worker whose address the entry has from now on
+     */
+    void overwriteAddress(String id, String otherId) {
+        unreachable.add(id);
+        ports.put(id, ports.get(otherId));
+        register(id, false);
+    }
+
     /**
      * Removes the entry of a worker from the store; the worker keeps running.
      *
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/ReplacedWorkerTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/ReplacedWorkerTest.java
@@ -70,6 +70,41 @@
         runUnderOwnersInSeries(OwnerProcess::kill);
     }
 
+    /** A foreign writer puts the address of another worker into the entry of a live one. */
+    @Test
+    void taskOfAWorkerWhoseEntryWasOverwrittenRunsOnlyOnce() {
+        simulation.startOwner();
+        overwriteAddressOfBusyWorker();
+        simulation.runtime.advance(TIME_LIMIT_MILLIS);
+        assertThat(simulation.invariants.violations(), empty());
+    }
+
+    /** The owner that started the task is killed at the same time. */
+    @Test
+    void taskOfAWorkerWhoseEntryWasOverwrittenRunsOnlyOnceUnderASuccessor() {
+        OwnerProcess owner = simulation.startOwner();
+        overwriteAddressOfBusyWorker();
+        owner.kill();
+        simulation.runtime.advance(VACANCY_MILLIS);
+        simulation.startOwner();
+        simulation.runtime.advance(TIME_LIMIT_MILLIS);
+        assertThat(simulation.invariants.violations(), empty());
+    }
+
+    /** Runs the task, then overwrites the entry of its worker with the address of another one. */
+    private void overwriteAddressOfBusyWorker() {
+        simulation.runtime.advance(1_000);
+        simulation.submit(SUBMISSION, CellSimulation.longRunningStep(1));
+        simulation.runtime.advance(2_000);
+        String busyId = simulation.workersUsed().iterator().next();
+        String otherId =
+                simulation.workers.keySet().stream()
+                        .filter(id -> !id.equals(busyId))
+                        .findFirst()
+                        .orElseThrow();
+        simulation.overwriteAddress(busyId, otherId);
+    }
+
     /**
      * Changes the owner every 2 s, from 0.5 s after the crash on, until the task runs.
      *
