Test that a second entry with the address of a worker gets no starts

Two entries with one address are both polled; the worker answers under its own identifier only, which each request names, and an entry without an answer gets no starts.

--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CapacityTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CapacityTest.java
@@ -67,6 +67,21 @@
         assertThat(simulation.workers.get("w0").activeRunCount(), equalTo(4));
     }
 
+    /** The worker answers only under its own identifier, which each request names. */
+    @Test
+    void secondEntryWithTheAddressOfAWorkerAddsNoCapacity() {
+        CellSimulation simulation = createSimulation(1);
+        simulation.register("a0", "w0", false);
+        simulation.register("x0", "w0", false);
+        simulation.startOwner();
+        simulation.taskDurationMillis = 60_000;
+        submit(simulation, 8);
+        simulation.runtime.advance(20_000);
+        assertThat(simulation.invariants.violations(), empty());
+        assertThat(simulation.workers.get("w0").activeRunCount(), equalTo(4));
+        assertThat(simulation.startCount("a0") + simulation.startCount("x0"), equalTo(0));
+    }
+
     /** The owner does not hear from the store that capacities have shrunk. */
     @Test
     void noStartsRestOnAnEntryThatIsOlderThanTheAllowedTimeWithoutContact() {
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -202,10 +202,21 @@
      * @param draining whether the worker is about to leave
      */
     void register(String id, boolean draining) {
+        register(id, id, draining);
+    }
+
+    /**
+     * Writes the entry of a worker to the store under some identifier, as another writer may.
+     *
+     * @param entryId the identifier of the entry
+     * @param id the identifier of the worker, which answers under no other one
+     * @param draining whether the worker is about to leave
+     */
+    void register(String entryId, String id, boolean draining) {
         SimulatedWorker model = workers.get(id);
         TestRecordCodec.Entry entry =
                 new TestRecordCodec.Entry(
-                        id,
+                        entryId,
                         CELL,
                         ports.get(id),
                         zones.getOrDefault(id, "zone"),
@@ -216,7 +227,7 @@
         store.commit(
                 new StoreTransaction()
                         .put(
-                                TestRecordCodec.WORKER_KEY_PREFIX + id,
+                                TestRecordCodec.WORKER_KEY_PREFIX + entryId,
                                 TestRecordCodec.encode(entry)));
     }
 
