Let a filler that has waited start on a worker that is less than half in use

Cause: a filler starts only where the predicted number of serving tasks over their targets is within a tolerance that grows with its wait: by 0.15 a second, and by 15% of that once its submission is late. Nothing bounded the wait: each serving task on the least sensitive worker that the prediction counts added 44 s for a late filler, whatever the load.

Change: a filler that has waited for 2.5 s, with nothing of its submission active, may start on a worker of which less than half of the processors are in use, fillers included, where it disturbs least. Fillers there are paused as before while a serving task is over its target. Where half of each worker is in use the tolerance decides as before; LateFillerTest and TailMarginTest hold.

Evidence: fillersStartInTimeBesideServingTasksInACellThatIsNearlyIdle failed before ("1 serving tasks per worker, filler 0: Expected: <1> but: was <0>") and passes for 1 to 4 serving tasks on each worker; a filler still waits where they use half of each. mvn verify passes.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerScorer.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerScorer.java
@@ -54,6 +54,15 @@
      */
     private static final double NO_SERVING_TASK_MISMATCH = 0.3;
 
+    /**
+     * How long a filler waits before it may start on a worker with idle CPU although it would
+     * disturb serving tasks, in milliseconds.
+     */
+    private static final long FILLER_YIELD_MILLIS = 2_500;
+
+    /** The fraction of the CPU of a worker, fillers included, below which it may do so. */
+    private static final double IDLE_FRACTION = 0.5;
+
     /** The shared state of the cell's owner. */
     private final CellContext context;
 
@@ -152,7 +161,39 @@
             return fillerLoad;
         }
         double impact = fillerThrottle.predictImpact(worker, task.step.spec);
-        return impact > allowedImpact(task) ? REJECTED : impact + FILLER_LOAD_WEIGHT * fillerLoad;
+        return impact > allowedImpact(task) && !hasWaitedDespiteRoom(task, worker)
+                ? REJECTED
+                : impact + FILLER_LOAD_WEIGHT * fillerLoad;
+    }
+
+    /**
+     * Returns whether a filler has waited for some time, with nothing of its submission active, and
+     * less than half of a worker is in use. It may then start there whatever the prediction;
+     * fillers are paused where serving tasks are over their targets.
+     *
+     * @param task the task of the filler
+     * @param worker the worker
+     * @return whether it may start there
+     */
+    private boolean hasWaitedDespiteRoom(TaskRecord task, WorkerRecord worker) {
+        long usedMillicores = worker.reserved.cpuMillicores() + worker.fillerMillicores();
+        return task.readySinceMillis != 0
+                && context.now() - task.readySinceMillis >= FILLER_YIELD_MILLIS
+                && usedMillicores < IDLE_FRACTION * worker.entry.capacity().cpuMillicores()
+                && !hasRuns(task.step.occurrence.job);
+    }
+
+    /**
+     * Returns whether any task of a submission has a run.
+     *
+     * @param job the submission
+     * @return whether one is or may be active
+     */
+    private static boolean hasRuns(Job job) {
+        return job.occurrences.values().stream()
+                .flatMap(occurrence -> occurrence.steps.stream())
+                .flatMap(step -> step.tasks.stream())
+                .anyMatch(task -> !task.runs.isEmpty());
     }
 
     /**
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/IdleFillerTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/IdleFillerTest.java
@@ -7,7 +7,6 @@
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.model.TaskId;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -32,11 +31,10 @@
     private static final long MAX_WAIT_MILLIS = 3_000;
 
     /** Fillers waited for 44 s for each serving task on a worker once they were late. */
-    @Tag("known-red")
     @Test
     void fillersStartInTimeBesideServingTasksInACellThatIsNearlyIdle() {
         for (int servingPerWorker = 1; servingPerWorker <= 4; servingPerWorker++) {
-            CellSimulation simulation = createCell(servingPerWorker);
+            CellSimulation simulation = createCell(servingPerWorker, 500);
             for (int number = 0; number < FILLERS; number++) {
                 simulation.submit(id(number), filler());
             }
@@ -51,20 +49,30 @@
         }
     }
 
+    /** Serving tasks must not be disturbed for a filler where half of the processors is in use. */
+    @Test
+    void fillerWaitsBesideServingTasksThatUseHalfOfEachWorker() {
+        CellSimulation simulation = createCell(3, 1_500);
+        simulation.submit(id(0), filler());
+        simulation.runtime.advance(MAX_WAIT_MILLIS);
+        assertThat(simulation.invariants.startCount(new TaskId(id(0), 0, 0, 0)), equalTo(0));
+    }
+
     /**
      * Creates a cell in which each worker has some serving tasks.
      *
      * @param servingPerWorker their number on each worker
+     * @param millicores what each of them needs, in millicores
      * @return the cell
      */
-    private static CellSimulation createCell(int servingPerWorker) {
+    private static CellSimulation createCell(int servingPerWorker, long millicores) {
         CellSimulation simulation = new CellSimulation(WORKERS);
         simulation.tailMillis = TARGET / 2;
         simulation.startOwner();
         simulation.runtime.advance(500);
         simulation.submit(
                 "00000000000000e1",
-                StepSpec.builder(WORKERS * servingPerWorker, new Resources(500, 500, 0))
+                StepSpec.builder(WORKERS * servingPerWorker, new Resources(millicores, 500, 0))
                         .lasting(true)
                         .targetMillis(TARGET)
                         .image("serving")
