--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/OwnerBalance.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/OwnerBalance.java
@@ -13,10 +13,9 @@
  * <p>Load pattern: after all VMs lost power, the first one that is back takes every cell, and would
  * keep them while the others own nothing.
  *
- * <p>A series of hand-overs always ends. Each one either brings a cell into its region, and none
- * takes one out of it; or it reduces the sum, over all processes with n cells, of (1 + 2 + ... + n)
- * divided by the processor time, since the candidate adds less to that sum than the owner takes
- * away.
+ * <p>A series of hand-overs always ends: each one reduces the sum, over all processes with n cells,
+ * of (1 + 2 + ... + n) divided by the processor time, since the candidate adds less to that sum
+ * than the owner takes away.
  */
 final class OwnerBalance {
 
@@ -39,7 +38,9 @@
      */
     static final long MIN_REGISTRATION_MILLIS = 2_000;
 
-    /** The fewest cells of a process that hands one over to another one in the same region. */
+    /**
+     * The fewest cells of a process that hands one over: an interruption for the last is no gain.
+     */
     private static final int MIN_CELLS = 2;
 
     /** Prevents instantiation. */
@@ -92,23 +93,21 @@
      * @param owner the owner
      * @param place the cell and where it is
      * @param candidates how many cells each process owns
-     * @return whether the candidate owns fewer cells and either is in the region of the cell while
-     *     the owner is not, or would have more processor time for each cell than the owner has
+     * @return whether the candidate owns fewer cells, would have more processor time for each than
+     *     the owner has, and is in the region of the cell if the owner is
      */
     private static boolean isBetterPlaced(
             NodeRecord candidate, NodeRecord owner, CellPlace place, Candidates candidates) {
         long ownerCells = candidates.cellsOf(owner);
         long candidateCells = candidates.cellsOf(candidate);
-        boolean ownerInRegion = place.regionZones().contains(owner.zone());
-        boolean candidateInRegion = place.regionZones().contains(candidate.zone());
-        if (candidateCells >= ownerCells || (ownerInRegion && !candidateInRegion)) {
-            return false;
-        }
-        boolean entersRegion = candidateInRegion && !ownerInRegion;
-        boolean hasMoreTime =
-                Candidates.millicores(candidate) * ownerCells
+        boolean leavesRegion =
+                place.regionZones().contains(owner.zone())
+                        && !place.regionZones().contains(candidate.zone());
+        return ownerCells >= MIN_CELLS
+                && candidateCells < ownerCells
+                && !leavesRegion
+                && Candidates.millicores(candidate) * ownerCells
                         > Candidates.millicores(owner) * (candidateCells + 1);
-        return entersRegion || (ownerCells >= MIN_CELLS && hasMoreTime);
     }
 
     /**
