Show that a VM with a weak link never gets a large manifest

StoreClients takes the creation of the store's clients out of NodeProcess; the manifest has one of its own, with the same timeouts for now. The test answers such a read after 1,640 ms of the event loop's clock, which is 410 kB on a link of 2 Mbit/s (9 MB a version for 22 VMs, docs/DESIGN.md): "Expected: is <OK> but: was <UNKNOWN>". Tagged known-red and listed until the fix.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -31,7 +31,6 @@
 import org.damasktiller.platform.advice.HttpAdviceClient;
 import org.damasktiller.platform.call.JsonHttpClient;
 import org.damasktiller.platform.http.EventLoops;
-import org.damasktiller.platform.metadata.HttpMetadataStore;
 import org.damasktiller.platform.order.HttpWorkerClient;
 import org.damasktiller.platform.record.JsonPlatformRecordDecoder;
 import org.damasktiller.platform.settings.Addresses;
@@ -50,12 +49,6 @@
  */
 public final class NodeProcess {
 
-    /** The timeout of a call to the store, in milliseconds. */
-    private static final long STORE_TIMEOUT_MILLIS = 1_000;
-
-    /** The timeout of a watch call, in milliseconds; the store may hold such a call for 1.5 s. */
-    private static final long WATCH_TIMEOUT_MILLIS = 2_600;
-
     /** The timeout of a call to a worker, in milliseconds. */
     private static final long WORKER_TIMEOUT_MILLIS = 600;
 
@@ -159,11 +152,7 @@
         jsonLog = new JsonLineLog(settings.node(), clock);
         log = new EventMetrics(jsonLog);
         runtime = new EventLoopRuntime(eventloop, clock, log);
-        MetadataStore store =
-                new HttpMetadataStore(
-                        new JsonHttpClient(eventloop, STORE_TIMEOUT_MILLIS),
-                        new JsonHttpClient(eventloop, WATCH_TIMEOUT_MILLIS),
-                        settings.storeAddress());
+        MetadataStore store = StoreClients.create(eventloop, settings.storeAddress());
         JsonPlatformRecordDecoder records = new JsonPlatformRecordDecoder();
         clusterMember =
                 new ClusterMember(
@@ -180,7 +169,12 @@
                         log);
         manifestWatcher =
                 new ManifestWatcher(
-                        store, records, runtime, log, clusterMember::isStoreFar, clusterMember);
+                        StoreClients.createForManifest(eventloop, settings.storeAddress()),
+                        records,
+                        runtime,
+                        log,
+                        clusterMember::isStoreFar,
+                        clusterMember);
         clusterMember.setManifestChangeListener(manifestWatcher::onPublished);
         callerServlet = createCallerServlet(store);
         InetSocketAddress peerAddress = settings.peerAddress();
