Let the read of the manifest take as long as a weak link needs

Cause: a read of the manifest's key was given up after a second, but a manifest of 1,650 routes fills a link of 2 Mbit/s for 1.6 s. Each read began from the start and kept the link full, so that renewals of leases came back late.

Change: the manifest has a client of its own, whose reads may take 5 s. Its watch keeps the timeout of 2.6 s, and so do all other calls theirs, so that a silent store is found as soon as before.

Evidence: manifestThatFillsAWeakLinkForMoreThanASecondIsRead failed with UNKNOWN and passes; otherCallIsGivenUpSooner guards the other timeouts.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/StoreClients.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/StoreClients.java
@@ -15,6 +15,12 @@
     /** The timeout of a watch call, in milliseconds; the store may hold such a call for 1.5 s. */
     private static final long WATCH_TIMEOUT_MILLIS = 2_600;
 
+    /**
+     * The timeout of a call that reads the whole manifest, in milliseconds: longer than a manifest
+     * of some thousand routes fills a link of 2 Mbit/s, of which other calls need a part.
+     */
+    private static final long MANIFEST_TIMEOUT_MILLIS = 5_000;
+
     /** Prevents instantiation. */
     private StoreClients() {}
 
@@ -30,14 +36,15 @@
     }
 
     /**
-     * Creates the client that reads the manifest.
+     * Creates the client that reads the manifest. A timeout of one of its calls leaves the
+     * connections of all other calls alone.
      *
      * @param reactor the reactor that does the I/O
      * @param address the address of the store
      * @return the client
      */
     static MetadataStore createForManifest(NioReactor reactor, InetSocketAddress address) {
-        return create(reactor, address, TIMEOUT_MILLIS);
+        return create(reactor, address, MANIFEST_TIMEOUT_MILLIS);
     }
 
     /**
--- a/damasktiller-node/src/test/java/org/damasktiller/node/process/StoreClientsTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/process/StoreClientsTest.java
@@ -18,7 +18,6 @@
 import org.damasktiller.scheduler.port.StoreStatus;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Tests how long calls to the store may take. The event loop's clock advances only on request. */
@@ -64,7 +63,6 @@
      * after a second, and the next one began from the start and filled the link again.
      */
     @Test
-    @Tag("known-red")
     void manifestThatFillsAWeakLinkForMoreThanASecondIsRead() throws IOException {
         MetadataStore store =
                 StoreClients.createForManifest(
