Leave processes without a manifest out of elections and hand-overs

What callers saw: after a power loss cells were vacant for longer, since they were handed over to VMs that could not own them, and since a VM that could waited 200 ms for each one that could not.

Cause: a process registers as soon as it has measured the way to the store, but takes part in elections only with a manifest; the registration did not say whether it has one.

Change: the registration says it (withManifest; a record without that component counts as one with a manifest) and is written again with the first manifest. In an election such a process is waited for during the first 2 s, as before, so that VMs that start together are ranked as they were; then it is left out. No cell is handed over to it. ClusterView knows since when each registration holds.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
@@ -171,7 +171,11 @@
     /** Applies a new version: adds elections for new cells and updates the owners. */
     @Override
     public void onManifest(Manifest next, long revision, boolean published) {
+        boolean first = manifest == null;
         manifest = next;
+        if (first) {
+            register();
+        }
         cells.owners().forEach(owner -> owner.updateManifest(next));
         attemptElections();
         manifestPublisher.onManifest(next, revision, published);
@@ -350,13 +354,14 @@
     }
 
     /**
-     * Registers the process if it is not registered. Does nothing before the round trip to the
-     * store has been measured, which is part of the registration.
+     * Registers the process if it is not registered, and again once it has a manifest. Does nothing
+     * before the round trip to the store has been measured, which is part of the registration.
      */
     private void register() {
         boolean registered =
                 context.view().nodes().stream()
-                        .anyMatch(record -> record.process().equals(identity.process()));
+                        .filter(record -> record.process().equals(identity.process()))
+                        .anyMatch(record -> record.canOwn() || manifest == null);
         boolean possible = !cells.isLeaving() && context.session().isMeasured();
         if (!possible || registered || registrationPending) {
             return;
@@ -370,7 +375,8 @@
                         context.session().fastestRenewalMillis() <= NEAR_STORE_MAX_MILLIS,
                         identity.cpuMillicores(),
                         identity.startedUnixMillis(),
-                        identity.peerAddress());
+                        identity.peerAddress(),
+                        manifest != null);
         context.store()
                 .commit(
                         new StoreTransaction()
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterView.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterView.java
@@ -50,6 +50,15 @@
     /** The registered processes by the name of the VM. */
     private final Map<String, NodeRecord> nodes = new HashMap<>();
 
+    /**
+     * Since when each registered process has been able to own a cell or, if it is not, has been
+     * registered, on the monotonic clock, in milliseconds.
+     */
+    private final Map<NodeRecord, Long> nodeSinceMillis = new HashMap<>();
+
+    /** The clock. */
+    private final ProcessRuntime runtime;
+
     /** The log. */
     private final DecisionLog log;
 
@@ -79,6 +88,7 @@
      */
     public ClusterView(
             MetadataStore store, ProcessRuntime runtime, DecisionLog log, Runnable changeListener) {
+        this.runtime = runtime;
         this.log = log;
         this.changeListener = changeListener;
         this.watch =
@@ -177,6 +187,17 @@
         return nodes.values();
     }
 
+    /**
+     * Returns how long a process has been registered as it is now.
+     *
+     * @param record the registration
+     * @return the time since this process first saw it, in milliseconds; 0 if it is not registered
+     */
+    long registeredMillis(NodeRecord record) {
+        long now = runtime.nowMillis();
+        return now - nodeSinceMillis.getOrDefault(record, now);
+    }
+
     /**
      * Returns how many submissions of a route wait for the start of their first task.
      *
@@ -213,6 +234,7 @@
         pendingByCell.clear();
         nodes.clear();
         snapshot.forEach(this::put);
+        nodeSinceMillis.keySet().retainAll(nodes.values());
         synced = true;
         changeListener.run();
     }
@@ -257,7 +279,11 @@
         } else if (key.startsWith(NODE_PREFIX)) {
             NodeRecord record = StoredValueCodec.decode(item.value(), NodeRecord.class);
             if (record != null) {
-                nodes.put(key.substring(NODE_PREFIX.length()), record);
+                NodeRecord before = nodes.put(key.substring(NODE_PREFIX.length()), record);
+                if (before != null && !before.equals(record)) {
+                    nodeSinceMillis.remove(before);
+                }
+                nodeSinceMillis.putIfAbsent(record, runtime.nowMillis());
             }
         }
     }
@@ -304,7 +330,10 @@
         } else if (key.startsWith(CellKeys.PENDING_PREFIX)) {
             pendingByCell.remove(key.substring(CellKeys.PENDING_PREFIX.length()));
         } else if (key.startsWith(NODE_PREFIX)) {
-            nodes.remove(key.substring(NODE_PREFIX.length()));
+            NodeRecord record = nodes.remove(key.substring(NODE_PREFIX.length()));
+            if (record != null) {
+                nodeSinceMillis.remove(record);
+            }
         }
     }
 
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/NodeRecord.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/NodeRecord.java
@@ -15,6 +15,8 @@
  *     known
  * @param peerAddress the address on which the process takes requests of its peers, in the form
  *     IP:PORT; null or empty if it takes none
+ * @param withManifest whether the process had a manifest when it registered, without which it can't
+ *     own a cell; null if that is not known
  */
 public record NodeRecord(
         String node,
@@ -23,4 +25,15 @@
         boolean near,
         int cpuMillicores,
         long startedUnixMillis,
-        @Nullable String peerAddress) {}
+        @Nullable String peerAddress,
+        @Nullable Boolean withManifest) {
+
+    /**
+     * Tells whether the process can own a cell.
+     *
+     * @return whether it had a manifest when it registered; true if that is not known
+     */
+    boolean canOwn() {
+        return withManifest == null || withManifest;
+    }
+}
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/OwnCells.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/OwnCells.java
@@ -16,6 +16,12 @@
  */
 final class OwnCells {
 
+    /**
+     * How long a registered process that can't own a cell is still waited for in an election, in
+     * milliseconds: one that has just started reads the manifest in that time.
+     */
+    private static final long READY_GRACE_MILLIS = 2_000;
+
     /** The identity of this process. */
     private final NodeIdentity identity;
 
@@ -162,9 +168,9 @@
     }
 
     /**
-     * Returns the registered processes, and how many cells each of them owns. A cell that this
-     * process tries to win counts as its own, so that it does not try to win all vacant cells at
-     * once while others are there.
+     * Returns the processes that may own cells, and how many each of them owns. Those that have had
+     * no manifest for a while are left out. A cell that this process tries to win counts as its
+     * own, so that it does not try to win all vacant cells at once while others are there.
      *
      * @return the processes
      */
@@ -172,7 +178,12 @@
         Map<String, Integer> cellsByNode = context.view().cellsByNode();
         long own = elections.values().stream().filter(CellElection::isOwnedOrTried).count();
         cellsByNode.put(identity.node(), (int) own);
-        return new Candidates(context.view().nodes(), cellsByNode);
+        List<NodeRecord> nodes = new ArrayList<>(context.view().nodes());
+        nodes.removeIf(
+                record ->
+                        !record.canOwn()
+                                && context.view().registeredMillis(record) >= READY_GRACE_MILLIS);
+        return new Candidates(nodes, cellsByNode);
     }
 
     /**
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/OwnerBalance.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/OwnerBalance.java
@@ -73,6 +73,7 @@
             long minTermMillis = cell.settled() ? MIN_TERM_MILLIS : MIN_UNSETTLED_TERM_MILLIS;
             if (cell.termMillis() >= minTermMillis
                     && !ranked.isEmpty()
+                    && ranked.get(0).canOwn()
                     && registeredMillis.applyAsLong(ranked.get(0)) >= MIN_REGISTRATION_MILLIS
                     && isBetterPlaced(ranked.get(0), owner, cell.place(), candidates)) {
                 return new PlannedHandOver(
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/OwnershipBalancer.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/OwnershipBalancer.java
@@ -1,10 +1,6 @@
 package org.damasktiller.node.cluster;
 
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Map;
-import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -28,12 +24,6 @@
     /** The cells of this process. */
     private final OwnCells cells;
 
-    /**
-     * When this process first saw each registered process, on the monotonic clock, in milliseconds,
-     * by the identifier of the process.
-     */
-    private final Map<String, Long> seenSinceMillis = new HashMap<>();
-
     /**
      * Creates a balancer that is not started yet.
      *
@@ -49,21 +39,10 @@
 
     /** Starts the checks. */
     void start() {
-        noteRegistrations();
         check();
         context.runtime().schedule(CHECK_INTERVAL_MILLIS, this::start);
     }
 
-    /** Records when registered processes were first seen and forgets those that are gone. */
-    private void noteRegistrations() {
-        Set<String> registered = new HashSet<>();
-        for (NodeRecord record : context.view().nodes()) {
-            registered.add(record.process());
-            seenSinceMillis.putIfAbsent(record.process(), context.runtime().nowMillis());
-        }
-        seenSinceMillis.keySet().retainAll(registered);
-    }
-
     /**
      * Hands a cell over if one should be. Does nothing while the store can't be followed, since
      * what is known of others may be out of date then, nor while a cell is without an owner, since
@@ -80,7 +59,7 @@
         }
         PlannedHandOver planned =
                 OwnerBalance.choose(
-                        owner, cells.owned(), cells.candidates(), this::registeredMillis);
+                        owner, cells.owned(), cells.candidates(), context.view()::registeredMillis);
         if (planned != null) {
             context.log().log(
                     "owner.handover",
@@ -95,7 +74,7 @@
                     "age",
                     planned.termMillis(),
                     "candidateAge",
-                    registeredMillis(planned.candidate()));
+                    context.view().registeredMillis(planned.candidate()));
             cells.handOver(planned.cell());
         }
     }
@@ -112,15 +91,4 @@
                 .findAny()
                 .orElse(null);
     }
-
-    /**
-     * Returns how long a process has been registered, as far as this process knows.
-     *
-     * @param record the registration
-     * @return the time, in milliseconds
-     */
-    private long registeredMillis(NodeRecord record) {
-        long now = context.runtime().nowMillis();
-        return now - seenSinceMillis.getOrDefault(record.process(), now);
-    }
 }
--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/ElectionRankTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/ElectionRankTest.java
@@ -15,9 +15,9 @@
     /** The registered processes. */
     private static final List<NodeRecord> NODES =
             List.of(
-                    new NodeRecord("far-1", "p", "c", false, 750, 0, ""),
-                    new NodeRecord("near-1", "p", "a", true, 750, 0, ""),
-                    new NodeRecord("near-2", "p", "b", true, 750, 0, ""));
+                    new NodeRecord("far-1", "p", "c", false, 750, 0, "", true),
+                    new NodeRecord("near-1", "p", "a", true, 750, 0, "", true),
+                    new NodeRecord("near-2", "p", "b", true, 750, 0, "", true));
 
     /** The zones of a cell that spans all zones. */
     private static final Set<String> ALL_ZONES = Set.of("a", "b", "c");
@@ -30,8 +30,8 @@
     void strongVmFarFromTheStoreRanksBeforeWeakOneNearIt() {
         List<NodeRecord> nodes =
                 List.of(
-                        new NodeRecord("near-weak", "p", "a", true, 360, 0, ""),
-                        new NodeRecord("far-strong", "p", "c", false, 1_500, 0, ""));
+                        new NodeRecord("near-weak", "p", "a", true, 360, 0, "", true),
+                        new NodeRecord("far-strong", "p", "c", false, 1_500, 0, "", true));
         assertThat(rank("cell", ALL_ZONES, nodes, "far-strong"), equalTo(0));
         assertThat(rank("cell", ALL_ZONES, nodes, "near-weak"), equalTo(1));
     }
@@ -60,8 +60,8 @@
     void strongProcessWithACellRanksBeforeAWeakOneWithoutAny() {
         List<NodeRecord> nodes =
                 List.of(
-                        new NodeRecord("weak", "p", "a", true, 360, 0, ""),
-                        new NodeRecord("strong", "p", "b", true, 1_500, 0, ""));
+                        new NodeRecord("weak", "p", "a", true, 360, 0, "", true),
+                        new NodeRecord("strong", "p", "b", true, 1_500, 0, "", true));
         assertThat(rank("cell", ALL_ZONES, nodes, Map.of("strong", 1), "strong"), equalTo(0));
         assertThat(rank("cell", ALL_ZONES, nodes, Map.of("strong", 4), "strong"), equalTo(1));
     }
@@ -72,8 +72,8 @@
         CellPlace place = new CellPlace("cell@c", Set.of("c"), Set.of("c", "d"));
         List<NodeRecord> nodes =
                 List.of(
-                        new NodeRecord("elsewhere", "p", "a", true, 1_500, 0, ""),
-                        new NodeRecord("in-region", "p", "d", false, 360, 0, ""));
+                        new NodeRecord("elsewhere", "p", "a", true, 1_500, 0, "", true),
+                        new NodeRecord("in-region", "p", "d", false, 360, 0, "", true));
         assertThat(
                 ElectionRank.of(place, new Candidates(nodes, Map.of("in-region", 1)), "in-region"),
                 equalTo(0));
@@ -92,10 +92,10 @@
     void processThatWasRestartedLastRanksFirst() {
         List<NodeRecord> nodes =
                 List.of(
-                        new NodeRecord("near-1", "p", "a", true, 750, 60_000, ""),
-                        new NodeRecord("near-2", "p", "b", true, 750, 10_000, ""),
-                        new NodeRecord("near-3", "p", "a", true, 750, 70_000, ""),
-                        new NodeRecord("far-1", "p", "c", false, 750, 90_000, ""));
+                        new NodeRecord("near-1", "p", "a", true, 750, 60_000, "", true),
+                        new NodeRecord("near-2", "p", "b", true, 750, 10_000, "", true),
+                        new NodeRecord("near-3", "p", "a", true, 750, 70_000, "", true),
+                        new NodeRecord("far-1", "p", "c", false, 750, 90_000, "", true));
         assertThat(rank("cell", ALL_ZONES, nodes, "near-3"), equalTo(0));
         assertThat(rank("cell", ALL_ZONES, nodes, "near-1"), equalTo(1));
         assertThat(rank("cell", ALL_ZONES, nodes, "near-2"), equalTo(2));
@@ -107,12 +107,12 @@
     void processesThatStartTogetherAreOrderedByTheirVms() {
         List<NodeRecord> nodes =
                 List.of(
-                        new NodeRecord("near-1", "p", "a", true, 750, 60_100, ""),
-                        new NodeRecord("near-2", "p", "b", true, 750, 60_900, ""));
+                        new NodeRecord("near-1", "p", "a", true, 750, 60_100, "", true),
+                        new NodeRecord("near-2", "p", "b", true, 750, 60_900, "", true));
         List<NodeRecord> swapped =
                 List.of(
-                        new NodeRecord("near-1", "p", "a", true, 750, 60_900, ""),
-                        new NodeRecord("near-2", "p", "b", true, 750, 60_100, ""));
+                        new NodeRecord("near-1", "p", "a", true, 750, 60_900, "", true),
+                        new NodeRecord("near-2", "p", "b", true, 750, 60_100, "", true));
         assertThat(
                 rank("cell", ALL_ZONES, nodes, "near-1"),
                 equalTo(rank("cell", ALL_ZONES, swapped, "near-1")));
--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/LayoutPolicyTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/LayoutPolicyTest.java
@@ -82,7 +82,7 @@
     private static int maxZones(LayoutSettings settings, List<Integer> cpuMillicores) {
         List<NodeRecord> nodes =
                 cpuMillicores.stream()
-                        .map(cpu -> new NodeRecord("node", "process", "a", true, cpu, 0, ""))
+                        .map(cpu -> new NodeRecord("node", "process", "a", true, cpu, 0, "", true))
                         .toList();
         return LayoutPolicy.maxZonesPerCell(settings, nodes);
     }
--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/ManifestDistributionTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/ManifestDistributionTest.java
@@ -195,7 +195,8 @@
                                     ClusterView.NODE_PREFIX + name,
                                     StoredValueCodec.encode(
                                             new NodeRecord(
-                                                    name, name, "zone", near, 1_000, 0, ""))));
+                                                    name, name, "zone", near, 1_000, 0, "",
+                                                    true))));
             FaultInjectingStoreClient client =
                     new FaultInjectingStoreClient(store, runtime, faults);
             ClusterView view = new ClusterView(client, runtime, (event, fields) -> {}, () -> {});
--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/OwnerBalanceTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/OwnerBalanceTest.java
@@ -195,7 +195,7 @@
     }
 
     private static NodeRecord node(String name, String zone, int millicores) {
-        return new NodeRecord(name, "process-" + name, zone, true, millicores, 0, "");
+        return new NodeRecord(name, "process-" + name, zone, true, millicores, 0, "", true);
     }
 
     /** A random set of processes in up to three regions, which own cells at random. */
@@ -234,7 +234,8 @@
                                 random.nextBoolean(),
                                 millicores > 0 ? millicores : random.nextInt(4) * 400,
                                 random.nextInt(3) * 10_000L,
-                                ""));
+                                "",
+                                true));
             }
             for (int zone = 0; zone < zones; zone++) {
                 for (int service = random.nextInt(3); service > 0; service--) {
--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/OwnershipSpreadTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/OwnershipSpreadTest.java
@@ -26,7 +26,6 @@
 import org.damasktiller.standin.metadata.FaultPlan;
 import org.damasktiller.standin.metadata.InMemoryStore;
 import org.damasktiller.standin.time.VirtualTimeRuntime;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Tests how the cells are divided among processes that come back after all VMs lost power. */
@@ -115,7 +114,6 @@
 
     /** Its former owner had to win the cell again after two seconds, over and over. */
     @Test
-    @Tag("known-red")
     void cellIsNotHandedToAProcessWithoutAManifest() {
         startProcess("a1");
         createProcess("a2", 1, WEAK_MILLICORES, FaultPlan.NO_FAULTS).start();
@@ -128,7 +126,6 @@
      * although they could not own a cell.
      */
     @Test
-    @Tag("known-red")
     void processesWithoutAManifestDoNotDelayTheElection() {
         ClusterMember member = createProcess("a1", 1, WEAK_MILLICORES, FaultPlan.NO_FAULTS);
         member.start();
