Hand over the farthest cell first, and wait for it

What callers saw: nothing yet; in the play of a VM kept a cell of another region for good and gave the one of its own zone away.

Cause: a cell whose term was too short was passed over in favour of a nearer one.

Change: the farthest cell for which another process is better placed decides; if its term is too short yet, nothing is handed over until it is due. A candidate that has registered just now still lets a nearer cell go, since it may come and go for long.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/OwnerBalance.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/OwnerBalance.java
@@ -47,7 +47,8 @@
     private OwnerBalance() {}
 
     /**
-     * Chooses a cell to hand over now.
+     * Chooses a cell to hand over now: the farthest one for which another process is better placed.
+     * If its term is too short yet, nearer ones stay as well, since they should be the last.
      *
      * @param owner the registration of this process
      * @param cells the cells that this process owns
@@ -69,24 +70,49 @@
                         .thenComparing(cell -> cell.place().zones().contains(owner.zone()))
                         .thenComparing(cell -> cell.place().cell());
         for (OwnedCell cell : cells.stream().sorted(farthestFirst).toList()) {
-            List<NodeRecord> ranked = ElectionRank.order(cell.place(), otherCandidates);
-            long minTermMillis = cell.settled() ? MIN_TERM_MILLIS : MIN_UNSETTLED_TERM_MILLIS;
-            if (cell.termMillis() >= minTermMillis
-                    && !ranked.isEmpty()
-                    && ranked.get(0).canOwn()
-                    && registeredMillis.applyAsLong(ranked.get(0)) >= MIN_REGISTRATION_MILLIS
-                    && isBetterPlaced(ranked.get(0), owner, cell.place(), candidates)) {
-                return new PlannedHandOver(
-                        cell.place().cell(),
-                        ranked.get(0),
-                        candidates.cellsOf(owner),
-                        share(owner, candidates),
-                        cell.termMillis());
+            NodeRecord candidate =
+                    ElectionRank.order(cell.place(), otherCandidates).stream()
+                            .findFirst()
+                            .orElse(null);
+            if (candidate != null
+                    && candidate.canOwn()
+                    && registeredMillis.applyAsLong(candidate) >= MIN_REGISTRATION_MILLIS
+                    && isBetterPlaced(candidate, owner, cell.place(), candidates)) {
+                return isDue(cell) ? plan(cell, candidate, owner, candidates) : null;
             }
         }
         return null;
     }
 
+    /**
+     * Tells whether the term of a cell has lasted long enough.
+     *
+     * @param cell the cell
+     * @return whether the cell may be handed over
+     */
+    private static boolean isDue(OwnedCell cell) {
+        return cell.termMillis() >= (cell.settled() ? MIN_TERM_MILLIS : MIN_UNSETTLED_TERM_MILLIS);
+    }
+
+    /**
+     * Describes a hand-over.
+     *
+     * @param cell the cell
+     * @param candidate the process that ranks first for the cell
+     * @param owner the registration of this process
+     * @param candidates all registered processes, and how many cells each of them owns
+     * @return the hand-over
+     */
+    private static PlannedHandOver plan(
+            OwnedCell cell, NodeRecord candidate, NodeRecord owner, Candidates candidates) {
+        return new PlannedHandOver(
+                cell.place().cell(),
+                candidate,
+                candidates.cellsOf(owner),
+                share(owner, candidates),
+                cell.termMillis());
+    }
+
     /**
      * Tells whether a candidate should own a cell instead of its owner.
      *
--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/OwnerBalanceTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/OwnerBalanceTest.java
@@ -16,7 +16,6 @@
 import java.util.Random;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -84,7 +83,6 @@
 
     /** A VM handed over the cell of its own zone and kept one of another region for good. */
     @Test
-    @Tag("known-red")
     void cellOfTheOwnersZoneStaysWhileAFartherOneIsNotDue() {
         assertThat(
                 choose(
