Acknowledge ends of submissions that are not open by their number again

WorkerRecordTest (endOfItsOwnRunIsAcknowledgedAtOnce) failed: an end of the owner's own run must be acknowledged at once. Only ends of submissions of which tasks are known to have moved are kept back now, also after these are closed.

mvn -o -B verify passes with this change; it failed in that test before.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
@@ -91,6 +91,9 @@
      */
     private final Set<String> closedIds = new HashSet<>();
 
+    /** The submissions among them of which tasks have moved between cells. */
+    private final Set<String> closedMovedIds = new HashSet<>();
+
     /** Called once with the reason when the term ends. */
     private final Consumer<String> onTermEnd;
 
@@ -177,6 +180,20 @@
     void removeJob(Job job) {
         jobs.remove(job.id());
         closedIds.add(job.id());
+        if (job.part != null) {
+            closedMovedIds.add(job.id());
+        }
+    }
+
+    /**
+     * Returns whether tasks of a submission are known to have moved between cells.
+     *
+     * @param id the identifier of the submission
+     * @return whether they have, as far as this owner has seen in its term
+     */
+    boolean hasMoved(String id) {
+        Job job = jobs.get(id);
+        return closedMovedIds.contains(id) || (job != null && job.part != null);
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
@@ -120,7 +120,12 @@
         TaskRecord task = findTask(end.task());
         if (job == null || task == null) {
             return new PendingEnd(
-                    end.sequence(), end.task(), end.run(), job, job == null ? 0 : job.version);
+                    end.sequence(),
+                    end.task(),
+                    end.run(),
+                    job,
+                    job == null ? 0 : job.version,
+                    context.hasMoved(end.task().submission()));
         }
         boolean relevant =
                 end.run() > task.highestEndedRunNumber
@@ -146,7 +151,8 @@
             commits.enqueue(job);
             finishIfDoneOrFailed(job);
         }
-        return new PendingEnd(end.sequence(), end.task(), end.run(), job, job.version);
+        return new PendingEnd(
+                end.sequence(), end.task(), end.run(), job, job.version, job.part != null);
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PendingEnd.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PendingEnd.java
@@ -12,8 +12,23 @@
  * @param run the number of the run
  * @param job the job that the end may have changed, or null if the job is not open here
  * @param version the version of the job that includes the change, 0 without a job
+ * @param moved whether tasks of the submission have moved between cells
  */
-record PendingEnd(long sequence, TaskId task, int run, @Nullable Job job, long version) {
+record PendingEnd(
+        long sequence, TaskId task, int run, @Nullable Job job, long version, boolean moved) {
+
+    /**
+     * Creates the end of a run of a submission of which no task has moved.
+     *
+     * @param sequence the sequence number of the end within the boot of the worker
+     * @param task the identifier of the task
+     * @param run the number of the run
+     * @param job the job that the end may have changed, or null if the job is not open here
+     * @param version the version of the job that includes the change, 0 without a job
+     */
+    PendingEnd(long sequence, TaskId task, int run, @Nullable Job job, long version) {
+        this(sequence, task, run, job, version, false);
+    }
 
     /**
      * Returns whether the change is stored.
@@ -26,13 +41,13 @@
 
     /**
      * Returns whether a previous owner may have started the run. The number of the run does not
-     * tell that if tasks of the submission have moved, or if the submission is not known.
+     * tell that if tasks of the submission have moved.
      *
      * @param runNumberBase the highest number of a run that a previous owner can have used for a
      *     task that has never moved
      * @return whether it may have
      */
     boolean mayBeOfPreviousOwner(int runNumberBase) {
-        return run <= runNumberBase || job == null || job.part != null;
+        return run <= runNumberBase || moved;
     }
 }
