--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/TakeoverSeriesTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/TakeoverSeriesTest.java
@@ -92,6 +92,26 @@
         assertThat(longestWaitMillis, lessThanOrEqualTo(MAX_WAIT_AFTER_LOSS_MILLIS));
     }
 
+    /**
+     * Two workers crash just before an owner is killed; each term is 1.45 s long. Others boot at
+     * their addresses later, while their entries are still listed.
+     */
+    @Test
+    void tasksOfReplacedWorkersRestartWhileOwnersAreKilledInSeries() {
+        OwnerProcess owner = submitAndStartOwner();
+        simulation.crashWorker("w0");
+        simulation.crashWorker("w1");
+        advance(100);
+        for (int takeover = 0; takeover < 8; takeover++) {
+            owner.kill();
+            advance(LONG_VACANCY_MILLIS);
+            owner = simulation.startOwner();
+            advance(TERM_MILLIS - LONG_VACANCY_MILLIS);
+        }
+        assertThat(simulation.invariants.violations(), empty());
+        assertThat(longestWaitMillis, lessThanOrEqualTo(MAX_WAIT_AFTER_LOSS_MILLIS));
+    }
+
     /** One worker is cut off and goes on running, another one crashes. */
     @Test
     void tasksOfLostWorkersRestartWhileOwnersChangeInSeries() {
