--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/OddRecordFuzzTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/OddRecordFuzzTest.java
@@ -162,7 +162,8 @@
                         formats,
                         runtime,
                         (event, fields) -> {},
-                        first);
+                        first,
+                        Set.of());
         CellTerm term = new CellTerm(1, record, revision, runtime.nowMillis());
         CellOwner owner =
                 new CellOwner(
--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/OddWorkerEntryTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/OddWorkerEntryTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.damasktiller.platform.call.JsonHttpClient;
 import org.damasktiller.platform.http.EventLoops;
 import org.damasktiller.platform.order.HttpWorkerClient;
@@ -103,7 +104,8 @@
                         new JsonPlatformRecordDecoder(),
                         runtime,
                         this::log,
-                        TestManifests.of(1, List.of("s")));
+                        TestManifests.of(1, List.of("s")),
+                        Set.of());
         OwnerRecord record = new OwnerRecord("node", "process", 1);
         HeadRecord head = new HeadRecord(1, 0, record.node());
         long revision =
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -43,13 +43,6 @@
     /** How long a worker gets no new tasks after a failed poll, in milliseconds. */
     private static final long FAILED_POLL_AVOID_MILLIS = 400;
 
-    /**
-     * The number of workers for which the shortest time between two passes grows by a millisecond.
-     * A pass takes longer with more workers, and with more workers there are also more events that
-     * ask for one.
-     */
-    private static final int WORKERS_PER_PASS_MILLISECOND = 20;
-
     /** The shared state of the cell's owner. */
     private final CellContext context;
 
@@ -101,18 +94,15 @@
     /** Watches the evacuated zones. */
     private final EvacuationWatcher evacuationWatcher;
 
+    /** Spaces the passes over the waiting tasks. */
+    private final PassSchedule passSchedule;
+
     /** Whether the submissions, the progress and the roster have been read. */
     private boolean loaded;
 
-    /** Whether a pass over the waiting tasks is scheduled. */
-    private boolean passScheduled;
-
     /** When the whole roster is checked again, in milliseconds. */
     private long rosterCheckDueMillis;
 
-    /** When the last pass began, in milliseconds. */
-    private long lastPassMillis;
-
     /**
      * Creates an owner that has not started.
      *
@@ -163,6 +153,7 @@
                         jobTracker.crashTracker(),
                         lookAhead,
                         new JobObjectives(context, runTimes));
+        passSchedule = new PassSchedule(context, taskScheduler::runPass);
         taskMover = new TaskMover(context, commits, ownership);
         counts = new CountPublisher(context, jobTracker, new FreeRooms(context, workerSelector));
         submissionWatcher = new SubmissionWatcher(context, new SubmissionListener());
@@ -371,21 +362,10 @@
         }
     }
 
-    /**
-     * Schedules a pass over the waiting tasks unless one is scheduled or the cell is not loaded
-     * yet. The time between passes grows with the number of workers.
-     */
+    /** Schedules a pass over the waiting tasks unless the cell is not loaded yet. */
     private void schedulePass() {
-        if (!passScheduled && loaded && !context.ended) {
-            passScheduled = true;
-            long intervalMillis = context.workers.size() / WORKERS_PER_PASS_MILLISECOND;
-            context.schedule(
-                    Math.max(1, lastPassMillis + intervalMillis - context.now()),
-                    () -> {
-                        passScheduled = false;
-                        lastPassMillis = context.now();
-                        taskScheduler.runPass();
-                    });
+        if (loaded) {
+            passSchedule.request();
         }
     }
 
