--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -148,8 +148,8 @@
     /** The cells of workers that do not belong to {@code CELL}, by identifier. */
     private final Map<String, String> cellsByWorker = new HashMap<>();
 
-    /** The generation of the owner that started last, over all cells. */
-    private long generation;
+    /** The generation of the owner that started last, by the name of its cell. */
+    private final Map<String, Long> generations = new HashMap<>();
 
     /**
      * Creates a cell without an owner.
@@ -444,7 +444,7 @@
      */
     OwnerProcess startOwner(
             String cell, FaultPlan storeFaults, FaultPlan workerFaults, Set<String> cutOffWorkers) {
-        generation++;
+        long generation = generations.merge(cell, 1L, Long::sum);
         OwnerRecord record = new OwnerRecord("node" + generation, "process", generation);
         HeadRecord head = new HeadRecord(generation, 0, record.node());
         long revision =
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/MoveMatrixTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/MoveMatrixTest.java
@@ -54,6 +54,9 @@
     /** The most submissions that are open at the same time. */
     private static final int MAX_OPEN = 3;
 
+    /** The most workers that are down at the same time. */
+    private static final int MAX_DOWN = 3;
+
     /** How long the faults of a case last, in milliseconds. */
     private static final long FAULTS_MILLIS = 20_000;
 
@@ -320,7 +323,7 @@
             if (random.nextInt(25) == 0) {
                 changeOwner(CELLS.get(random.nextInt(CELLS.size())));
             }
-            if (random.nextInt(40) == 0 && down.size() < 2) {
+            if (random.nextInt(40) == 0 && down.size() < MAX_DOWN) {
                 crashWorker();
             }
         }
@@ -396,7 +399,7 @@
             simulation.workers.get(id).crash();
             simulation.unreachable.add(id);
             after(
-                    random.nextInt(3_000, 6_000),
+                    random.nextInt(3_000, 15_000),
                     () -> {
                         simulation.workers.get(id).boot();
                         simulation.unreachable.remove(id);
