Give no task up in a cell that it has left

Cause: the owner of the former home went on counting crashes against its copy of a task that had moved, also those that show late. Tasks that are away count no crashes and end no submission. crashThatShowsAfterTheMoveDoesNotFailTaskThatRunsElsewhere failed before ("Expected: <QUEUED> but: was <FAILED>").

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CrashTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CrashTracker.java
@@ -455,11 +455,11 @@
      * Returns whether a task has to be done by this owner.
      *
      * @param task the task
-     * @return whether it is not done and its submission is open
+     * @return whether it is not done, has its home in the cell, and its submission is open
      */
     private boolean isOpen(TaskRecord task) {
         Job job = task.step.occurrence.job;
-        return !task.done && !job.state.isFinal() && context.jobs.get(job.id()) == job;
+        return task.isOwed() && !job.state.isFinal() && context.jobs.get(job.id()) == job;
     }
 
     /** Called when a task is given up. */
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
@@ -412,7 +412,7 @@
             for (StepRecord step : occurrence.steps) {
                 boolean givenUp =
                         step.tasks.stream()
-                                .anyMatch(task -> !task.done && task.crashes.isGivenUp());
+                                .anyMatch(task -> task.isOwed() && task.crashes.isGivenUp());
                 if (givenUp || (!step.spec.lasting() && hasExhaustedAttempts(step, maxAttempts))) {
                     return true;
                 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecord.java
@@ -92,6 +92,15 @@
         this.step = step;
     }
 
+    /**
+     * Returns whether the owner of the cell has to see to the task.
+     *
+     * @return whether it is not done and has its home in the cell
+     */
+    boolean isOwed() {
+        return !done && !away;
+    }
+
     /**
      * Returns whether the task waits for a worker.
      *
