Publish the room of workers on probation beside established long-running tasks

Found in the review. taskMovesToWorkerOnProbationThatHostsLongRunningTask failed before (not moved after 20 s).

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FreeRooms.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FreeRooms.java
@@ -63,7 +63,7 @@
         return context.mayStartOn(worker, nowMillis)
                 && nowMillis >= worker.fullUntilMillis
                 && !worker.failureDetector.isSuspect(nowMillis)
-                && !(worker.failureDetector.isOnProbation() && !worker.runs.isEmpty())
+                && !(worker.failureDetector.isOnProbation() && worker.hasProbe())
                 && !worker.isQuarantined()
                 && worker.isRoomKnown()
                 && !workerSelector.isKeptForUrgentTasks(worker);
