--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskMover.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskMover.java
@@ -202,24 +202,21 @@
         context.store.list(
                 CellKeys.PENDING_PREFIX,
                 "",
-                pending ->
-                        ifOk(
-                                pending,
-                                tasks,
-                                rooms ->
-                                        context.store.list(
-                                                CellKeys.OWNER_PREFIX,
-                                                "",
-                                                owners ->
-                                                        ifOk(
-                                                                owners,
-                                                                tasks,
-                                                                page ->
-                                                                        readParts(
-                                                                                tasks,
-                                                                                roomsOf(
-                                                                                        rooms,
-                                                                                        page))))));
+                result -> ifOk(result, tasks, pending -> readOwners(tasks, pending)));
+    }
+
+    /**
+     * Reads the owners of the cells.
+     *
+     * @param tasks the tasks to move, of one step
+     * @param pending what the cells have published
+     */
+    private void readOwners(List<TaskRecord> tasks, StorePage pending) {
+        context.store.list(
+                CellKeys.OWNER_PREFIX,
+                "",
+                result ->
+                        ifOk(result, tasks, owners -> readParts(tasks, roomsOf(pending, owners))));
     }
 
     /**
@@ -279,34 +276,36 @@
      */
     private void readParts(List<TaskRecord> tasks, Map<String, PendingRecord> rooms) {
         Job job = tasks.get(0).step.occurrence.job;
-        context.store.read(
-                CellKeys.parts(job.id()),
-                result -> {
-                    if (result.status() == StoreStatus.ABSENT && job.part == null) {
-                        chooseTarget(
-                                tasks,
-                                rooms,
-                                new PartsRecord(context.cell, Map.of()),
-                                StoreItem.ABSENT);
-                        return;
-                    }
-                    ifOk(
-                            result,
-                            tasks,
-                            reading -> {
-                                StoreItem item = reading.item();
-                                PartsRecord parts =
-                                        item == null
-                                                ? null
-                                                : StoredValueCodec.decode(
-                                                        item.value(), PartsRecord.class);
-                                if (item == null || parts == null) {
-                                    giveUp(tasks, "the record of its parts can't be read");
-                                } else {
-                                    chooseTarget(tasks, rooms, parts, item.revision());
-                                }
-                            });
-                });
+        context.store.read(CellKeys.parts(job.id()), result -> onParts(tasks, rooms, result));
+    }
+
+    /**
+     * Chooses a target once it is known which cells have parts of the submission.
+     *
+     * @param tasks the tasks to move
+     * @param rooms what the other cells have published, by the name of the cell
+     * @param result the reading of the record of its parts
+     */
+    private void onParts(
+            List<TaskRecord> tasks,
+            Map<String, PendingRecord> rooms,
+            StoreResult<StoreReading> result) {
+        if (context.ended) {
+            return;
+        }
+        Job job = tasks.get(0).step.occurrence.job;
+        if (result.status() == StoreStatus.ABSENT && job.part == null) {
+            chooseTarget(tasks, rooms, new PartsRecord(context.cell, Map.of()), StoreItem.ABSENT);
+            return;
+        }
+        StoreItem item = result.status() == StoreStatus.OK ? result.require().item() : null;
+        PartsRecord parts =
+                item == null ? null : StoredValueCodec.decode(item.value(), PartsRecord.class);
+        if (item == null || parts == null) {
+            giveUp(tasks, "the record of its parts can't be read: " + result.status());
+        } else {
+            chooseTarget(tasks, rooms, parts, item.revision());
+        }
     }
 
     /**
