--- a/review/standins/review/Rig.java
+++ b/review/standins/review/Rig.java
@@ -66,6 +66,8 @@
 
         private final int peerPort = Http.freePort();
 
+        private final int storePort = store.openPort();
+
         private Process process;
 
         Vm(String name, String zone) {
@@ -136,7 +138,7 @@
                             Map.entry("impact_ms", "4000"));
             bounds.forEach((key, value) -> lines.add("bounds." + key + "=" + value));
             lines.add("orders=call");
-            lines.add("platform.address=127.0.0.1:" + store.port());
+            lines.add("platform.address=127.0.0.1:" + storePort);
             lines.add("platform.form=kv");
             lines.add("platform.writes_per_s=400");
             lines.add("platform.reads_per_s=2000");
@@ -177,6 +179,12 @@
             recorder.line("VM %s: SIG%s", name, signal);
         }
 
+        /** Lets the store leave the calls of this VM unanswered, or answer them again. */
+        void storeSilent(boolean silent) {
+            store.silent(storePort, silent);
+            recorder.line("store: %s the calls of %s", silent ? "leaves unanswered" : "answers", name);
+        }
+
         boolean isAlive() {
             return process.isAlive();
         }
--- a/review/standins/review/Store.java
+++ b/review/standins/review/Store.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.net.httpserver.HttpExchange;
-import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -12,7 +11,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -62,7 +63,10 @@
 
     private final ScheduledExecutorService timers;
 
-    private final HttpServer server;
+    private final ExecutorService threads;
+
+    /** The ports at which the store leaves all calls unanswered. */
+    private final Set<Integer> silentPorts = ConcurrentHashMap.newKeySet();
 
     private long revision = 100;
 
@@ -77,12 +81,26 @@
     Store(Recorder recorder, ExecutorService threads, ScheduledExecutorService timers) {
         this.recorder = recorder;
         this.timers = timers;
-        server = Http.serve(0, threads, this::handle);
+        this.threads = threads;
         timers.scheduleAtFixedRate(this::endLeases, 20, 20, TimeUnit.MILLISECONDS);
     }
 
-    int port() {
-        return server.getAddress().getPort();
+    /** Opens an address of the store for one machine, and returns its port. */
+    int openPort() {
+        return Http.serve(0, threads, this::handle).getAddress().getPort();
+    }
+
+    /** Lets the store leave the calls of a machine unanswered, or answer them again. */
+    void silent(int port, boolean silent) {
+        if (silent) {
+            silentPorts.add(port);
+        } else {
+            silentPorts.remove(port);
+        }
+    }
+
+    private boolean isSilent(HttpExchange exchange) {
+        return silentPorts.contains(exchange.getLocalAddress().getPort());
     }
 
     void writeFault(WriteFault fault) {
@@ -148,6 +166,9 @@
     }
 
     private void handle(HttpExchange exchange) throws IOException {
+        if (isSilent(exchange)) {
+            return;
+        }
         String path = exchange.getRequestURI().getPath();
         Map<String, String> query = Http.query(exchange);
         JsonNode body = Http.body(exchange);
@@ -255,6 +276,9 @@
             }
             body.put("store_revision", revision);
         }
+        if (isSilent(exchange)) {
+            return;
+        }
         Http.answer(exchange, after < oldestRevision ? 410 : 200, body);
     }
 
