Let a starved filler start in a cell that is less than half reserved

Cause: a filler that has waited for 2.5 s with nothing of its submission active could start only on a worker that is less than half in use, other fillers included, with idle CPU for it, and without a pause of its fillers. Other fillers may keep all workers above that for as long as they run. The platform's rule is about the service, and the CPU of fillers does not count against a worker's capacity.

Change: such a filler may start on any worker with room while less than half of the cell's CPU is reserved. Only one task of a submission starts that way, since the others are not starved then. Whether a submission has runs is counted and no longer searched for each worker.

Evidence: IdleFillerTest.fillersStartInTimeBesideOtherFillersInACellWithRoom failed before (filler 12 of 16 had no start after 3 s) and passes; the other cases of the class, LateFillerTest, TailMarginTest, ProbationTest and ReserveTest pass as before.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
@@ -43,6 +43,9 @@
     /** The identifiers of the workers on which a run failed. */
     final Set<String> failedWorkerIds = new HashSet<>(2);
 
+    /** The number of runs of its tasks that are or may be active. */
+    int runCount;
+
     /** The current state; a final state may not be stored yet. */
     SubmissionState state = SubmissionState.QUEUED;
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerRecord.java
@@ -383,6 +383,7 @@
         }
         if (record.task != null && !record.task.runs.contains(record)) {
             record.task.runs.add(record);
+            record.task.step.occurrence.job.runCount++;
         }
     }
 
@@ -397,8 +398,8 @@
             sums.remove(record);
             throttleState.predictedImpacts.clear();
         }
-        if (record.task != null) {
-            record.task.runs.remove(record);
+        if (record.task != null && record.task.runs.remove(record)) {
+            record.task.step.occurrence.job.runCount--;
         }
     }
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerScorer.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerScorer.java
@@ -55,12 +55,15 @@
     private static final double NO_SERVING_TASK_MISMATCH = 0.3;
 
     /**
-     * How long a filler waits before it may start on a worker with idle CPU although it would
-     * disturb serving tasks, in milliseconds.
+     * How long a filler waits before it may start although it would disturb serving tasks or has to
+     * share the idle CPU with others, in milliseconds.
      */
     private static final long FILLER_YIELD_MILLIS = 2_500;
 
-    /** The fraction of the CPU of a worker, fillers included, below which it may do so. */
+    /**
+     * The fraction of the CPU of a worker, fillers included, or of the reserved CPU of the cell,
+     * below which it may do so.
+     */
     private static final double IDLE_FRACTION = 0.5;
 
     /** The shared state of the cell's owner. */
@@ -69,6 +72,9 @@
     /** Predicts the impact of fillers on serving tasks. */
     private final FillerThrottle fillerThrottle;
 
+    /** How much of the cell is reserved. */
+    private final CellLoad cellLoad;
+
     /** The policies in force. */
     private final PolicySet policies;
 
@@ -80,9 +86,11 @@
      *
      * @param context the shared state of the cell's owner
      * @param fillerThrottle predicts the impact of fillers on serving tasks
+     * @param cellLoad how much of the cell is reserved
      */
-    WorkerScorer(CellContext context, FillerThrottle fillerThrottle) {
+    WorkerScorer(CellContext context, FillerThrottle fillerThrottle, CellLoad cellLoad) {
         this.context = context;
+        this.cellLoad = cellLoad;
         this.fillerThrottle = fillerThrottle;
         this.policies = context.settings.policies();
         this.tolerance =
@@ -161,39 +169,50 @@
             return fillerLoad;
         }
         double impact = fillerThrottle.predictImpact(worker, task.step.spec);
-        return impact > allowedImpact(task) && !hasWaitedDespiteRoom(task, worker)
+        return impact > allowedImpact(task) && !mayDisturb(task, worker)
                 ? REJECTED
                 : impact + FILLER_LOAD_WEIGHT * fillerLoad;
     }
 
     /**
-     * Returns whether a filler has waited for some time, with nothing of its submission active, and
-     * less than half of a worker is in use. It may then start there whatever the prediction;
-     * fillers are paused where serving tasks are over their targets.
+     * Returns whether a filler may start on a worker whatever the prediction. Fillers are paused
+     * where serving tasks are over their targets.
      *
      * @param task the task of the filler
      * @param worker the worker
-     * @return whether it may start there
+     * @return whether it is starved, and less than half of the worker is in use or less than half
+     *     of the cell is reserved
      */
-    private boolean hasWaitedDespiteRoom(TaskRecord task, WorkerRecord worker) {
+    private boolean mayDisturb(TaskRecord task, WorkerRecord worker) {
         long usedMillicores = worker.reserved.cpuMillicores() + worker.fillerMillicores();
+        boolean room =
+                usedMillicores < IDLE_FRACTION * worker.entry.capacity().cpuMillicores()
+                        || cellLoad.reservedFraction() < IDLE_FRACTION;
+        return room && isStarved(task);
+    }
+
+    /**
+     * Returns whether a filler has waited for some time with nothing of its submission active.
+     *
+     * @param task the task of the filler
+     * @return whether it has
+     */
+    private boolean isStarved(TaskRecord task) {
         return task.readySinceMillis != 0
                 && context.now() - task.readySinceMillis >= FILLER_YIELD_MILLIS
-                && usedMillicores < IDLE_FRACTION * worker.entry.capacity().cpuMillicores()
-                && !hasRuns(task.step.occurrence.job);
+                && task.step.occurrence.job.runCount == 0;
     }
 
     /**
-     * Returns whether any task of a submission has a run.
+     * Returns whether a filler may start on a worker whose idle CPU does not suffice for it, or
+     * whose fillers are paused: it is starved, and less than half of the cell is reserved. The CPU
+     * of fillers does not count against the capacity of a worker.
      *
-     * @param job the submission
-     * @return whether one is or may be active
-     */
-    private static boolean hasRuns(Job job) {
-        return job.occurrences.values().stream()
-                .flatMap(occurrence -> occurrence.steps.stream())
-                .flatMap(step -> step.tasks.stream())
-                .anyMatch(task -> !task.runs.isEmpty());
+     * @param task the task of the filler
+     * @return whether it may share the CPU that is left with the other fillers
+     */
+    boolean maySqueezeIn(TaskRecord task) {
+        return cellLoad.reservedFraction() < IDLE_FRACTION && isStarved(task);
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -64,8 +64,8 @@
     /** When the reserve was last updated, in milliseconds, or {@link #NEVER}. */
     private long reserveUpdatedAtMillis = NEVER;
 
-    /** The fraction of the CPU of usable workers that was reserved when it was last updated. */
-    private double reservedFraction = 1;
+    /** How much of the cell was reserved when the reserve was last updated. */
+    private final CellLoad load = new CellLoad();
 
     /**
      * Creates a selector of workers.
@@ -83,7 +83,7 @@
         this.context = context;
         this.lookAhead = lookAhead;
         this.advice = advice;
-        this.scorer = new WorkerScorer(context, fillerThrottle);
+        this.scorer = new WorkerScorer(context, fillerThrottle, load);
         PolicySet policies = context.settings.policies();
         this.urgentReserve =
                 policies.isEnabled(Policy.URGENT_RESERVE)
@@ -119,7 +119,7 @@
                                 worker.longRunningMillicores()));
             }
         }
-        reservedFraction = capacity == 0 ? 1 : (double) reserved / capacity;
+        load.update(reserved, capacity);
         int sizeBefore = urgentReserve.size();
         urgentReserve.update(candidates, urgentMillicores, now);
         if (urgentReserve.size() != sizeBefore) {
@@ -145,7 +145,7 @@
      * @return whether new long-running tasks may not use it
      */
     boolean isKeptForUrgentTasks(WorkerRecord worker) {
-        return urgentReserve.contains(worker.id) && reservedFraction >= YIELD_FRACTION;
+        return urgentReserve.contains(worker.id) && load.reservedFraction() >= YIELD_FRACTION;
     }
 
     /**
@@ -354,9 +354,11 @@
     private boolean hasEnoughCpu(TaskRecord task, WorkerRecord worker) {
         StepSpec spec = task.step.spec;
         if (spec.filling()) {
-            return !worker.throttleState.paused
-                    && worker.fillerMillicores() + spec.need().cpuMillicores()
-                            <= worker.idleMillicores();
+            boolean sufficient =
+                    !worker.throttleState.paused
+                            && worker.fillerMillicores() + spec.need().cpuMillicores()
+                                    <= worker.idleMillicores();
+            return sufficient || scorer.maySqueezeIn(task);
         }
         if (spec.lasting() && !task.everRan) {
             return !urgentReserve.contains(worker.id) || hasWaitedDespiteRoom(task);
@@ -375,6 +377,6 @@
     private boolean hasWaitedDespiteRoom(TaskRecord task) {
         boolean waitedLong =
                 task.readySinceMillis != 0 && context.now() - task.readySinceMillis >= YIELD_MILLIS;
-        return waitedLong && reservedFraction < YIELD_FRACTION;
+        return waitedLong && load.reservedFraction() < YIELD_FRACTION;
     }
 }
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/IdleFillerTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/IdleFillerTest.java
@@ -8,7 +8,6 @@
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.model.TaskId;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -64,7 +63,6 @@
     }
 
     /** Fillers waited for 17 s in a cell of which only fillers used more than half. */
-    @Tag("known-red")
     @Test
     void fillersStartInTimeBesideOtherFillersInACellWithRoom() {
         CellSimulation simulation = createCell(2, 1_500);
