Count mass crashes less against the tasks on the workers

What callers saw: after workers had crashed in waves, sound tasks waited although workers were empty (LOST: a task that is to last doesn't run; at the end a task could run and doesn't).

Cause: a run that had been active when its worker crashed got a bystander crash, also if all workers crashed at once. Two of them make a task suspect; such a suspect has to be active for 5 s, or to end if it is not long-running, and an eighth of the workers take one suspect each and nothing else meanwhile. So each two waves made all tasks suspect, and they started again four at a time. Class: evidence that clears nobody is held against everybody, and what it leads to ends by an event that is rare.

Change: if a third of the workers (four at least) crash at about the same time, a run that had been active is not involved; from the third such crash on it is again, so that tasks that crash many workers at once are not started without end (the count is kept by the owner and not stored). A run that had just started gets a bystander crash the first time and then unknown outcomes, which a start that is sound for 1 s clears.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommonCauseDetector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommonCauseDetector.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.damasktiller.scheduler.crash.CommonCause;
 import org.damasktiller.scheduler.crash.CrashAttribution;
 import org.damasktiller.scheduler.crash.CrashHistory;
 import org.damasktiller.scheduler.crash.CrashObservation;
@@ -55,13 +56,13 @@
     }
 
     /**
-     * Returns whether the crash of a worker probably has a cause that concerns several workers:
-     * others lost contact at about the same time, and they are many or no run explains it.
+     * Determines how likely the crash of a worker has a cause that concerns several workers: others
+     * lost contact at about the same time, and they are many or no run explains it.
      *
      * @param worker the worker
-     * @return whether they did
+     * @return the likelihood
      */
-    boolean hasCommonCause(WorkerRecord worker) {
+    CommonCause commonCauseOf(WorkerRecord worker) {
         long nearMillis = context.settings.pollWaitMillis() + WAVE_MILLIS;
         int crashed = 0;
         boolean unexplained =
@@ -79,7 +80,7 @@
                             && other.isLost()
                             && candidatesOf(other) == 0;
         }
-        return unexplained || CrashAttribution.isWave(crashed, context.workers.size());
+        return CrashAttribution.commonCause(crashed, context.workers.size(), unexplained);
     }
 
     /**
@@ -105,7 +106,8 @@
         return new CrashObservation(
                 run.task == null ? CrashHistory.NONE : run.task.crashes,
                 run.knownActiveMillis(),
-                run.isLongRunning());
+                run.isLongRunning(),
+                run.task == null ? 0 : run.task.massCrashes);
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CrashTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CrashTracker.java
@@ -4,9 +4,7 @@
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
-import org.damasktiller.scheduler.crash.CrashAttribution;
 import org.damasktiller.scheduler.crash.CrashHistory;
-import org.damasktiller.scheduler.crash.CrashObservation;
 import org.damasktiller.scheduler.crash.CrashRole;
 import org.damasktiller.scheduler.crash.RecordedStart;
 import org.jspecify.annotations.Nullable;
@@ -37,6 +35,9 @@
     /** Detects causes that concern several workers. */
     private final CommonCauseDetector commonCauses;
 
+    /** Evaluates the runs on crashed workers. */
+    private final CrashEvaluator evaluator;
+
     /** Fails the jobs of tasks that are given up. */
     private final Listener listener;
 
@@ -55,6 +56,7 @@
         this.commits = commits;
         this.listener = listener;
         this.commonCauses = new CommonCauseDetector(context);
+        this.evaluator = new CrashEvaluator(context, commonCauses, this::isOpen);
     }
 
     /**
@@ -112,10 +114,10 @@
                 || worker.runs.values().stream().allMatch(run -> run.crashEvaluated)) {
             return;
         }
-        List<Attribution> attributions = attributionsOf(worker);
-        for (Attribution attribution : attributions) {
-            if (attribution.counted()) {
-                countUnknown(worker.id, attribution.task());
+        List<TaskCrash> taskCrashes = evaluator.evaluate(worker);
+        for (TaskCrash crash : taskCrashes) {
+            if (crash.counted()) {
+                countUnknown(worker.id, crash.task());
             }
         }
         lostWorkers.add(
@@ -124,7 +126,7 @@
                         worker.entry.address(),
                         worker.bootUnixMillis,
                         context.now(),
-                        attributions));
+                        taskCrashes));
     }
 
     /**
@@ -156,7 +158,7 @@
                         worker.id.equals(lost.worker().id)
                                 && worker.bootUnixMillis == lost.bootUnixMillis();
                 if (!sameBoot) {
-                    lost.attributions().forEach(attribution -> countLate(lost, attribution));
+                    lost.taskCrashes().forEach(crash -> countLate(lost, crash));
                 }
             }
         }
@@ -170,6 +172,10 @@
      */
     void onListed(RunRecord run) {
         TaskRecord task = run.task;
+        if (task != null
+                && CrashHistory.NONE.isSoundForGood(run.knownActiveMillis(), run.isLongRunning())) {
+            task.massCrashes = 0;
+        }
         if (task == null
                 || (task.crashes.equals(CrashHistory.NONE) && task.recordedStart == null)) {
             return;
@@ -310,56 +316,11 @@
      * @param sign how the crash has shown, for the log
      */
     private void attribute(WorkerRecord worker, String sign) {
-        for (Attribution attribution : attributionsOf(worker)) {
-            count(worker, attribution.task(), attribution.role(), sign);
+        for (TaskCrash crash : evaluator.evaluate(worker)) {
+            count(worker, crash.task(), crash.role(), sign);
         }
     }
 
-    /**
-     * Determines against which tasks the crash of a worker counts.
-     *
-     * @param worker the worker
-     * @return the tasks with their roles; without runs that were evaluated before
-     */
-    private List<Attribution> attributionsOf(WorkerRecord worker) {
-        List<RunRecord> runs = new ArrayList<>();
-        for (RunRecord run : worker.runs.values()) {
-            if (!run.crashEvaluated) {
-                run.crashEvaluated = true;
-                runs.add(run);
-            }
-        }
-        List<CrashObservation> observations =
-                runs.stream().map(CommonCauseDetector::observe).toList();
-        worker.crashCandidates = CrashAttribution.countCandidates(observations);
-        boolean commonCause = commonCauses.hasCommonCause(worker);
-        List<CrashRole> roles = CrashAttribution.attribute(observations, commonCause);
-        List<Attribution> attributions = new ArrayList<>();
-        for (int index = 0; index < runs.size(); index++) {
-            TaskRecord task = runs.get(index).task;
-            if (task != null && isOpen(task)) {
-                attributions.add(
-                        new Attribution(
-                                task,
-                                roles.get(index),
-                                task.crashes.isSuspect() && mayBeCause(roles.get(index))));
-            }
-        }
-        if (!runs.isEmpty()) {
-            context.log.log(
-                    "worker.crash",
-                    "worker",
-                    worker.id,
-                    "runs",
-                    runs.size(),
-                    "candidates",
-                    worker.crashCandidates,
-                    "commonCause",
-                    commonCause);
-        }
-        return attributions;
-    }
-
     /**
      * Counts the crash of a worker against a task.
      *
@@ -376,14 +337,14 @@
      * Counts a crash that shows after the runs of the worker are known to be over.
      *
      * @param lost the worker
-     * @param attribution the task and its role
+     * @param crash the task and its role
      */
-    private void countLate(LostWorker lost, Attribution attribution) {
-        TaskRecord task = attribution.task();
+    private void countLate(LostWorker lost, TaskCrash crash) {
+        TaskRecord task = crash.task();
         CrashHistory crashes =
-                attribution.counted()
+                crash.counted()
                         ? task.crashes.withOutcomeShown()
-                        : task.crashes.withCrash(attribution.role());
+                        : task.crashes.withCrash(crash.role());
         update(lost.worker().id, task, crashes, "its worker is gone or has started again");
     }
 
@@ -441,16 +402,6 @@
         }
     }
 
-    /**
-     * Returns whether a run may be the cause of a crash.
-     *
-     * @param role the role of the run
-     * @return whether it is a candidate
-     */
-    private static boolean mayBeCause(CrashRole role) {
-        return role == CrashRole.CANDIDATE || role == CrashRole.UNCERTAIN;
-    }
-
     /**
      * Returns whether a task has to be done by this owner.
      *
@@ -473,15 +424,6 @@
         void onGivenUp(Job job);
     }
 
-    /**
-     * A task that had a run on a worker that has crashed.
-     *
-     * @param task the task
-     * @param role how the task is involved
-     * @param counted whether the loss counts against the task even without a sign of the crash
-     */
-    private record Attribution(TaskRecord task, CrashRole role, boolean counted) {}
-
     /**
      * A worker whose runs are over without a sign of a crash.
      *
@@ -489,12 +431,12 @@
      * @param address its address
      * @param bootUnixMillis when it had booted, in milliseconds since 1970
      * @param lostAtMillis when its leases were over, in milliseconds
-     * @param attributions the tasks against which a crash would count
+     * @param taskCrashes the tasks against which a crash would count
      */
     private record LostWorker(
             WorkerRecord worker,
             InetSocketAddress address,
             long bootUnixMillis,
             long lostAtMillis,
-            List<Attribution> attributions) {}
+            List<TaskCrash> taskCrashes) {}
 }
--- a/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/crash/CrashAttributionTest.java
+++ b/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/crash/CrashAttributionTest.java
@@ -11,27 +11,29 @@
 final class CrashAttributionTest {
 
     /** A run that has just started. */
-    private static final CrashObservation FRESH = new CrashObservation(CrashHistory.NONE, 0, false);
+    private static final CrashObservation FRESH =
+            new CrashObservation(CrashHistory.NONE, 0, false, 0);
 
     /** A short run that was active for two seconds. */
     private static final CrashObservation ACTIVE =
-            new CrashObservation(CrashHistory.NONE, 2_000, false);
+            new CrashObservation(CrashHistory.NONE, 2_000, false, 0);
 
     /** A long-running task that was active for a minute. */
     private static final CrashObservation LONG_ACTIVE =
-            new CrashObservation(CrashHistory.NONE, 60_000, true);
+            new CrashObservation(CrashHistory.NONE, 60_000, true, 0);
 
     @Test
     void crashCountsAgainstTheRunThatHasJustStarted() {
         assertThat(
-                CrashAttribution.attribute(List.of(ACTIVE, FRESH, LONG_ACTIVE), false),
+                CrashAttribution.attribute(
+                        List.of(ACTIVE, FRESH, LONG_ACTIVE), CommonCause.UNLIKELY),
                 contains(CrashRole.UNINVOLVED, CrashRole.CANDIDATE, CrashRole.UNINVOLVED));
     }
 
     @Test
     void crashOfAWorkerWithoutNewRunsIsNotedForThoseThatMayCrashLater() {
         assertThat(
-                CrashAttribution.attribute(List.of(ACTIVE, LONG_ACTIVE), false),
+                CrashAttribution.attribute(List.of(ACTIVE, LONG_ACTIVE), CommonCause.UNLIKELY),
                 contains(CrashRole.BYSTANDER, CrashRole.UNINVOLVED));
     }
 
@@ -40,13 +42,32 @@
         CrashHistory suspect = CrashHistory.NONE.withCrash(CrashRole.CANDIDATE);
         assertThat(
                 CrashAttribution.attribute(
-                        List.of(FRESH, new CrashObservation(suspect, 0, false)), true),
+                        List.of(FRESH, new CrashObservation(suspect, 0, false, 0)),
+                        CommonCause.LIKELY),
                 contains(CrashRole.BYSTANDER, CrashRole.UNCERTAIN));
         assertThat(CrashAttribution.isWave(3, 8), is(false));
         assertThat(CrashAttribution.isWave(4, 8), is(true));
         assertThat(CrashAttribution.isWave(4, 400), is(false));
     }
 
+    @Test
+    void massCrashesCountLessAndOnlyRepeatedlyAgainstRunsThatHadBeenActive() {
+        CrashObservation thirdTime = new CrashObservation(CrashHistory.NONE, 2_000, false, 2);
+        assertThat(
+                CrashAttribution.attribute(List.of(ACTIVE, thirdTime), CommonCause.MASS_CRASH),
+                contains(CrashRole.UNINVOLVED, CrashRole.BYSTANDER));
+        CrashHistory seenBefore = CrashHistory.NONE.withCrash(CrashRole.BYSTANDER);
+        assertThat(
+                CrashAttribution.attribute(
+                        List.of(FRESH, new CrashObservation(seenBefore, 0, false, 0)),
+                        CommonCause.MASS_CRASH),
+                contains(CrashRole.BYSTANDER, CrashRole.UNCERTAIN));
+        assertThat(CrashAttribution.commonCause(4, 12, false), is(CommonCause.MASS_CRASH));
+        assertThat(CrashAttribution.commonCause(4, 15, false), is(CommonCause.LIKELY));
+        assertThat(CrashAttribution.commonCause(1, 15, true), is(CommonCause.LIKELY));
+        assertThat(CrashAttribution.commonCause(3, 9, false), is(CommonCause.UNLIKELY));
+    }
+
     @Test
     void bystanderCrashesMakeATaskSuspectUntilItEnds() {
         CrashHistory history =
