Begin each occurrence that is due, also after a takeover that finds no trace of it (LOST)

Cause: the next occurrence to begin was "the highest that has begun, plus one". A new owner begins the occurrences that the stored progress or a worker names, and took all before the highest of them for begun. One that only the killed owner and the crashed worker knew was skipped, and the submission is done only once all have begun.

Fix: a job counts up from 0 which occurrences the submission and the clock make due, and begins each that has not begun. Occurrences that are done are known from the progress, which has an entry for each task that is done, so that they do not run again. Each occurrence is looked at once by each owner; before, each pass went through all numbers that had begun.

Evidence: RepeatedSubmissionTest.occurrenceOfACrashedWorkerIsBegunAgainByTheNextOwner failed before with "Expected: <SUCCEEDED> but: was <QUEUED>" and passes now.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
@@ -67,6 +67,12 @@
     /** When the submission was accepted, in milliseconds on the owner's clock. */
     final long acceptedAtMillis;
 
+    /**
+     * The number of the first occurrence that was not found due yet. All before it have begun, and
+     * later ones may have.
+     */
+    private int dueOccurrenceCount;
+
     /**
      * Creates a job without progress. An unscheduled submission begins its only occurrence at once.
      *
@@ -151,21 +157,17 @@
     }
 
     /**
-     * Begins the occurrences of a scheduled submission that are due.
+     * Begins the occurrences of a scheduled submission that are due. Whether a later one has begun
+     * already, for example since a worker runs it, says nothing about the earlier ones.
      *
      * @param unixMillis the latest due time of an occurrence to begin, in milliseconds since 1970
      */
     void beginDueOccurrences(long unixMillis) {
         Submission submission = accepted.submission();
-        if (!submission.scheduled()) {
-            return;
-        }
-        long due =
-                submission.firstDueUnixMillis()
-                        + nextOccurrenceNumber() * submission.intervalMillis();
-        while (nextOccurrenceNumber() < submission.occurrences() && due <= unixMillis) {
-            beginOccurrence(nextOccurrenceNumber());
-            due += submission.intervalMillis();
+        while (dueOccurrenceCount < submission.occurrences()
+                && submission.dueUnixMillis(dueOccurrenceCount) <= unixMillis) {
+            beginOccurrence(dueOccurrenceCount);
+            dueOccurrenceCount++;
         }
     }
 
@@ -197,13 +199,4 @@
         return occurrences.size() == occurrenceCount
                 && occurrences.values().stream().allMatch(OccurrenceRecord::isDone);
     }
-
-    /**
-     * Returns the number of the occurrence after the highest one that has begun.
-     *
-     * @return the number, 0 if none has begun
-     */
-    private int nextOccurrenceNumber() {
-        return occurrences.keySet().stream().mapToInt(number -> number + 1).max().orElse(0);
-    }
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/model/Submission.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/model/Submission.java
@@ -41,6 +41,16 @@
         return occurrences > 0;
     }
 
+    /**
+     * Returns when an occurrence on a schedule is due.
+     *
+     * @param number the number of the occurrence, from 0
+     * @return the time, in milliseconds since 1970
+     */
+    public long dueUnixMillis(int number) {
+        return firstDueUnixMillis + number * intervalMillis;
+    }
+
     /**
      * Returns whether any step is long-running, so that the submission runs until it is cancelled.
      *
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -340,7 +340,35 @@
      * @param steps the steps of the submission
      */
     void submit(String id, StepSpec... steps) {
-        Submission submission = new Submission(id, "payload", List.of(steps), 0, 0, 0);
+        submit(new Submission(id, "payload", List.of(steps), 0, 0, 0));
+    }
+
+    /**
+     * Stores a repeated submission as accepted. Its first occurrence is due at once.
+     *
+     * @param id the identifier of the submission
+     * @param occurrences the number of occurrences
+     * @param intervalMillis the time between two consecutive occurrences, in milliseconds
+     * @param steps the steps of each occurrence
+     */
+    void submitRepeated(String id, int occurrences, long intervalMillis, StepSpec... steps) {
+        submit(
+                new Submission(
+                        id,
+                        "payload",
+                        List.of(steps),
+                        runtime.unixMillis(),
+                        occurrences,
+                        intervalMillis));
+    }
+
+    /**
+     * Stores a submission as accepted.
+     *
+     * @param submission the submission
+     */
+    private void submit(Submission submission) {
+        String id = submission.id();
         submissions.put(id, submission);
         SubmissionRecord record =
                 new SubmissionRecord(CELL, "route", SubmissionState.QUEUED, runtime.unixMillis());
