Count the failed runs of a gang, not those of its members (LOST)

Cause: JobTracker.hasExhaustedAttempts added up the failed runs of all members. PROTOCOL.md gives the attempts to the gang, whose members share the number of the run.

Fix: the failed runs of a gang are the distinct numbers under which any member has failed.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
@@ -423,7 +423,8 @@
 
     /**
      * Returns whether any unfinished task of a step has no attempts left. The members of a gang
-     * share their attempts.
+     * share their attempts: their runs with the same number are one run of the gang, which fails
+     * once however many of them fail.
      *
      * @param step the step
      * @param maxAttempts the number of runs that may fail
@@ -431,8 +432,12 @@
      */
     private static boolean hasExhaustedAttempts(StepRecord step, int maxAttempts) {
         if (step.spec.gang()) {
-            int failures = step.tasks.stream().mapToInt(task -> task.failedRunNumbers.size()).sum();
-            return !step.isDone() && failures >= maxAttempts;
+            long failedRuns =
+                    step.tasks.stream()
+                            .flatMap(task -> task.failedRunNumbers.stream())
+                            .distinct()
+                            .count();
+            return !step.isDone() && failedRuns >= maxAttempts;
         }
         return step.tasks.stream()
                 .anyMatch(task -> !task.done && task.failedRunNumbers.size() >= maxAttempts);
