Never answer callers by an older manifest than before

What callers saw: a VM that the store had left unanswered took a submission to a new queue through a peer (200).

Cause: a VM without the store passes requests on to a peer, which answers by its own, newer manifest. Nothing told the VM by which version. The session's lease is answered again before the watch of the manifest, whose call still waits for an answer that never comes (timeout 2.6 s), so that the VM then handled requests by the version that it had before. The same gap existed the other way round: a peer with an older manifest answered for a VM with a newer one, and the size of a body that is passed on was limited by the VM's own, older version.

Fix: a request that is passed on names the oldest version that may be used, and an answer the version that it rests on, both as the store's revision of the manifest. ManifestFloor keeps the highest one. While the own version is older, the VM reads the manifest at once beside the watch and passes requests on; after 5 s, or if no peer takes a request, it answers 503 with Retry-After, which is true, since the request had no effect. A peer that is behind refuses before it does anything, and reads. A message without a version, from the release before, is taken as until now, and that release ignores the new field.

Why it works: the own version only grows (ManifestWatcher), the floor only grows, and no request is matched to a queue while the first is below the second.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerRelay.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerRelay.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.damasktiller.node.cluster.ClusterMember;
+import org.damasktiller.node.cluster.ManifestFloor;
 import org.damasktiller.node.cluster.NodeRecord;
 import org.damasktiller.platform.call.JsonHttpClient;
 import org.damasktiller.scheduler.port.DecisionLog;
@@ -27,6 +28,9 @@
     /** Sends the requests. */
     private final RelayTransport transport;
 
+    /** Is told the versions of the manifest by which peers answer. */
+    private final ManifestFloor manifestFloor;
+
     /** The clock. */
     private final ProcessRuntime runtime;
 
@@ -39,6 +43,7 @@
      * @param peers returns the known peers
      * @param selector selects the peers that are tried
      * @param transport sends the requests
+     * @param manifestFloor is told the versions of the manifest by which peers answer
      * @param runtime the clock
      * @param log the log
      */
@@ -46,11 +51,13 @@
             Supplier<Collection<RelayPeer>> peers,
             RelayPeerSelector selector,
             RelayTransport transport,
+            ManifestFloor manifestFloor,
             ProcessRuntime runtime,
             DecisionLog log) {
         this.peers = peers;
         this.selector = selector;
         this.transport = transport;
+        this.manifestFloor = manifestFloor;
         this.runtime = runtime;
         this.log = log;
     }
@@ -62,6 +69,7 @@
      * @param zone the availability zone of this VM
      * @param regionByZone the region of each availability zone
      * @param client sends the requests
+     * @param manifestFloor is told the versions of the manifest by which peers answer
      * @param runtime the clock
      * @param log the log
      * @return the relay
@@ -71,12 +79,14 @@
             String zone,
             Map<String, String> regionByZone,
             JsonHttpClient client,
+            ManifestFloor manifestFloor,
             ProcessRuntime runtime,
             DecisionLog log) {
         return new CallerRelay(
                 () -> toRelayPeers(clusterMember.peers()),
                 new RelayPeerSelector(zone, regionByZone),
                 new HttpRelayTransport(client),
+                manifestFloor,
                 runtime,
                 log);
     }
@@ -168,6 +178,7 @@
                             request.host(),
                             request.path(),
                             leftMillis,
+                            manifestFloor.revision(),
                             request.body());
             transport.send(peer, remaining, result -> onResult(peer, index, result));
         }
@@ -193,9 +204,12 @@
                     response == null ? 0 : response.status(),
                     "failure",
                     result.failure(),
+                    "manifestRevision",
+                    result.manifestRevision(),
                     "millis",
                     runtime.nowMillis() - startMillis);
             if (response != null && !response.mayBeTriedElsewhere()) {
+                manifestFloor.onPeerRevision(result.manifestRevision());
                 callback.accept(response);
                 return;
             }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerServlet.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerServlet.java
@@ -16,6 +16,7 @@
 import java.util.regex.Pattern;
 import org.damasktiller.error.DamasktillerException;
 import org.damasktiller.node.cluster.ClusterMember;
+import org.damasktiller.node.cluster.ManifestFloor;
 import org.damasktiller.platform.call.JsonBodies;
 import org.damasktiller.platform.ingress.CallerCodec;
 import org.damasktiller.scheduler.model.Manifest;
@@ -35,8 +36,11 @@
     /** The timeout of a request without a valid deadline header, in milliseconds. */
     private static final long DEFAULT_TIMEOUT_MILLIS = 3_000;
 
-    /** The maximum size of a body before a manifest has been read, in bytes. */
-    private static final int DEFAULT_MAX_BODY_BYTES = 1 << 18;
+    /**
+     * The maximum size of a body that is passed on, in bytes. The peer applies the limit of its
+     * manifest, which may be newer.
+     */
+    private static final int MAX_PASSED_ON_BODY_BYTES = 1 << 20;
 
     /** Matches a valid submission identifier. */
     private static final Pattern IDENTIFIER_PATTERN = Pattern.compile("[0-9a-fA-F]{16}");
@@ -50,12 +54,15 @@
     /** Handles state queries and cancellations. */
     private final SubmissionStateHandler stateHandler;
 
-    /** Provides the pending count of each route, and whether the store can be reached. */
+    /** Provides the pending count of each route, and whether the store fails this VM. */
     private final ClusterMember clusterMember;
 
-    /** Passes requests on while the store can't be reached. */
+    /** Passes requests on while this VM may not handle them. */
     private final CallerRelay relay;
 
+    /** Decides whether this VM may handle a request by its manifest. */
+    private final ManifestFloor manifestFloor;
+
     /** The clock from which deadlines are computed. */
     private final ProcessRuntime runtime;
 
@@ -74,9 +81,10 @@
      * @param manifest returns the current manifest, or null before the first one has been read
      * @param acceptor stores new submissions
      * @param stateHandler handles state queries and cancellations
-     * @param clusterMember provides the pending count of each route, and whether the store can be
-     *     reached
-     * @param relay passes requests on while the store can't be reached
+     * @param clusterMember provides the pending count of each route, and whether the store fails
+     *     this VM
+     * @param relay passes requests on while this VM may not handle them
+     * @param manifestFloor decides whether this VM may handle a request by its manifest
      * @param runtime the clock from which deadlines are computed
      * @param log the log
      */
@@ -86,10 +94,12 @@
             SubmissionStateHandler stateHandler,
             ClusterMember clusterMember,
             CallerRelay relay,
+            ManifestFloor manifestFloor,
             ProcessRuntime runtime,
             DecisionLog log) {
         this.manifest = manifest;
         this.relay = relay;
+        this.manifestFloor = manifestFloor;
         this.acceptor = acceptor;
         this.stateHandler = stateHandler;
         this.clusterMember = clusterMember;
@@ -121,22 +131,45 @@
                         request.getPath(),
                         deadlineMillis(request),
                         request::loadBody);
-        return (clusterMember.isStoreFailing() ? passOn(incoming) : handle(incoming))
-                .whenComplete((response, error) -> requestsInFlight--)
-                .map(this::render);
+        Promise<CallerResponse> promise =
+                switch (manifestFloor.handler()) {
+                    case SELF -> handle(incoming);
+                    case PEER -> passOn(incoming);
+                    case NONE -> refuse(incoming);
+                };
+        return promise.whenComplete((response, error) -> requestsInFlight--).map(this::render);
     }
 
     /**
      * Handles a request that a peer has passed on. It is rejected at once if this VM can't reach
-     * the store either.
+     * the store either, or has an older manifest than the request may be handled by.
+     *
+     * @param relayed the request
+     * @return the response, and the version of the manifest by which the request was handled
+     */
+    Promise<RelayedResponse> serveRelayed(RelayedRequest relayed) {
+        manifestFloor.onPeerRevision(relayed.manifestRevision());
+        long manifestRevision = manifestFloor.ownRevision();
+        Promise<CallerResponse> promise =
+                switch (manifestFloor.handler()) {
+                    case SELF -> handle(relayed);
+                    case PEER, NONE ->
+                            Promise.of(
+                                    CallerResponse.notExecuted(
+                                            clusterMember.isStoreFailing()
+                                                    ? "this VM can't reach the store either"
+                                                    : "this VM has an older manifest"));
+                };
+        return promise.map(response -> new RelayedResponse(response, manifestRevision));
+    }
+
+    /**
+     * Handles a request that a peer has passed on by the manifest of this VM.
      *
      * @param relayed the request
      * @return the response
      */
-    Promise<CallerResponse> serveRelayed(RelayedRequest relayed) {
-        if (clusterMember.isStoreFailing()) {
-            return Promise.of(CallerResponse.notExecuted("this VM can't reach the store either"));
-        }
+    private Promise<CallerResponse> handle(RelayedRequest relayed) {
         HttpMethod method;
         try {
             method = HttpMethod.valueOf(relayed.method());
@@ -165,13 +198,8 @@
         if (incoming.method() != HttpMethod.POST) {
             return passOn(incoming, MissingNode.getInstance());
         }
-        Manifest currentManifest = manifest.get();
-        int maxBodyBytes =
-                currentManifest == null
-                        ? DEFAULT_MAX_BODY_BYTES
-                        : currentManifest.limits().maxBodyBytes();
         return incoming.body()
-                .load(maxBodyBytes)
+                .load(MAX_PASSED_ON_BODY_BYTES)
                 .then(
                         buffer -> {
                             byte[] body = buffer.getArray();
@@ -181,12 +209,13 @@
                             try {
                                 return passOn(loaded, JsonBodies.read(body));
                             } catch (IOException exception) {
-                                return handle(loaded);
+                                return handleIfCurrent(loaded);
                             }
                         },
                         error -> {
                             log.log("body.unreadable", "path", incoming.path(), "error", error);
-                            return Promise.of(CallerResponse.bodyTooLarge(maxBodyBytes));
+                            return Promise.of(
+                                    CallerResponse.bodyTooLarge(MAX_PASSED_ON_BODY_BYTES));
                         });
     }
 
@@ -204,12 +233,43 @@
                         incoming.host(),
                         incoming.path(),
                         incoming.deadlineMillis() - runtime.nowMillis(),
+                        manifestFloor.revision(),
                         body);
         SettablePromise<CallerResponse> promise = new SettablePromise<>();
-        relay.relay(relayed, promise::set, () -> handle(incoming).subscribe(promise));
+        relay.relay(relayed, promise::set, () -> handleIfCurrent(incoming).subscribe(promise));
         return promise;
     }
 
+    /**
+     * Handles a request that no peer could serve, or refuses it if the manifest of this VM is older
+     * than one that it has answered by.
+     *
+     * @param incoming the request, which had no effect so far
+     * @return the response
+     */
+    private Promise<CallerResponse> handleIfCurrent(Incoming incoming) {
+        return manifestFloor.isBehind() ? refuse(incoming) : handle(incoming);
+    }
+
+    /**
+     * Refuses a request that had no effect, since the manifest of this VM is too old.
+     *
+     * @param incoming the request
+     * @return the response, after which the caller may come back
+     */
+    private Promise<CallerResponse> refuse(Incoming incoming) {
+        log.log(
+                "request.refused",
+                "path",
+                incoming.path(),
+                "revision",
+                manifestFloor.ownRevision(),
+                "floor",
+                manifestFloor.revision());
+        return Promise.of(
+                CallerResponse.notExecuted("this VM has not read the newest manifest yet"));
+    }
+
     /**
      * Matches a request to a route and dispatches it by its HTTP method.
      *
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/HttpRelayTransport.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/HttpRelayTransport.java
@@ -32,7 +32,7 @@
     public void send(RelayPeer peer, RelayedRequest request, Consumer<RelayResult> callback) {
         InetSocketAddress address = Addresses.parse(peer.address());
         if (address == null) {
-            callback.accept(new RelayResult(null, false, "malformed address " + peer.address()));
+            callback.accept(new RelayResult(null, 0, false, "malformed address " + peer.address()));
             return;
         }
         client.post(
@@ -46,34 +46,36 @@
     /**
      * Encodes the response to a relayed request.
      *
-     * @param response the response
+     * @param relayed the response
      * @param body its JSON body
      * @return the JSON object
      */
-    static JsonNode encode(CallerResponse response, JsonNode body) {
+    static JsonNode encode(RelayedResponse relayed, JsonNode body) {
         ObjectNode node = JsonBodies.object();
-        node.put("status", response.status());
-        node.put("retryAfterSeconds", response.retryAfterSeconds());
+        node.put("status", relayed.response().status());
+        node.put("retryAfterSeconds", relayed.response().retryAfterSeconds());
+        node.put("manifestRevision", relayed.manifestRevision());
         node.set("body", body);
         return node;
     }
 
     /**
-     * Decodes the result of a call.
+     * Decodes the result of a call. A peer of an earlier release names no version of the manifest.
      *
      * @param result the result
      * @return the response of the peer, or none if it is not understood
      */
-    private static RelayResult decode(CallResult result) {
+    static RelayResult decode(CallResult result) {
         int status = result.body().path("status").asInt();
         if (result.status() != CallResult.OK || status == 0) {
-            return new RelayResult(null, result.possiblySent(), result.describe());
+            return new RelayResult(null, 0, result.possiblySent(), result.describe());
         }
         return new RelayResult(
                 new CallerResponse(
                         status,
                         JsonBodies.write(result.body().path("body")),
                         result.body().path("retryAfterSeconds").asInt()),
+                result.body().path("manifestRevision").asLong(),
                 true,
                 "");
     }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/RelayServlet.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/RelayServlet.java
@@ -67,19 +67,19 @@
     /**
      * Converts a response to its HTTP form.
      *
-     * @param response the response
+     * @param relayed the response
      * @return the HTTP response
      */
-    private static HttpResponse render(CallerResponse response) {
+    private static HttpResponse render(RelayedResponse relayed) {
         JsonNode body;
         try {
-            body = JsonBodies.read(response.body());
+            body = JsonBodies.read(relayed.response().body());
         } catch (IOException exception) {
             throw new IllegalStateException("a response has no JSON body", exception);
         }
         return HttpResponse.ofCode(OK)
                 .withHeader(HttpHeaders.CONTENT_TYPE, "application/json")
-                .withBody(JsonBodies.write(HttpRelayTransport.encode(response, body)))
+                .withBody(JsonBodies.write(HttpRelayTransport.encode(relayed, body)))
                 .build();
     }
 }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/RelayedRequest.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/RelayedRequest.java
@@ -11,9 +11,17 @@
  * @param host the host that the caller named, without a port
  * @param path the path
  * @param timeoutMillis how long the caller still waits for the response, in milliseconds
+ * @param manifestRevision the store's revision of the oldest manifest by which the peer may handle
+ *     the request, 0 if any will do
  * @param body the JSON body of the request; a missing node if it has none
  */
-record RelayedRequest(String method, String host, String path, long timeoutMillis, JsonNode body) {
+record RelayedRequest(
+        String method,
+        String host,
+        String path,
+        long timeoutMillis,
+        long manifestRevision,
+        JsonNode body) {
 
     /**
      * Encodes the request.
@@ -26,6 +34,7 @@
         node.put("host", host);
         node.put("path", path);
         node.put("timeoutMillis", timeoutMillis);
+        node.put("manifestRevision", manifestRevision);
         if (!body.isMissingNode()) {
             node.set("body", body);
         }
@@ -44,6 +53,7 @@
                 node.path("host").asText(),
                 node.path("path").asText(),
                 node.path("timeoutMillis").asLong(),
+                node.path("manifestRevision").asLong(),
                 node.path("body"));
     }
 }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestWatcher.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestWatcher.java
@@ -12,6 +12,9 @@
 import org.damasktiller.scheduler.port.ProcessRuntime;
 import org.damasktiller.scheduler.port.StoreEvent;
 import org.damasktiller.scheduler.port.StoreItem;
+import org.damasktiller.scheduler.port.StoreReading;
+import org.damasktiller.scheduler.port.StoreResult;
+import org.damasktiller.scheduler.port.StoreStatus;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -35,6 +38,9 @@
     /** How many published changes are kept until the version before them is known. */
     private static final int MAX_PENDING_CHANGES = 32;
 
+    /** The store. */
+    private final MetadataStore store;
+
     /** Decodes the manifest and knows its key. */
     private final PlatformRecordDecoder formats;
 
@@ -56,6 +62,9 @@
     /** The store's revision of the current manifest. */
     private long revision;
 
+    /** Whether a read outside the watch has no result yet. */
+    private boolean readPending;
+
     /**
      * Creates a watcher that is not started yet.
      *
@@ -73,6 +82,7 @@
             DecisionLog log,
             BooleanSupplier storeIsFar,
             ManifestListener listener) {
+        this.store = store;
         this.formats = formats;
         this.log = log;
         this.listener = listener;
@@ -96,6 +106,50 @@
         return manifest;
     }
 
+    /**
+     * Returns the store's revision of the current manifest.
+     *
+     * @return the revision, or 0 before the first manifest has been read
+     */
+    long revision() {
+        return revision;
+    }
+
+    /**
+     * Reads the manifest at once, beside the watch, whose call may be waiting for an answer that
+     * does not come. Does nothing while such a read is under way.
+     */
+    void readNow() {
+        if (!readPending) {
+            readPending = true;
+            store.read(formats.manifestKey(), this::onRead);
+        }
+    }
+
+    /**
+     * Handles the result of a read outside the watch.
+     *
+     * @param result the stored manifest, or the failure
+     */
+    private void onRead(StoreResult<StoreReading> result) {
+        readPending = false;
+        if (result.status() != StoreStatus.OK) {
+            log.log(
+                    "manifest.not-read",
+                    "status",
+                    result.status(),
+                    "reason",
+                    result.reason(),
+                    "revision",
+                    revision);
+            return;
+        }
+        StoreItem item = result.require().item();
+        if (item != null) {
+            applyIfNewer(item);
+        }
+    }
+
     /**
      * Handles a change that another process has published. It takes effect once the version before
      * it is in force.
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -23,6 +23,7 @@
 import org.damasktiller.node.caller.SubmissionStateHandler;
 import org.damasktiller.node.cluster.ClusterMember;
 import org.damasktiller.node.cluster.LayoutSettings;
+import org.damasktiller.node.cluster.ManifestFloor;
 import org.damasktiller.node.cluster.ManifestWatcher;
 import org.damasktiller.node.cluster.NodeIdentity;
 import org.damasktiller.node.log.JsonLineLog;
@@ -118,6 +119,9 @@
     /** Watches the operator's manifest. */
     private final ManifestWatcher manifestWatcher;
 
+    /** Knows the oldest version of the manifest by which callers may be answered. */
+    private final ManifestFloor manifestFloor;
+
     /** Serves the requests of callers. */
     private final CallerServlet callerServlet;
 
@@ -176,6 +180,8 @@
                         clusterMember::isStoreFar,
                         clusterMember);
         clusterMember.setManifestChangeListener(manifestWatcher::onPublished);
+        manifestFloor =
+                new ManifestFloor(manifestWatcher, clusterMember::isStoreFailing, runtime, log);
         callerServlet = createCallerServlet(store);
         InetSocketAddress peerAddress = settings.peerAddress();
         peerServer =
@@ -256,8 +262,10 @@
                         settings.zone(),
                         settings.regionByZone(),
                         new JsonHttpClient(eventloop, RELAY_TIMEOUT_MILLIS),
+                        manifestFloor,
                         runtime,
                         log),
+                manifestFloor,
                 runtime,
                 log);
     }
@@ -359,14 +367,15 @@
     }
 
     /**
-     * Tells whether the process can accept submissions: it is not shutting down, knows the manifest
-     * and the cells, and the store is reachable.
+     * Tells whether the process can accept submissions: it is not shutting down, knows a manifest
+     * that it may answer by and the cells, and the store is reachable.
      *
      * @return whether the process is ready for callers
      */
     private boolean isReady() {
         return !stopping
                 && manifestWatcher.current() != null
+                && !manifestFloor.isOverdue()
                 && clusterMember.layout() != null
                 && clusterMember.isStoreReachable();
     }
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/CallerRelayTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/CallerRelayTest.java
@@ -34,11 +34,11 @@
 
     /** A response that says that the request had no effect. */
     private static final RelayResult REJECTED =
-            new RelayResult(CallerResponse.notExecuted("the store refused"), true, "");
+            new RelayResult(CallerResponse.notExecuted("the store refused"), 0, true, "");
 
     /** A response to a submission that was stored. */
     private static final RelayResult ACCEPTED =
-            new RelayResult(CallerResponse.accepted(), true, "");
+            new RelayResult(CallerResponse.accepted(), 0, true, "");
 
     /** The clock, which the tests advance. */
     private final VirtualTimeRuntime runtime = new VirtualTimeRuntime();
@@ -64,6 +64,7 @@
                     () -> PEERS,
                     new RelayPeerSelector("a", REGIONS),
                     this::send,
+                    TestVm.floorWithoutManifest(runtime),
                     runtime,
                     (event, fields) -> {});
 
@@ -95,7 +96,7 @@
     /** A peer that does not respond may have stored the submission; no other one is asked. */
     @Test
     void outcomeIsUnknownWithoutResponse() {
-        results.put("a-2", new RelayResult(null, true, "timeout"));
+        results.put("a-2", new RelayResult(null, 0, true, "timeout"));
         results.put("b-1", ACCEPTED);
         submit();
         assertThat(sentTo, contains("a-2"));
@@ -104,7 +105,7 @@
 
     @Test
     void peerThatWasNotReachedIsFollowedByTheNext() {
-        results.put("a-2", new RelayResult(null, false, "connection refused"));
+        results.put("a-2", new RelayResult(null, 0, false, "connection refused"));
         results.put("b-1", ACCEPTED);
         submit();
         assertThat(status(), equalTo(200));
@@ -123,7 +124,8 @@
     @Test
     void submissionThatNoWorkerCanHoldIsRejectedByTheFirstPeer() {
         results.put(
-                "a-2", new RelayResult(CallerResponse.unservable("no worker holds it"), true, ""));
+                "a-2",
+                new RelayResult(CallerResponse.unservable("no worker holds it"), 0, true, ""));
         results.put("b-1", ACCEPTED);
         submit();
         submit();
@@ -157,7 +159,7 @@
     private void submit() {
         relay.relay(
                 new RelayedRequest(
-                        "POST", "host", "/00000000000000a1", 3_000, MissingNode.getInstance()),
+                        "POST", "host", "/00000000000000a1", 3_000, 0, MissingNode.getInstance()),
                 responses::add,
                 () -> fallbacks++);
     }
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/RelayedRequestTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/RelayedRequestTest.java
@@ -17,14 +17,14 @@
     @Test
     void requestIsDecodedAsItWasEncoded() throws IOException {
         JsonNode body = JsonBodies.read("{\"spec\":\"x\"}".getBytes(StandardCharsets.UTF_8));
-        RelayedRequest request = new RelayedRequest("POST", "host", "/q/id", 1_200, body);
+        RelayedRequest request = new RelayedRequest("POST", "host", "/q/id", 1_200, 7, body);
         assertThat(decode(request), equalTo(request));
     }
 
     @Test
     void requestWithoutBodyStaysWithoutBody() throws IOException {
         RelayedRequest request =
-                new RelayedRequest("GET", "host", "/q/id", 1_200, MissingNode.getInstance());
+                new RelayedRequest("GET", "host", "/q/id", 1_200, 7, MissingNode.getInstance());
         assertThat(decode(request).body().isMissingNode(), is(true));
     }
 
@@ -34,6 +34,7 @@
         RelayedRequest request = RelayedRequest.decode(JsonBodies.read(new byte[] {'{', '}'}));
         assertThat(request.method(), equalTo(""));
         assertThat(request.timeoutMillis(), equalTo(0L));
+        assertThat(request.manifestRevision(), equalTo(0L));
     }
 
     /**
--- /dev/null
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/TestVm.java
@@ -0,0 +1,195 @@
+package org.damasktiller.node.caller;
+
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.damasktiller.node.cluster.ClusterMember;
+import org.damasktiller.node.cluster.LayoutSettings;
+import org.damasktiller.node.cluster.ManifestFloor;
+import org.damasktiller.node.cluster.ManifestWatcher;
+import org.damasktiller.node.cluster.NodeIdentity;
+import org.damasktiller.node.cluster.TestManifests;
+import org.damasktiller.platform.call.JsonBodies;
+import org.damasktiller.scheduler.cell.CellSettings;
+import org.damasktiller.scheduler.port.AdviceClient;
+import org.damasktiller.scheduler.port.MetadataStore;
+import org.damasktiller.scheduler.port.ProcessRuntime;
+import org.damasktiller.scheduler.port.WorkerClient;
+import org.damasktiller.standin.metadata.CallFault;
+import org.damasktiller.standin.metadata.FaultInjectingStoreClient;
+import org.damasktiller.standin.metadata.InMemoryStore;
+
+/** The parts of an entry VM that answer callers, with the store and the peers of a test. */
+final class TestVm {
+
+    /** The only zone. */
+    private static final String ZONE = "a";
+
+    /** Whether the store does not answer the VM. */
+    boolean storeSilent;
+
+    /** Whether the store does not answer the watches of the VM. */
+    boolean watchesSilent;
+
+    /** Whether the store does not answer single reads of the VM. */
+    boolean readsSilent;
+
+    /** Whether the VM's answers to its peers name no version, as those of an earlier release. */
+    boolean earlierRelease;
+
+    /** The peers to which the VM passes requests on. */
+    final List<TestVm> peers = new ArrayList<>();
+
+    /** The number of requests that were passed on to the VM. */
+    int relayedCount;
+
+    private final String name;
+
+    private final ClusterMember member;
+
+    private final ManifestWatcher watcher;
+
+    private final CallerServlet servlet;
+
+    /** Creates and starts a VM. */
+    TestVm(String name, InMemoryStore store, ProcessRuntime runtime) {
+        this.name = name;
+        MetadataStore client = new FaultInjectingStoreClient(store, runtime, this::faultFor);
+        member =
+                new ClusterMember(
+                        new NodeIdentity(name, name, ZONE, 1_000, runtime.unixMillis(), ""),
+                        new LayoutSettings(Map.of(ZONE, "north"), 1),
+                        CellSettings.builder().build(),
+                        client,
+                        unusedWorkerClient(),
+                        AdviceClient.NONE,
+                        TestManifests.DECODER,
+                        runtime,
+                        (event, fields) -> {});
+        watcher =
+                new ManifestWatcher(
+                        client,
+                        TestManifests.DECODER,
+                        runtime,
+                        (event, fields) -> {},
+                        () -> false,
+                        member);
+        member.setManifestChangeListener(watcher::onPublished);
+        ManifestFloor floor =
+                new ManifestFloor(watcher, member::isStoreFailing, runtime, (event, fields) -> {});
+        CallerRelay relay =
+                new CallerRelay(
+                        () ->
+                                peers.stream()
+                                        .map(peer -> new RelayPeer(peer.name, ZONE, ""))
+                                        .toList(),
+                        new RelayPeerSelector(ZONE, Map.of(ZONE, "north")),
+                        this::send,
+                        floor,
+                        runtime,
+                        (event, fields) -> {});
+        servlet =
+                new CallerServlet(
+                        watcher::current,
+                        new SubmissionAcceptor(
+                                client,
+                                member::layout,
+                                ZONE,
+                                member::largestWorkers,
+                                runtime,
+                                (event, fields) -> {}),
+                        new SubmissionStateHandler(
+                                client, member::submissionState, runtime, (event, fields) -> {}),
+                        member,
+                        relay,
+                        floor,
+                        runtime,
+                        (event, fields) -> {});
+        watcher.start();
+        member.start();
+    }
+
+    /** Creates a floor of a process that has no manifest and whose store answers. */
+    static ManifestFloor floorWithoutManifest(ProcessRuntime runtime) {
+        return new ManifestFloor(
+                new ManifestWatcher(
+                        new FaultInjectingStoreClient(
+                                new InMemoryStore(runtime), runtime, call -> CallFault.ANSWERED),
+                        TestManifests.DECODER,
+                        runtime,
+                        (event, fields) -> {},
+                        () -> false,
+                        (manifest, revision, published) -> {}),
+                () -> false,
+                runtime,
+                (event, fields) -> {});
+    }
+
+    /** Returns the answer to a request for the count of a queue. */
+    HttpResponse count(String queue) {
+        return get("/" + queue + "/");
+    }
+
+    /** Returns the version that is in force here, 0 if there is none. */
+    long version() {
+        return watcher.current() == null ? 0 : watcher.current().version();
+    }
+
+    private HttpResponse get(String path) {
+        Promise<HttpResponse> promise;
+        try {
+            promise =
+                    servlet.serve(
+                            HttpRequest.get("http://host" + path)
+                                    .withHeader(HttpHeaders.HOST, "host")
+                                    .build());
+        } catch (Exception exception) {
+            throw new IllegalStateException(exception);
+        }
+        return promise.getResult();
+    }
+
+    /** Passes a request on, in the form in which it is sent. */
+    private void send(RelayPeer peer, RelayedRequest request, Consumer<RelayResult> callback) {
+        TestVm vm = peers.stream().filter(one -> one.name.equals(peer.node())).findFirst().get();
+        vm.relayedCount++;
+        try {
+            RelayedRequest received =
+                    RelayedRequest.decode(JsonBodies.read(JsonBodies.write(request.encode())));
+            vm.servlet
+                    .serveRelayed(received)
+                    .whenResult(response -> callback.accept(vm.toResult(response)));
+        } catch (IOException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    /** Returns how the VM's answer to a peer arrives there. */
+    private RelayResult toResult(RelayedResponse relayed) {
+        return new RelayResult(
+                relayed.response(), earlierRelease ? 0 : relayed.manifestRevision(), true, "");
+    }
+
+    private CallFault faultFor(String call) {
+        boolean silent =
+                storeSilent
+                        || (watchesSilent && call.startsWith("watch"))
+                        || (readsSilent && call.equals("read"));
+        return silent ? CallFault.LOST : CallFault.ANSWERED;
+    }
+
+    private static WorkerClient unusedWorkerClient() {
+        return (WorkerClient)
+                Proxy.newProxyInstance(
+                        WorkerClient.class.getClassLoader(),
+                        new Class<?>[] {WorkerClient.class},
+                        (proxy, method, arguments) -> null);
+    }
+}
--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/TestManifests.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/TestManifests.java
@@ -14,13 +14,13 @@
 import org.jspecify.annotations.Nullable;
 
 /** Creates manifests, and encodes and decodes them in a form of their own. */
-final class TestManifests {
+public final class TestManifests {
 
     /** The key of the manifest. */
-    static final String KEY = "operator/manifest";
+    public static final String KEY = "operator/manifest";
 
     /** Decodes what {@link #encode} has written. */
-    static final PlatformRecordDecoder DECODER =
+    public static final PlatformRecordDecoder DECODER =
             new PlatformRecordDecoder() {
                 @Override
                 public String workerKeyPrefix() {
@@ -52,12 +52,12 @@
     private TestManifests() {}
 
     /** Encodes a version as the operator writes it. */
-    static byte[] encode(Manifest manifest) {
+    public static byte[] encode(Manifest manifest) {
         return StoredValueCodec.encode(manifest);
     }
 
     /** Creates a version whose routes have some names. */
-    static Manifest of(long version, List<String> routeNames) {
+    public static Manifest of(long version, List<String> routeNames) {
         List<Route> routes = routeNames.stream().map(name -> route(name, 1)).toList();
         return new Manifest(version, routes, Set.of("service"), new IngressLimits(1_000, 2_000));
     }
