A record that the store rejects does not stop its cell

Cause: HttpMetadataStore took 400 for REFUSED ("try again later"), and CommitQueue, which has one batch at a time, sent the same batch again every 60 ms for ever.

Why the fix works: 400 is a status of its own (INVALID: not done, and never will be). A batch that is rejected so is sent again in halves until one item is alone; that one is set aside (commit.set-aside names its key; the metric of that name counts it), and the rest goes on. The tasks of its submission are held back, its ends are not acknowledged, and it is sent again alone every 10 s, or with its final state. A batch that was rejected is never counted as stored; should an earlier copy of it be stored after all, the next batch conflicts on the head.

--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/table/MetadataKeyValueStore.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/table/MetadataKeyValueStore.java
@@ -131,7 +131,7 @@
                 StoreItem item = current.isEmpty() ? null : current.get(0);
                 promise.set(new SwapResult(false, 0, toStoredValue(item)));
             }
-            case REFUSED ->
+            case REFUSED, INVALID ->
                     promise.setException(
                             storeUnavailable(Operation.COMMIT, result, Outcome.NOT_RUN));
             default ->
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -123,7 +123,7 @@
         ownership = new OwnershipVerifier(context, this::schedulePass);
         RunRequestSender requestSender =
                 new RunRequestSender(context, this::schedulePass, this::onFenced);
-        commits = new CommitQueue(context, new CommitListener());
+        commits = new CommitQueue(context, new CommitEffects());
         jobTracker = new JobTracker(context, commits, requestSender, runTimes);
         poller = new WorkerPoller(context, jobTracker, requestSender, new PollListener());
         InterferenceModel interference = new InterferenceModel();
@@ -370,7 +370,7 @@
     }
 
     /** Applies the effects of commits. */
-    private final class CommitListener implements CommitQueue.Listener {
+    private final class CommitEffects implements CommitListener {
 
         @Override
         public void onCancelled(Job job) {
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitBatch.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitBatch.java
@@ -51,4 +51,13 @@
     void add(Job job) {
         jobVersions.put(job, job.version);
     }
+
+    /**
+     * Counts what the store may reject by itself.
+     *
+     * @return the number of jobs, and one more if the batch stores the roster
+     */
+    int countItems() {
+        return jobVersions.size() + (hasRoster ? 1 : 0);
+    }
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitQueue.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitQueue.java
@@ -1,14 +1,8 @@
 package org.damasktiller.scheduler.cell;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.LinkedHashSet;
-import java.util.Set;
 import org.damasktiller.scheduler.port.CommitReply;
-import org.damasktiller.scheduler.port.StoreItem;
-import org.damasktiller.scheduler.port.StoreReading;
 import org.damasktiller.scheduler.port.StoreResult;
-import org.damasktiller.scheduler.port.StoreStatus;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -25,16 +19,19 @@
     private final CellContext context;
 
     /** Called when a change is stored or a job turns out to be cancelled. */
-    private final Listener listener;
+    private final CommitListener listener;
 
-    /** Adds jobs to transactions. */
-    private final JobRows jobRows;
+    /** Reads the records of finished jobs after conflicts. */
+    private final FinishedRecordCheck recordCheck;
 
-    /** Reads which cells have parts of finished jobs. */
-    private final PartsReader partsReader;
+    /** Reads the head after batches whose outcome is unknown. */
+    private final HeadCheck headCheck;
 
-    /** The jobs whose changes are not in a batch yet, in the order of their first change. */
-    private final Set<Job> queuedJobs = new LinkedHashSet<>();
+    /** Finds what the store rejects as invalid. */
+    private final RejectedItems rejectedItems;
+
+    /** The jobs whose changes are not in a batch yet. */
+    private final QueuedJobs queuedJobs;
 
     /** The move that is not in a batch yet, or null. */
     private @Nullable PendingMove queuedMove;
@@ -66,21 +63,27 @@
      * @param context the shared state of the cell's owner
      * @param listener called when a change is stored or a job turns out to be cancelled
      */
-    CommitQueue(CellContext context, Listener listener) {
+    CommitQueue(CellContext context, CommitListener listener) {
         this.context = context;
         this.listener = listener;
-        this.jobRows = new JobRows(context);
-        this.partsReader = new PartsReader(context);
+        this.recordCheck = new FinishedRecordCheck(context, this::onRecordChecked);
+        this.headCheck = new HeadCheck(context);
+        this.rejectedItems = new RejectedItems(context);
+        this.queuedJobs = new QueuedJobs(context, rejectedItems, this::onPartsRead);
         this.headRevision = context.term.headRevision();
     }
 
     /**
-     * Queues a job for the next batch after a change of its progress or state.
+     * Queues a job for the next batch after a change of its progress or state. Progress that was
+     * set aside is not stored until the store takes it, but the final state of the job is.
      *
      * @param job the job that has changed
      */
     void enqueue(Job job) {
         job.version++;
+        if (job.setAside && !job.state.isFinal()) {
+            return;
+        }
         queuedJobs.add(job);
         scheduleSend();
     }
@@ -186,22 +189,7 @@
             rosterQueued = false;
             addRoster(batch);
         }
-        int rows = JobRows.RESERVED_ROWS;
-        for (Job job : new ArrayList<>(queuedJobs)) {
-            if (job.state.isFinal() && job.part != null && job.parts == null) {
-                queuedJobs.remove(job);
-                partsReader.read(job, known -> onPartsRead(job, known));
-                continue;
-            }
-            int needed = JobRows.countRows(job);
-            if (rows + needed > JobRows.MAX_TRANSACTION_ROWS) {
-                break;
-            }
-            rows += needed;
-            queuedJobs.remove(job);
-            batch.add(job);
-            jobRows.add(batch.commit, job);
-        }
+        queuedJobs.addTo(batch);
     }
 
     /**
@@ -228,7 +216,7 @@
             queuedJobs.add(job);
             scheduleSend();
         } else {
-            checkRecord(job);
+            recordCheck.check(job);
         }
     }
 
@@ -255,6 +243,7 @@
         switch (result.status()) {
             case OK -> completeBatch(batch, result.require().revision());
             case CONFLICT -> handleConflict(batch, result.value());
+            case INVALID -> handleInvalid(batch, result.reason());
             case UNKNOWN -> {
                 batch.mayBeStored = true;
                 context.schedule(RETRY_MILLIS, () -> readHead(batch));
@@ -278,7 +267,7 @@
      */
     private void discardBatch(CommitBatch batch) {
         batchInFlight = null;
-        queuedJobs.addAll(batch.jobVersions.keySet());
+        queuedJobs.addFirst(batch.jobVersions.keySet());
         if (batch.hasRoster) {
             rosterQueued = true;
             context.roster.onDiscarded();
@@ -290,6 +279,40 @@
         context.schedule(RETRY_MILLIS, this::sendNext);
     }
 
+    /**
+     * Sends the changes of a batch that the store has rejected as invalid in smaller batches. What
+     * is rejected alone is set aside, and the rest goes on. If an earlier copy of the batch is
+     * stored after all, the next batch conflicts.
+     *
+     * @param batch the batch
+     * @param reason the answer of the store, for the log
+     */
+    private void handleInvalid(CommitBatch batch, String reason) {
+        if (rejectedItems.onRejected(batch, reason)) {
+            batchInFlight = null;
+            batch.jobVersions
+                    .keySet()
+                    .forEach(job -> rejectedItems.scheduleRetry(job, () -> enqueueAgain(job)));
+            if (batch.hasRoster) {
+                context.roster.onDiscarded();
+            }
+            sendScheduled = true;
+            context.schedule(RETRY_MILLIS, this::sendNext);
+        } else {
+            discardBatch(batch);
+        }
+    }
+
+    /**
+     * Queues a job that was set aside again, with its present progress or state.
+     *
+     * @param job the job
+     */
+    private void enqueueAgain(Job job) {
+        queuedJobs.add(job);
+        scheduleSend();
+    }
+
     /**
      * Handles a conflict. If the head key is unchanged, the record of a finished job has changed.
      * The jobs of the batch are then queued again, a finished job only if its own record is
@@ -321,7 +344,7 @@
         batchInFlight = null;
         for (Job job : batch.jobVersions.keySet()) {
             if (job.state.isFinal()) {
-                checkRecord(job);
+                recordCheck.check(job);
             } else {
                 queuedJobs.add(job);
             }
@@ -334,34 +357,15 @@
         scheduleSend();
     }
 
-    /**
-     * Reads the record of a finished job after a conflict, since its caller may have cancelled it.
-     * The items in the conflict reply can't show this, because they may be incomplete.
-     *
-     * @param job the finished job
-     */
-    private void checkRecord(Job job) {
-        context.store.read(CellKeys.submission(job.id()), result -> onRecord(job, result));
-    }
-
     /**
      * Queues a finished job again if its record is unchanged; otherwise its caller has cancelled
      * it.
      *
      * @param job the finished job
-     * @param result the reading of its record
+     * @param unchanged whether its record is unchanged
      */
-    private void onRecord(Job job, StoreResult<StoreReading> result) {
-        if (context.ended) {
-            return;
-        }
-        boolean absent = result.status() == StoreStatus.ABSENT;
-        if (result.status() != StoreStatus.OK && !absent) {
-            context.schedule(RETRY_MILLIS, () -> checkRecord(job));
-            return;
-        }
-        StoreItem item = absent ? null : result.require().item();
-        if (item != null && item.revision() == job.recordRevision) {
+    private void onRecordChecked(Job job, boolean unchanged) {
+        if (unchanged) {
             job.parts = null;
             queuedJobs.add(job);
         } else {
@@ -379,35 +383,38 @@
      */
     private void readHead(CommitBatch batch) {
         if (!context.ended && batchInFlight == batch) {
-            context.store.read(CellKeys.head(context.cell), result -> onHead(batch, result));
+            headCheck.check(batch.sequence, headRevision, head -> onHead(batch, head));
         }
     }
 
     /**
-     * Determines from the head whether a batch was stored. Sends the batch again if it was not, and
-     * ends the term if another process has changed the head.
+     * Completes a batch that was stored. Sends it again if it was not, and ends the term if another
+     * process has changed the head.
      *
-     * @param batch the batch whose outcome is unknown
-     * @param result the reading of the head
+     * @param batch the batch whose outcome was unknown
+     * @param head what the head shows
      */
-    private void onHead(CommitBatch batch, StoreResult<StoreReading> result) {
+    private void onHead(CommitBatch batch, HeadCheck.Head head) {
         if (context.ended || batchInFlight != batch) {
             return;
         }
-        if (result.status() != StoreStatus.OK) {
-            context.schedule(RETRY_MILLIS, () -> readHead(batch));
-            return;
+        switch (head.outcome()) {
+            case NOT_KNOWN -> context.schedule(RETRY_MILLIS, () -> readHead(batch));
+            case OTHER_GENERATION -> context.endTerm("the head belongs to another generation");
+            case STORED -> completeBatch(batch, head.revision());
+            case OTHER_PROCESS ->
+                    context.endTerm("the head was changed by another process of this generation");
+            default -> onNotStored(batch);
         }
-        StoreItem item = result.require().item();
-        HeadRecord head =
-                item == null ? null : StoredValueCodec.decode(item.value(), HeadRecord.class);
-        if (item == null || head == null || head.generation() != context.term.generation()) {
-            context.endTerm("the head belongs to another generation");
-        } else if (head.sequence() == batch.sequence) {
-            completeBatch(batch, item.revision());
-        } else if (item.revision() != headRevision) {
-            context.endTerm("the head was changed by another process of this generation");
-        } else if (batch.move != null && batch.conflicted) {
+    }
+
+    /**
+     * Sends a batch again that is not stored, or gives up a move that has conflicted.
+     *
+     * @param batch the batch
+     */
+    private void onNotStored(CommitBatch batch) {
+        if (batch.move != null && batch.conflicted) {
             batchInFlight = null;
             batch.move.onRefused("its submission has changed");
             scheduleSend();
@@ -425,6 +432,7 @@
      */
     private void completeBatch(CommitBatch batch, long revision) {
         batchInFlight = null;
+        rejectedItems.onStored(batch);
         headRevision = revision;
         batch.jobVersions.forEach(
                 (job, version) -> {
@@ -462,31 +470,4 @@
             }
         }
     }
-
-    /** Called with the effects of batches. */
-    interface Listener {
-
-        /**
-         * Called when the record of a finished job was changed by another process, which means that
-         * the caller has cancelled the job.
-         *
-         * @param job the job
-         */
-        void onCancelled(Job job);
-
-        /**
-         * Called when the final state of a job is stored.
-         *
-         * @param job the finished job
-         */
-        void onStored(Job job);
-
-        /**
-         * Called when the effects of all run ends that a worker has reported are stored, so that
-         * the worker can be told to discard them.
-         *
-         * @param worker the worker
-         */
-        void onEndsStored(WorkerRecord worker);
-    }
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
@@ -64,6 +64,9 @@
      */
     boolean progressUnreadable;
 
+    /** Whether the store has rejected the last record of the job, which is not stored since. */
+    boolean setAside;
+
     /** When the submission was accepted, in milliseconds on the owner's clock. */
     final long acceptedAtMillis;
 
@@ -137,6 +140,16 @@
         return present != null && !present.first();
     }
 
+    /**
+     * Returns whether no task of the job may start or move, since it is not known which are done or
+     * their ends can't be stored.
+     *
+     * @return whether the stored progress can't be read, or the present one was set aside
+     */
+    boolean isHeldBack() {
+        return progressUnreadable || setAside;
+    }
+
     /**
      * Returns the identifier of the submission.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskMover.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskMover.java
@@ -121,12 +121,10 @@
      * Returns whether waiting tasks of a job may move.
      *
      * @param job the job
-     * @return whether it is open, its progress is known, and it has no occurrences
+     * @return whether it is open, not held back, and it has no occurrences
      */
     private boolean mayMove(Job job) {
-        return !job.state.isFinal()
-                && !job.progressUnreadable
-                && !job.accepted.submission().scheduled();
+        return !job.state.isFinal() && !job.isHeldBack() && !job.accepted.submission().scheduled();
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WaitingCause.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WaitingCause.java
@@ -5,6 +5,9 @@
     /** The stored progress of the submission can't be read, so that the task may be done. */
     PROGRESS_UNREADABLE,
 
+    /** The store rejects the progress of the submission, so that no end can be stored. */
+    PROGRESS_SET_ASIDE,
+
     /** No check of ownership covers the submission yet, so that a successor may have it. */
     OWNERSHIP_NOT_VERIFIED,
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WaitingReporter.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WaitingReporter.java
@@ -213,6 +213,9 @@
         if (job.progressUnreadable) {
             return WaitingCause.PROGRESS_UNREADABLE;
         }
+        if (job.setAside) {
+            return WaitingCause.PROGRESS_SET_ASIDE;
+        }
         if (!ownership.covers(job.openRevision)) {
             return WaitingCause.OWNERSHIP_NOT_VERIFIED;
         }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/port/StoreStatus.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/port/StoreStatus.java
@@ -12,6 +12,11 @@
     COMPACTED,
     /** The store refused the call or could not be reached; the call was not executed. */
     REFUSED,
+    /**
+     * The store found the call malformed or larger than it allows; the call was not executed, and
+     * neither will the same one be.
+     */
+    INVALID,
     /** No answer arrived; the call may have been executed or may still be executed later. */
     UNKNOWN
 }
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/metadata/InMemoryStore.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/metadata/InMemoryStore.java
@@ -27,6 +27,12 @@
     /** The maximum number of items on a page of a listing. */
     private static final int MAX_PAGE_ITEM_COUNT = 500;
 
+    /** The maximum number of conditions, writes and removals of a transaction together. */
+    private static final int MAX_TRANSACTION_ENTRIES = 32;
+
+    /** The maximum length of a value of the platform's store, in bytes. */
+    private static final int DEFAULT_VALUE_BYTES = 1_048_576;
+
     /** The clock and timers by which leases expire. */
     private final ProcessRuntime runtime;
 
@@ -54,6 +60,12 @@
     /** The identifier of the lease that was created last. */
     private long lastLeaseId;
 
+    /** The maximum length of a value, in bytes. */
+    private int valueBytes = DEFAULT_VALUE_BYTES;
+
+    /** The sum of the lengths of the values that were written under each key, in bytes. */
+    private final Map<String, Long> writtenBytes = new HashMap<>();
+
     /**
      * Creates an empty store.
      *
@@ -72,6 +84,28 @@
         listeners.add(listener);
     }
 
+    /**
+     * Changes how long a value may be.
+     *
+     * @param bytes the maximum length of a value that is written from now on, in bytes
+     */
+    public void limitValues(int bytes) {
+        valueBytes = bytes;
+    }
+
+    /**
+     * Adds up what was written under the keys with a prefix.
+     *
+     * @param prefix the prefix of the keys
+     * @return the sum of the lengths of all values that were ever written there, in bytes
+     */
+    public long countWrittenBytes(String prefix) {
+        return writtenBytes.entrySet().stream()
+                .filter(entry -> entry.getKey().startsWith(prefix))
+                .mapToLong(Map.Entry::getValue)
+                .sum();
+    }
+
     /** Discards the history of changes, so that watches from earlier revisions fail. */
     public void compact() {
         history.clear();
@@ -140,11 +174,14 @@
      * Executes a transaction.
      *
      * @param transaction the transaction
-     * @return the new revision, CONFLICT with the current items if a condition does not hold, or
-     *     ABSENT if a lease does not exist
+     * @return the new revision, INVALID if the transaction is larger than the limits, CONFLICT with
+     *     the current items if a condition does not hold, or ABSENT if a lease does not exist
      */
     public StoreResult<CommitReply> commit(StoreTransaction transaction) {
         revokeExpiredLeases();
+        if (exceedsLimits(transaction)) {
+            return StoreResult.failed(StoreStatus.INVALID, "the transaction exceeds a limit");
+        }
         List<StoreItem> current = new ArrayList<>();
         boolean conditionsHold = true;
         for (Map.Entry<String, Long> condition : transaction.expectedRevisions().entrySet()) {
@@ -171,6 +208,22 @@
         return StoreResult.ok(new CommitReply(revision, List.of()));
     }
 
+    /**
+     * Returns whether a transaction is larger than the store allows.
+     *
+     * @param transaction the transaction
+     * @return whether it has too many entries or too long a value
+     */
+    private boolean exceedsLimits(StoreTransaction transaction) {
+        int entries =
+                transaction.expectedRevisions().size()
+                        + transaction.writes().size()
+                        + transaction.removals().size();
+        return entries > MAX_TRANSACTION_ENTRIES
+                || transaction.writes().values().stream()
+                        .anyMatch(write -> write.value().length > valueBytes);
+    }
+
     /**
      * Creates a lease.
      *
@@ -246,6 +299,7 @@
      * @param write the value and the lease
      */
     private void put(String key, StoreTransaction.Write write) {
+        writtenBytes.merge(key, (long) write.value().length, Long::sum);
         StoreItem before = items.get(key);
         long created = before == null ? revision : before.createdRevision();
         StoreItem item = new StoreItem(key, write.value(), revision, created);
