Store a tombstone for a cancel of a submission that is not known

Cause: the cancel was acknowledged from an absence and wrote nothing. The condition of the unanswered write of the submission, that there is no record, went on to hold, and the store carries such a write out up to 6 s later.

Why it works: before a cancel is answered 410, a record that is cancelled and of no cell is stored under the submission's key, on condition that there is none. The late write conflicts with it. If the tombstone conflicts, the submission is there and is cancelled as usual; without an answer the record is read again, and nothing is acknowledged that is not stored. A repeated cancel replaces the tombstone on condition of its revision, since the first may end before a write that was sent in between.

A later submission under the identifier is answered 503 with the new code CANCELLED_BEFORE, or 504 after an unanswered write of its own.

--- a/damasktiller-library/src/main/java/org/damasktiller/error/ErrorCode.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/error/ErrorCode.java
@@ -18,6 +18,8 @@
     UNKNOWN_KIND,
     /** No job with the given identifier is known. */
     UNKNOWN_JOB,
+    /** The submission was cancelled before it was stored. */
+    CANCELLED_BEFORE,
     /** No worker is large enough for a task of the submission. */
     UNSERVABLE,
     /** The key-value service did not answer. */
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerResponse.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerResponse.java
@@ -153,6 +153,20 @@
                 UNSERVABLE_RETRY_AFTER_SECONDS);
     }
 
+    /**
+     * Creates the response to a submission that was cancelled before it was stored. It never runs.
+     *
+     * @return status 503 with the error code CANCELLED_BEFORE and no Retry-After header
+     */
+    static CallerResponse cancelledBefore() {
+        return new CallerResponse(
+                SERVICE_UNAVAILABLE,
+                CallerCodec.encodeError(
+                        ErrorCode.CANCELLED_BEFORE,
+                        "the submission was cancelled before it was stored"),
+                0);
+    }
+
     /**
      * Creates the response to a request that may or may not have taken effect.
      *
@@ -168,7 +182,7 @@
 
     /**
      * Returns whether another VM may be able to carry out the request. A submission that no worker
-     * can hold is rejected everywhere, which its longer Retry-After shows.
+     * can hold, or that was cancelled, is rejected everywhere, which another Retry-After shows.
      *
      * @return whether the request certainly had no effect, and a retry is of use soon
      */
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
@@ -7,6 +7,7 @@
 import org.damasktiller.scheduler.cell.CellKeys;
 import org.damasktiller.scheduler.cell.CellLayout;
 import org.damasktiller.scheduler.cell.StoredValueCodec;
+import org.damasktiller.scheduler.cell.SubmissionTombstone;
 import org.damasktiller.scheduler.model.AcceptedSubmission;
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.Submission;
@@ -18,6 +19,7 @@
 import org.damasktiller.scheduler.port.MetadataStore;
 import org.damasktiller.scheduler.port.ProcessRuntime;
 import org.damasktiller.scheduler.port.StoreItem;
+import org.damasktiller.scheduler.port.StoreReading;
 import org.damasktiller.scheduler.port.StoreResult;
 import org.damasktiller.scheduler.port.StoreStatus;
 import org.damasktiller.scheduler.port.StoreTransaction;
@@ -27,7 +29,8 @@
  * Stores new submissions. Each submission is written by one transaction, on the condition that none
  * is stored under its identifier, so that a retry is idempotent: it either succeeds or conflicts
  * with the write that was applied first. After a write without a response the submission is never
- * reported as rejected, because the store may still apply that write.
+ * reported as rejected, because the store may still apply that write. A submission that was
+ * cancelled before it was stored conflicts with the tombstone of its cancellation and is rejected.
  */
 public final class SubmissionAcceptor {
 
@@ -117,10 +120,24 @@
                     CellKeys.submission(request.id()),
                     result ->
                             rejectUnlessStored(
-                                    request, tooLarge, submission, result.status(), callback));
+                                    request, tooLarge, submission, statusOf(result), callback));
         }
     }
 
+    /**
+     * Returns whether a submission is stored.
+     *
+     * @param result the result of reading its record
+     * @return OK if it is, ABSENT if there is no record or a tombstone, otherwise why that is not
+     *     known
+     */
+    private static StoreStatus statusOf(StoreResult<StoreReading> result) {
+        return result.status() == StoreStatus.OK
+                        && SubmissionTombstone.isTombstone(result.require().item())
+                ? StoreStatus.ABSENT
+                : result.status();
+    }
+
     /**
      * Rejects a submission that can never run, unless an earlier request has stored it.
      *
@@ -267,20 +284,72 @@
         }
 
         /**
-         * Handles the result of a write. A conflict counts as success: a submission is already
-         * stored under the identifier, by an earlier write or an earlier request.
+         * Handles the result of a write.
          *
          * @param result the store's response
          */
         private void onCommitResult(StoreResult<CommitReply> result) {
+            if (result.status() == StoreStatus.CONFLICT) {
+                onConflict(result);
+                return;
+            }
+            writePending = false;
+            if (result.status() == StoreStatus.OK) {
+                respond(result.status(), CallerResponse.accepted());
+            } else {
+                uncertain |= result.status() == StoreStatus.UNKNOWN;
+                retryOrRespond(result.status());
+            }
+        }
+
+        /**
+         * Handles a conflict with a record, which is read if the store's response does not have it.
+         *
+         * @param result the store's response
+         */
+        private void onConflict(StoreResult<CommitReply> result) {
+            String key = CellKeys.submission(request.id());
+            CommitReply reply = result.value();
+            StoreItem item = reply == null ? null : reply.currentItem(key);
+            if (item == null) {
+                store.read(key, this::onRecord);
+            } else {
+                respondToConflict(item);
+            }
+        }
+
+        /**
+         * Handles the result of reading the record that a write conflicted with.
+         *
+         * @param result the store's response
+         */
+        private void onRecord(StoreResult<StoreReading> result) {
+            if (result.status() == StoreStatus.OK) {
+                respondToConflict(result.require().item());
+            } else {
+                writePending = false;
+                uncertain = true;
+                retryOrRespond(result.status());
+            }
+        }
+
+        /**
+         * Responds after a conflict. It counts as success if a submission is stored under the
+         * identifier, by an earlier write or an earlier request. A tombstone shows that it was
+         * cancelled before it was stored.
+         *
+         * @param item the record that the write conflicted with
+         */
+        private void respondToConflict(@Nullable StoreItem item) {
             writePending = false;
-            switch (result.status()) {
-                case OK, CONFLICT -> respond(result.status(), CallerResponse.accepted());
-                case UNKNOWN -> {
-                    uncertain = true;
-                    retryOrRespond(result);
-                }
-                default -> retryOrRespond(result);
+            if (!SubmissionTombstone.isTombstone(item)) {
+                respond(StoreStatus.CONFLICT, CallerResponse.accepted());
+            } else if (uncertain) {
+                respond(
+                        StoreStatus.CONFLICT,
+                        CallerResponse.outcomeUnknown("the submission was cancelled"));
+            } else {
+                respond(StoreStatus.CONFLICT, CallerResponse.cancelledBefore());
             }
         }
 
@@ -297,19 +366,15 @@
         /**
          * Schedules a retry, or responds with the failure if there is no time left for one.
          *
-         * @param result the store's response to the write that failed
+         * @param status the result of the call that failed
          */
-        private void retryOrRespond(StoreResult<CommitReply> result) {
+        private void retryOrRespond(StoreStatus status) {
             if (runtime.nowMillis() + RETRY_DELAY_MILLIS < retryDeadlineMillis()) {
                 runtime.schedule(RETRY_DELAY_MILLIS, this::send);
             } else if (uncertain) {
-                respond(
-                        result.status(),
-                        CallerResponse.outcomeUnknown("the store did not respond in time"));
+                respond(status, CallerResponse.outcomeUnknown("the store did not respond in time"));
             } else {
-                respond(
-                        result.status(),
-                        CallerResponse.notExecuted("the store refused the submission"));
+                respond(status, CallerResponse.notExecuted("the store refused the submission"));
             }
         }
 
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionStateHandler.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionStateHandler.java
@@ -5,6 +5,7 @@
 import org.damasktiller.scheduler.cell.CancelTransaction;
 import org.damasktiller.scheduler.cell.CellKeys;
 import org.damasktiller.scheduler.cell.StoredValueCodec;
+import org.damasktiller.scheduler.cell.SubmissionTombstone;
 import org.damasktiller.scheduler.model.PartsRecord;
 import org.damasktiller.scheduler.model.SubmissionRecord;
 import org.damasktiller.scheduler.model.SubmissionState;
@@ -22,7 +23,8 @@
 /**
  * Handles state queries and cancellations of submissions. A submission is reported as unknown only
  * after a linearizable read. A cancellation is one transaction, on the condition that the record
- * has not changed since it was read.
+ * has not changed since it was read; a submission without a record gets a tombstone, so that no
+ * write of it that is still on its way takes effect.
  */
 public final class SubmissionStateHandler {
 
@@ -41,6 +43,9 @@
     /** Returns the state of a submission in a cell that this process owns, null for others. */
     private final BiFunction<String, String, @Nullable SubmissionState> ownerStates;
 
+    /** Stores cancellations of submissions that are not stored. */
+    private final TombstoneWriter tombstones;
+
     /** The clock and the timers. */
     private final ProcessRuntime runtime;
 
@@ -63,6 +68,7 @@
             DecisionLog log) {
         this.store = store;
         this.ownerStates = ownerStates;
+        this.tombstones = new TombstoneWriter(store, runtime, log);
         this.runtime = runtime;
         this.log = log;
     }
@@ -146,7 +152,7 @@
             Consumer<CallerResponse> callback,
             StoreResult<StoreReading> result) {
         if (result.status() == StoreStatus.ABSENT) {
-            callback.accept(CallerResponse.unknownSubmission());
+            onUnknown(request, cancel, callback, StoreItem.ABSENT);
             return;
         }
         StoreItem item = result.status() == StoreStatus.OK ? result.require().item() : null;
@@ -154,6 +160,8 @@
                 item == null ? null : StoredValueCodec.decode(item.value(), SubmissionRecord.class);
         if (item == null || record == null) {
             retryOrRespond(request, cancel, callback, result.status());
+        } else if (SubmissionTombstone.isTombstone(record)) {
+            onUnknown(request, cancel, callback, item.revision());
         } else if (record.state().isFinal() || !cancel) {
             callback.accept(CallerResponse.state(reportedState(request, record)));
         } else {
@@ -161,6 +169,37 @@
         }
     }
 
+    /**
+     * Responds that a submission is not stored, in the case of a cancellation once a tombstone
+     * ensures that it will not be. A tombstone that is there already is replaced, since it may end
+     * before a write that was sent after it takes effect.
+     *
+     * @param request the request
+     * @param cancel whether the request is a cancellation
+     * @param callback the callback for the response
+     * @param revision the revision of the tombstone that was read, or {@link StoreItem#ABSENT}
+     */
+    private void onUnknown(
+            CallerRequest request,
+            boolean cancel,
+            Consumer<CallerResponse> callback,
+            long revision) {
+        if (!cancel) {
+            callback.accept(CallerResponse.unknownSubmission());
+            return;
+        }
+        tombstones.write(
+                request.id(),
+                revision,
+                status -> {
+                    if (status == StoreStatus.OK) {
+                        callback.accept(CallerResponse.unknownSubmission());
+                    } else {
+                        retryOrRespond(request, true, callback, status);
+                    }
+                });
+    }
+
     /**
      * Reads which cells have parts of a submission, after a cancellation has conflicted, and then
      * the record again.
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/CallerRelayTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/CallerRelayTest.java
@@ -93,6 +93,16 @@
         assertThat(sentTo, contains("a-2", "b-1"));
     }
 
+    /** The tombstone of a cancel is found by each peer. */
+    @Test
+    void cancelledSubmissionIsNotTriedElsewhere() {
+        results.put("a-2", new RelayResult(CallerResponse.cancelledBefore(), true, ""));
+        results.put("b-1", ACCEPTED);
+        submit();
+        assertThat(sentTo, contains("a-2"));
+        assertThat(status(), equalTo(503));
+    }
+
     /** A peer that does not respond may have stored the submission; no other one is asked. */
     @Test
     void outcomeIsUnknownWithoutResponse() {
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/port/CommitReply.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/port/CommitReply.java
@@ -1,6 +1,7 @@
 package org.damasktiller.scheduler.port;
 
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The reply of the store to a transaction.
@@ -16,6 +17,19 @@
         currentItems = List.copyOf(currentItems);
     }
 
+    /**
+     * Returns the current item of a key after a conflict.
+     *
+     * @param key the key
+     * @return the item, or null if the reply has none
+     */
+    public @Nullable StoreItem currentItem(String key) {
+        return currentItems.stream()
+                .filter(item -> item.key().equals(key))
+                .findFirst()
+                .orElse(null);
+    }
+
     /**
      * Returns the current revision of a key after a conflict.
      *
