Continue the periodic work of an owner after an unexpected error

What callers would see: an owner that no longer ends the runs of lost workers, excludes former owners or sends moves, for the rest of its term (LOST).

Cause: CellOwner.tick, OwnershipVerifier.start and WaitingReporter.start scheduled their next run last, so that an unchecked exception ended them for the term; the event loop only logs it.

Change: CellContext.repeat schedules the next run first and logs the error of one run as work.failed, with its place.

Evidence: PeriodicWorkTest, in which one line of the log fails, failed before with the exception ("the log has failed", from WorkerSupervisor.update in CellOwner.tick) and passes. All tests of the verification module and below pass on this tree.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
@@ -171,6 +171,32 @@
                 });
     }
 
+    /**
+     * Runs an action now and at intervals until the term ends. An unchecked exception ends only the
+     * run in which it occurs, since the rest of the term depends on the later ones.
+     *
+     * @param intervalMillis the time between two runs, in milliseconds
+     * @param name what the action does, for the log
+     * @param action the action, run on the thread of the event loop
+     */
+    void repeat(long intervalMillis, String name, Runnable action) {
+        schedule(intervalMillis, () -> repeat(intervalMillis, name, action));
+        try {
+            action.run();
+        } catch (RuntimeException exception) {
+            log.log(
+                    "work.failed",
+                    "cell",
+                    cell,
+                    "work",
+                    name,
+                    "error",
+                    ItemGuard.describe(exception),
+                    "at",
+                    ItemGuard.innermostFrame(exception));
+        }
+    }
+
     /**
      * Removes a closed job and remembers its identifier, so that the submission is not admitted
      * again.
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -332,12 +332,12 @@
         checkPreviousOwners();
         workerWatcher.start();
         ownership.start();
-        tick();
+        context.repeat(context.settings.halfTickMillis() * 2, "tick", this::tick);
         counts.start();
         waitingReporter.start();
     }
 
-    /** Does the periodic work, and schedules a pass. */
+    /** Does the work that is due at each interval, and schedules a pass. */
     private void tick() {
         long now = context.now();
         if (workerSupervisor.update()) {
@@ -352,7 +352,6 @@
         }
         taskMover.update();
         schedulePass();
-        context.schedule(context.settings.halfTickMillis() * 2, this::tick);
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ItemGuard.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ItemGuard.java
@@ -85,7 +85,7 @@
      * @param exception the exception
      * @return the type and the message, cut to the maximum length
      */
-    private static String describe(RuntimeException exception) {
+    static String describe(RuntimeException exception) {
         String text = exception.toString();
         return text.length() <= MAX_ERROR_LENGTH ? text : text.substring(0, MAX_ERROR_LENGTH);
     }
@@ -96,7 +96,7 @@
      * @param exception the exception
      * @return the innermost stack frame, empty if it is not known
      */
-    private static String innermostFrame(RuntimeException exception) {
+    static String innermostFrame(RuntimeException exception) {
         StackTraceElement[] frames = exception.getStackTrace();
         return frames.length == 0 ? "" : frames[0].toString();
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/OwnershipVerifier.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/OwnershipVerifier.java
@@ -54,8 +54,7 @@
 
     /** Checks the ownership now and at regular intervals from then on. */
     void start() {
-        verify();
-        context.schedule(context.settings.ownershipCheckIntervalMillis(), this::start);
+        context.repeat(context.settings.ownershipCheckIntervalMillis(), "ownership", this::verify);
     }
 
     /** Checks the ownership now, or again as soon as the check in flight has ended. */
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WaitingReporter.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WaitingReporter.java
@@ -68,6 +68,11 @@
 
     /** Looks at the waiting tasks from now on at intervals. */
     void start() {
+        context.repeat(CHECK_INTERVAL_MILLIS, "waiting", this::check);
+    }
+
+    /** Explains steps that have waited for long. */
+    private void check() {
         updateSamples();
         long now = context.now();
         samples.values().stream()
@@ -76,7 +81,6 @@
                 .sorted(ORDER)
                 .limit(MAX_STEPS_PER_CHECK)
                 .forEach(this::report);
-        context.schedule(CHECK_INTERVAL_MILLIS, this::start);
     }
 
     /** Determines a waiting task of each step. It is the same as before while that one waits. */
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -100,6 +100,9 @@
     /** The lines that owners have logged. */
     final List<String> logLines = new ArrayList<>();
 
+    /** The events whose next line the log fails to write, with an unchecked exception. */
+    final Set<String> failingEvents = new HashSet<>();
+
     /** The submissions by identifier. */
     private final Map<String, Submission> submissions = new LinkedHashMap<>();
 
@@ -711,6 +714,9 @@
      * @param fields alternating names and values of the fields
      */
     private void log(String event, Object... fields) {
+        if (failingEvents.remove(event)) {
+            throw new IllegalStateException("the log has failed");
+        }
         logLines.add(runtime.nowMillis() + " " + event + " " + List.of(fields));
     }
 
