A submission keeps the terms of its queue while the manifest lacks it (LOST)

Of a queue with one attempt, a task was started once too often; of a queue that needs advice, tasks were sent to workers without it; priority and objective fell to defaults as well.

Cause: the owner looked each of these up in the manifest in force, and took a default if the queue was not there. What the queue granted at acceptance was not stored.

Fix: the accepting VM stores it, with the version, in the submission's entry (QueueTerms in AcceptedSubmission). A job looks its queue up once for each version instead of at each step of each pass.

Records: this release reads entries without terms; if their queue is missing they get 2 attempts, priority 0 and no advice, as before.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
@@ -9,6 +9,7 @@
 import org.damasktiller.scheduler.cell.StoredValueCodec;
 import org.damasktiller.scheduler.cell.SubmissionTombstone;
 import org.damasktiller.scheduler.model.AcceptedSubmission;
+import org.damasktiller.scheduler.model.QueueTerms;
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.Submission;
 import org.damasktiller.scheduler.model.SubmissionRecord;
@@ -234,7 +235,12 @@
                             new SubmissionRecord(cell, route, SubmissionState.QUEUED, unixMillis));
             byte[] accepted =
                     StoredValueCodec.encode(
-                            new AcceptedSubmission(submission, route, service, unixMillis));
+                            new AcceptedSubmission(
+                                    submission,
+                                    route,
+                                    service,
+                                    unixMillis,
+                                    QueueTerms.of(request.route(), request.manifestVersion())));
             String key = CellKeys.submission(request.id());
             this.commit =
                     new StoreTransaction()
--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/OddRecordFuzzTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/OddRecordFuzzTest.java
@@ -23,6 +23,7 @@
 import org.damasktiller.scheduler.model.AcceptedSubmission;
 import org.damasktiller.scheduler.model.EndKind;
 import org.damasktiller.scheduler.model.Manifest;
+import org.damasktiller.scheduler.model.QueueTerms;
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.model.Submission;
@@ -227,7 +228,8 @@
         SubmissionRecord record =
                 new SubmissionRecord(CELL, CELL, SubmissionState.QUEUED, runtime.unixMillis());
         AcceptedSubmission accepted =
-                new AcceptedSubmission(submission, CELL, CELL, runtime.unixMillis());
+                new AcceptedSubmission(
+                        submission, CELL, CELL, runtime.unixMillis(), QueueTerms.UNKNOWN);
         write(CellKeys.submission(id), StoredValueCodec.encode(record));
         write(CellKeys.openSubmissionsPrefix(CELL) + id, StoredValueCodec.encode(accepted));
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/AdviceTicketProvider.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/AdviceTicketProvider.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import org.damasktiller.scheduler.model.Route;
 import org.damasktiller.scheduler.port.AdviceClient;
 import org.damasktiller.scheduler.port.AdviceReply;
 
@@ -63,11 +62,10 @@
      * Returns whether the tasks of a step may only start with a ticket.
      *
      * @param step the step
-     * @return true if its route requires advice; false also if the manifest no longer has the route
+     * @return whether its route requires advice
      */
     boolean isRequired(StepRecord step) {
-        Route route = context.manifest.findRouteByName(step.occurrence.job.accepted.route());
-        return route != null && route.adviceNeeded();
+        return step.occurrence.job.terms().adviceNeeded();
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 import org.damasktiller.scheduler.evacuation.ZoneGuard;
 import org.damasktiller.scheduler.model.Manifest;
+import org.damasktiller.scheduler.model.Route;
 import org.damasktiller.scheduler.port.DecisionLog;
 import org.damasktiller.scheduler.port.MetadataStore;
 import org.damasktiller.scheduler.port.ProcessRuntime;
@@ -56,9 +57,6 @@
     /** The names of the other cells of the service. */
     final Set<String> siblingCells;
 
-    /** The manifest in effect. */
-    Manifest manifest;
-
     /**
      * Whether the term has ended; from then on no component sends, stores or schedules anything.
      */
@@ -85,6 +83,9 @@
     /** Decides which workers the stored roster names. */
     final Roster roster = new Roster(this);
 
+    /** The manifest in effect. */
+    private Manifest manifest;
+
     /**
      * The submissions that this owner has closed, by identifier. A listing that the store had
      * already begun to return may still contain them, and they must not be admitted again.
@@ -120,6 +121,38 @@
         this.onTermEnd = onTermEnd;
     }
 
+    /**
+     * Returns the manifest in effect.
+     *
+     * @return the manifest
+     */
+    Manifest manifest() {
+        return manifest;
+    }
+
+    /**
+     * Replaces the manifest in effect, and what the queues of the open jobs grant.
+     *
+     * @param newManifest the new manifest
+     */
+    void updateManifest(Manifest newManifest) {
+        manifest = newManifest;
+        Map<String, Route> routes = newManifest.routesByName();
+        for (Job job : jobs.values()) {
+            job.updateTerms(routes.get(job.accepted.route()), newManifest.version());
+        }
+    }
+
+    /**
+     * Adds a job, with what its queue grants now.
+     *
+     * @param job the job
+     */
+    void addJob(Job job) {
+        job.updateTerms(manifest.findRouteByName(job.accepted.route()), manifest.version());
+        jobs.put(job.id(), job);
+    }
+
     /**
      * Ends the term. From then on the owner sends no requests to workers and stores nothing. Later
      * calls have no effect.
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -206,7 +206,7 @@
      * @param manifest the new manifest
      */
     public void updateManifest(Manifest manifest) {
-        context.manifest = manifest;
+        context.updateManifest(manifest);
     }
 
     /**
@@ -438,7 +438,7 @@
 
         @Override
         public void onSubmission(Job job) {
-            context.jobs.put(job.id(), job);
+            context.addJob(job);
             context.log.log(
                     "job.taken",
                     "id",
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
@@ -7,6 +7,8 @@
 import java.util.TreeMap;
 import org.damasktiller.scheduler.model.AcceptedSubmission;
 import org.damasktiller.scheduler.model.PartsRecord;
+import org.damasktiller.scheduler.model.QueueTerms;
+import org.damasktiller.scheduler.model.Route;
 import org.damasktiller.scheduler.model.Submission;
 import org.damasktiller.scheduler.model.SubmissionPart;
 import org.damasktiller.scheduler.model.SubmissionState;
@@ -70,6 +72,9 @@
     /** When the submission was accepted, in milliseconds on the owner's clock. */
     final long acceptedAtMillis;
 
+    /** What the queue grants, by the newest known version of the manifest that has the queue. */
+    private QueueTerms terms;
+
     /**
      * The number of the first occurrence that was not found due yet. All before it have begun, and
      * later ones may have.
@@ -88,6 +93,8 @@
         this.accepted = accepted;
         this.createdRevision = createdRevision;
         this.acceptedAtMillis = acceptedAtMillis;
+        QueueTerms acceptedTerms = accepted.terms();
+        this.terms = acceptedTerms == null ? QueueTerms.UNKNOWN : acceptedTerms;
         if (!accepted.submission().scheduled()) {
             beginOccurrence(0);
         }
@@ -99,6 +106,29 @@
         }
     }
 
+    /**
+     * Returns what the queue of the submission grants.
+     *
+     * @return the terms of the newest version of the manifest that has the queue, among the one at
+     *     acceptance and those that this owner has had
+     */
+    QueueTerms terms() {
+        return terms;
+    }
+
+    /**
+     * Takes over what a version of the manifest grants. A version that lacks the queue says nothing
+     * about it, nor does one before that at acceptance.
+     *
+     * @param route the route of the submission, or null if the version lacks it
+     * @param version the version of the manifest
+     */
+    void updateTerms(@Nullable Route route, long version) {
+        if (route != null && version >= terms.version()) {
+            terms = QueueTerms.of(route, version);
+        }
+    }
+
     /**
      * Takes over which tasks have their home in the cell, unless a later state is known.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobObjectives.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobObjectives.java
@@ -1,7 +1,7 @@
 package org.damasktiller.scheduler.cell;
 
 import org.damasktiller.scheduler.estimate.RunTimeEstimator;
-import org.damasktiller.scheduler.model.Route;
+import org.damasktiller.scheduler.model.QueueTerms;
 import org.damasktiller.scheduler.model.StepSpec;
 
 /** Computes by when jobs have to be done, and how much time the work that is left takes. */
@@ -31,10 +31,8 @@
      * @return the time from the acceptance of the job, in milliseconds
      */
     long objectiveMillis(Job job) {
-        Route route = context.manifest.findRouteByName(job.accepted.route());
-        double extension = route == null ? 1 : route.extension();
-        long slackMillis = route == null ? 0 : route.targetLatencyMillis();
-        return (long) (extension * estimateMillis(job)) + slackMillis;
+        QueueTerms terms = job.terms();
+        return (long) (terms.extension() * estimateMillis(job)) + terms.targetLatencyMillis();
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
@@ -7,7 +7,6 @@
 import org.damasktiller.scheduler.estimate.RunTimeEstimator;
 import org.damasktiller.scheduler.model.EndKind;
 import org.damasktiller.scheduler.model.EndedRun;
-import org.damasktiller.scheduler.model.Route;
 import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.scheduler.model.TaskId;
 import org.damasktiller.scheduler.policy.Policy;
@@ -19,9 +18,6 @@
  */
 final class JobTracker {
 
-    /** The number of attempts of a task whose route is no longer in the manifest. */
-    private static final int DEFAULT_MAX_ATTEMPTS = 2;
-
     /**
      * The number of workers per suspect worker: at most one worker in this many may become suspect.
      */
@@ -416,7 +412,7 @@
      * @return whether one has none left
      */
     private boolean hasExhaustedAttempts(Job job) {
-        int maxAttempts = maxAttempts(job);
+        int maxAttempts = job.terms().maximumAttempts();
         for (OccurrenceRecord occurrence : job.occurrences.values()) {
             for (StepRecord step : occurrence.steps) {
                 boolean givenUp =
@@ -452,17 +448,6 @@
                 .anyMatch(task -> !task.done && task.failedRunNumbers.size() >= maxAttempts);
     }
 
-    /**
-     * Returns how many runs of a task of a job may fail before the job fails.
-     *
-     * @param job the job
-     * @return the number of attempts, at least 1
-     */
-    int maxAttempts(Job job) {
-        Route route = context.manifest.findRouteByName(job.accepted.route());
-        return route == null ? DEFAULT_MAX_ATTEMPTS : Math.max(1, route.maximumAttempts());
-    }
-
     /**
      * Stops all runs of a job.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PlacementExplainer.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PlacementExplainer.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.damasktiller.scheduler.model.AcceptedSubmission;
+import org.damasktiller.scheduler.model.QueueTerms;
 import org.damasktiller.scheduler.model.Route;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.model.Submission;
@@ -47,7 +48,8 @@
                                 submission,
                                 route.name(),
                                 route.service(),
-                                context.runtime.unixMillis()),
+                                context.runtime.unixMillis(),
+                                QueueTerms.of(route, context.manifest().version())),
                         0,
                         context.now());
         TaskRecord task = job.beginOccurrence(0).steps.get(0).tasks.get(0);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.List;
 import org.damasktiller.scheduler.estimate.RunTimeEstimator;
-import org.damasktiller.scheduler.model.Route;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.order.ArrivalOrder;
 import org.damasktiller.scheduler.order.Lateness;
@@ -242,8 +241,6 @@
         } else if (spec.filling()) {
             rank = WorkRank.FILLER;
         }
-        Route route = context.manifest.findRouteByName(job.accepted.route());
-        int priority = route == null ? 0 : route.priority();
         long objectiveMillis = objectives.objectiveMillis(job);
         long expectedLatencyMillis =
                 objectives.elapsedMillis(job) + objectives.remainingMillis(step);
@@ -258,7 +255,7 @@
                 new OrderKey(
                         rank,
                         lateness,
-                        priority,
+                        job.terms().priority(),
                         estimateRemainingWork(step),
                         job.createdRevision));
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -302,7 +302,7 @@
      * @return whether the store has not confirmed its entry for too long
      */
     private boolean isCapacityOutdated(WorkerRecord worker) {
-        return context.manifest.unguardedServices().contains(worker.entry.service())
+        return context.manifest().unguardedServices().contains(worker.entry.service())
                 && context.now() - context.workerEntriesReadAtMillis.getAsLong()
                         > context.settings.maximumEntryAgeMillis();
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/model/AcceptedSubmission.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/model/AcceptedSubmission.java
@@ -13,6 +13,8 @@
  *     submission was accepted
  * @param acceptedUnixMillis when the submission was accepted, in milliseconds since 1970
  * @param part which tasks have their home in the cell, or null if all have
+ * @param terms what the route granted when the submission was accepted, or null if an earlier
+ *     release has stored the submission
  */
 @JsonInclude(JsonInclude.Include.NON_DEFAULT)
 public record AcceptedSubmission(
@@ -20,7 +22,8 @@
         String route,
         String service,
         long acceptedUnixMillis,
-        @Nullable SubmissionPart part) {
+        @Nullable SubmissionPart part,
+        @Nullable QueueTerms terms) {
 
     /**
      * Creates a submission of which no task has moved to another cell.
@@ -29,10 +32,15 @@
      * @param route the name of the route that matched the request
      * @param service the service whose workers run the tasks
      * @param acceptedUnixMillis when the submission was accepted, in milliseconds since 1970
+     * @param terms what the route grants now
      */
     public AcceptedSubmission(
-            Submission submission, String route, String service, long acceptedUnixMillis) {
-        this(submission, route, service, acceptedUnixMillis, null);
+            Submission submission,
+            String route,
+            String service,
+            long acceptedUnixMillis,
+            QueueTerms terms) {
+        this(submission, route, service, acceptedUnixMillis, null, terms);
     }
 
     /**
@@ -42,6 +50,7 @@
      * @return the submission with that part
      */
     public AcceptedSubmission withPart(SubmissionPart newPart) {
-        return new AcceptedSubmission(submission, route, service, acceptedUnixMillis, newPart);
+        return new AcceptedSubmission(
+                submission, route, service, acceptedUnixMillis, newPart, terms);
     }
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/model/Manifest.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/model/Manifest.java
@@ -1,7 +1,9 @@
 package org.damasktiller.scheduler.model;
 
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
@@ -65,4 +67,15 @@
     public @Nullable Route findRouteByName(String name) {
         return routes.stream().filter(route -> route.name().equals(name)).findFirst().orElse(null);
     }
+
+    /**
+     * Returns the routes by name, for looking up many of them.
+     *
+     * @return a new map; of routes with the same name, the first one
+     */
+    public Map<String, Route> routesByName() {
+        Map<String, Route> routesByName = new HashMap<>();
+        routes.forEach(route -> routesByName.putIfAbsent(route.name(), route));
+        return routesByName;
+    }
 }
--- a/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/cell/FillerCpuSharesTest.java
+++ b/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/cell/FillerCpuSharesTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import org.damasktiller.scheduler.model.AcceptedSubmission;
+import org.damasktiller.scheduler.model.QueueTerms;
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.model.Submission;
@@ -74,7 +75,12 @@
                         .filling(true)
                         .build();
         Submission submission = new Submission("00000000000000a1", "", List.of(spec), 0, 0, 0);
-        Job job = new Job(new AcceptedSubmission(submission, "route", "dispatch", 0), 1, 0);
+        Job job =
+                new Job(
+                        new AcceptedSubmission(
+                                submission, "route", "dispatch", 0, QueueTerms.UNKNOWN),
+                        1,
+                        0);
         TaskRecord task = job.beginOccurrence(0).steps.get(0).tasks.get(0);
         RunRecord run =
                 new RunRecord(task.id, 1, worker, task, spec.reserved(), RunPhase.RUNNING, 0);
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -23,6 +23,7 @@
 import org.damasktiller.scheduler.model.IngressLimits;
 import org.damasktiller.scheduler.model.Manifest;
 import org.damasktiller.scheduler.model.PartsRecord;
+import org.damasktiller.scheduler.model.QueueTerms;
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.Route;
 import org.damasktiller.scheduler.model.StepSpec;
@@ -127,6 +128,15 @@
     /** The names of the services whose workers start what exceeds their capacity. */
     Set<String> unguardedServices = Set.of();
 
+    /** The number of the version of the manifest. */
+    long manifestVersion = 1;
+
+    /** The number of failed runs that the manifest allows the only queue. */
+    int maxAttempts = MAX_ATTEMPTS;
+
+    /** Whether the manifest lacks the only queue. */
+    boolean queueMissing;
+
     /** The zones of workers that are in another zone than {@code zone}, by identifier. */
     final Map<String, String> zones = new HashMap<>();
 
@@ -376,7 +386,12 @@
         SubmissionRecord record =
                 new SubmissionRecord(CELL, "route", SubmissionState.QUEUED, runtime.unixMillis());
         AcceptedSubmission accepted =
-                new AcceptedSubmission(submission, "route", CELL, runtime.unixMillis());
+                new AcceptedSubmission(
+                        submission,
+                        "route",
+                        CELL,
+                        runtime.unixMillis(),
+                        QueueTerms.of(route(), manifestVersion));
         store.commit(
                 new StoreTransaction()
                         .expectRevision(CellKeys.submission(id), StoreItem.ABSENT)
@@ -670,18 +685,30 @@
      * @return the route
      */
     Route route() {
-        return new Route("route", "host", "/", CELL, 0, MAX_ATTEMPTS, 2, 1_000, adviceNeeded);
+        return new Route("route", "host", "/", CELL, 0, maxAttempts, 2, 1_000, adviceNeeded);
+    }
+
+    /**
+     * Gives an owner the next version of the manifest. Owners that start later have it as well.
+     *
+     * @param process the process of the owner
+     */
+    void publishManifest(OwnerProcess process) {
+        manifestVersion++;
+        if (process.owner != null) {
+            process.owner.updateManifest(manifest());
+        }
     }
 
     /**
-     * Creates a manifest with a single route.
+     * Creates the present version of the manifest, with the only route unless it is missing.
      *
      * @return the manifest
      */
     private Manifest manifest() {
         return new Manifest(
-                1,
-                List.of(route()),
+                manifestVersion,
+                queueMissing ? List.of() : List.of(route()),
                 Set.of(CELL),
                 unguardedServices,
                 new IngressLimits(1 << 18, 15_000));
