Use labels and room of a worker only by the entry of its boot

The worker had started again as another kind, under its identifier, and its entry in the store was still that of the boot before.

Cause: an entry's labels and capacity are those of the boot that wrote it. WorkerSelector took them for those of the boot that had answered, as nothing compared the entry's boot with the worker's.

Fix: WorkerEntry.isOfBootBefore. Until the entry is of the boot that answered, tasks with requirements don't start there, and if the service's workers start whatever they are told to, nothing starts there, since the room may be smaller (LIMIT). A worker that guards its room goes on to take work without requirements: it refuses what does not fit. Entries without a boot time are used as before. Racks stay with the machine, and only decide how long tasks take, so that they are still read from the former entry.

Why it works: all starts, of gangs, suspects and moved tasks as well, pass WorkerSelector.judge. An owner starts nothing at a boot that has not answered it.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PlacementVerdict.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PlacementVerdict.java
@@ -14,8 +14,8 @@
     /** The worker has refused a start, has too many in flight, or is quarantined or held. */
     BUSY("busy: full, quarantined, held for a suspect task, or with too many starts in flight"),
 
-    /** The worker lacks the label that the step requires. */
-    LABEL_MISSING("without the required label"),
+    /** The worker lacks the label that the step requires, or its entry is that of a former boot. */
+    LABEL_MISSING("without the required label, or with that of a former boot only"),
 
     /** The worker is suspect or on probation after failed runs, and gets few starts or none. */
     ON_PROBATION("suspect or on probation after failed runs"),
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -299,24 +299,30 @@
      * does not refuse what exceeds its capacity needs a recent one.
      *
      * @param worker the worker
-     * @return whether the store has not confirmed its entry for too long
+     * @return whether its entry is that of a former boot, or the store has not confirmed it for too
+     *     long
      */
     private boolean isCapacityOutdated(WorkerRecord worker) {
-        return context.manifest().unguardedServices().contains(worker.entry.service())
-                && context.now() - context.workerEntriesReadAtMillis.getAsLong()
+        if (!context.manifest().unguardedServices().contains(worker.entry.service())) {
+            return false;
+        }
+        return worker.entry.isOfBootBefore(worker.bootUnixMillis)
+                || context.now() - context.workerEntriesReadAtMillis.getAsLong()
                         > context.settings.maximumEntryAgeMillis();
     }
 
     /**
-     * Returns whether a worker has the label that a step requires.
+     * Returns whether a worker has the label that a step requires. The labels of an entry are those
+     * of the boot that wrote it.
      *
      * @param spec the step
      * @param worker the worker
-     * @return whether the worker has the label or the step requires none
+     * @return whether the worker is known to have the label, or the step requires none
      */
     private static boolean hasRequiredLabel(StepSpec spec, WorkerRecord worker) {
         return spec.requiredLabel().isEmpty()
-                || worker.entry.labels().contains(spec.requiredLabel());
+                || (worker.entry.labels().contains(spec.requiredLabel())
+                        && !worker.entry.isOfBootBefore(worker.bootUnixMillis));
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/model/WorkerEntry.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/model/WorkerEntry.java
@@ -34,4 +34,16 @@
     public WorkerEntry {
         labels = List.copyOf(labels);
     }
+
+    /**
+     * Tells whether a boot before another one wrote the entry. The later boot may have other labels
+     * and another capacity.
+     *
+     * @param otherBootUnixMillis when the other boot began, in milliseconds since 1970, or 0 if
+     *     that is not known
+     * @return whether it did; false if the entry names no boot
+     */
+    public boolean isOfBootBefore(long otherBootUnixMillis) {
+        return bootUnixMillis > 0 && bootUnixMillis < otherBootUnixMillis;
+    }
 }
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -140,6 +140,9 @@
     /** The zones of workers that are in another zone than {@code zone}, by identifier. */
     final Map<String, String> zones = new HashMap<>();
 
+    /** The labels of workers of a special kind, by identifier. */
+    final Map<String, List<String>> labels = new HashMap<>();
+
     /** How much longer workers stay slow, in milliseconds, by identifier; others are warm. */
     final Map<String, Long> coldMillis = new HashMap<>();
 
@@ -235,6 +238,7 @@
                         zones.getOrDefault(id, "zone"),
                         draining,
                         model.capacity(),
+                        labels.get(id),
                         model.bootUnixMillis(),
                         coldMillis.getOrDefault(id, 0L));
         store.commit(
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/LargestWorkersPublicationTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/LargestWorkersPublicationTest.java
@@ -63,7 +63,7 @@
         simulation.unreachable.add(id);
         TestRecordCodec.Entry entry =
                 new TestRecordCodec.Entry(
-                        id, CellSimulation.CELL, 9_000, "zone", false, LARGE, 0, 0);
+                        id, CellSimulation.CELL, 9_000, "zone", false, LARGE, null, 0, 0);
         simulation.store.commit(
                 new StoreTransaction()
                         .put(
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OverwrittenEntryTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OverwrittenEntryTest.java
@@ -67,6 +67,7 @@
                         "zone",
                         false,
                         new Resources(CAPACITY, CAPACITY, 0),
+                        null,
                         bootUnixMillis,
                         0);
         simulation.store.commit(
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/TestRecordCodec.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/TestRecordCodec.java
@@ -53,7 +53,7 @@
                                 entry.draining(),
                                 2_000,
                                 entry.capacity(),
-                                List.of("rack"),
+                                entry.labels() == null ? List.of("rack") : entry.labels(),
                                 entry.bootUnixMillis(),
                                 entry.coldRemainingMillis()));
     }
@@ -82,6 +82,7 @@
      * @param zone the availability zone of the worker
      * @param draining whether the worker is about to leave
      * @param capacity the total resources of the worker
+     * @param labels the labels of the worker; null for those of a worker of no special kind
      * @param bootUnixMillis when the worker booted, in milliseconds since 1970
      * @param coldRemainingMillis how much longer the worker stays slow, in milliseconds
      */
@@ -92,6 +93,7 @@
             String zone,
             boolean draining,
             Resources capacity,
+            @Nullable List<String> labels,
             long bootUnixMillis,
             long coldRemainingMillis) {}
 }
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/WorkerAddressChangeTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/WorkerAddressChangeTest.java
@@ -32,6 +32,7 @@
                         "zone",
                         false,
                         new Resources(CAPACITY, CAPACITY, 0),
+                        null,
                         simulation.workers.get("w0").bootUnixMillis(),
                         0);
         simulation.store.commit(
