--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/local/LocalRun.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/local/LocalRun.java
@@ -147,7 +147,7 @@
      * @return true if every submission reached a final state in time and no violation was found
      */
     public boolean run() {
-        try (loop) {
+        try {
             output.println(
                     deployment.workers()
                             + " workers, entry VMs at "
@@ -158,6 +158,7 @@
             return report(finished);
         } finally {
             localDeployment.kill();
+            loop.close();
         }
     }
 
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/EntryVmProcess.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/EntryVmProcess.java
@@ -184,12 +184,12 @@
         }
     }
 
-    /** Kills the process. Has no effect if it was never started. */
+    /** Kills the process and waits for its end. Has no effect if it was never started. */
     public void kill() {
         Process current = process;
         if (current != null) {
             terminationRequested = true;
-            current.destroyForcibly();
+            current.destroyForcibly().onExit().join();
         }
     }
 
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LabEventLoop.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LabEventLoop.java
@@ -1,6 +1,10 @@
 package org.damasktiller.lab.rig;
 
 import io.activej.eventloop.Eventloop;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
 import java.time.Clock;
 import java.util.Arrays;
 import java.util.concurrent.CompletableFuture;
@@ -8,6 +12,7 @@
 import org.damasktiller.node.process.EventLoopRuntime;
 import org.damasktiller.platform.http.EventLoops;
 import org.damasktiller.scheduler.port.ProcessRuntime;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Owns the event loop that runs the emulated services and the callers, with its clock and timers.
@@ -17,6 +22,9 @@
     /** The event loop. */
     private final Eventloop eventloop;
 
+    /** Runs the event loop. */
+    private final Thread thread;
+
     /** The clock and timers of the event loop. */
     private final ProcessRuntime runtime;
 
@@ -27,13 +35,16 @@
      * @param exceptionHandler receives a line for each unchecked exception of a scheduled action
      */
     public LabEventLoop(String name, Consumer<String> exceptionHandler) {
-        eventloop = EventLoops.start(name);
+        eventloop = EventLoops.create();
+        thread = new Thread(eventloop, name);
+        thread.setDaemon(true);
         runtime =
                 new EventLoopRuntime(
                         eventloop,
                         Clock.systemUTC(),
                         (event, fields) ->
                                 exceptionHandler.accept(event + ' ' + Arrays.toString(fields)));
+        thread.start();
     }
 
     /**
@@ -76,9 +87,39 @@
         return result.join();
     }
 
+    /**
+     * Ends the event loop, waits for its thread, and closes all of its sockets. Must not be called
+     * on that thread.
+     */
     @Override
     public void close() {
         eventloop.execute(() -> eventloop.keepAlive(false));
         eventloop.execute(eventloop::breakEventloop);
+        try {
+            thread.join();
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            return;
+        }
+        closeSockets(eventloop.getSelector());
+    }
+
+    /**
+     * Closes all sockets of a selector, and the selector.
+     *
+     * @param selector the selector, which no thread uses any more, or null if it is closed
+     */
+    private static void closeSockets(@Nullable Selector selector) {
+        if (selector == null || !selector.isOpen()) {
+            return;
+        }
+        try {
+            for (SelectionKey key : selector.keys()) {
+                key.channel().close();
+            }
+            selector.close();
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
     }
 }
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalDeployment.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalDeployment.java
@@ -82,6 +82,9 @@
     /** The processes of the entry VMs. */
     private final List<EntryVmProcess> entryVms = new ArrayList<>();
 
+    /** Kills these processes if this JVM exits before they are killed. */
+    private final Thread killHook = new Thread(this::killProcesses, "kill-entry-vms");
+
     /** The version of the manifest that was published last, 0 before the first. */
     private long manifestVersion;
 
@@ -136,12 +139,18 @@
 
     /** Starts the processes of the entry VMs. A shutdown hook kills them when this JVM exits. */
     public void start() {
-        Runtime.getRuntime().addShutdownHook(new Thread(this::kill, "kill-entry-vms"));
+        Runtime.getRuntime().addShutdownHook(killHook);
         entryVms.forEach(EntryVmProcess::start);
     }
 
-    /** Kills the processes of the entry VMs that are still running. */
+    /** Kills the processes of the entry VMs that are still running, and waits for their ends. */
     public void kill() {
+        killProcesses();
+        Runtime.getRuntime().removeShutdownHook(killHook);
+    }
+
+    /** Kills the processes of the entry VMs that are still running. */
+    private void killProcesses() {
         entryVms.forEach(EntryVmProcess::kill);
     }
 
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakRun.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakRun.java
@@ -222,10 +222,11 @@
      */
     public boolean run() {
         List<String> violations;
-        try (loop) {
+        try {
             violations = new ArrayList<>(loop.await(this::startDeploymentAndLoad));
         } finally {
             deployment.kill();
+            loop.close();
         }
         violations.addAll(uncheckedExceptions);
         violations.addAll(findExceptionsInLogs());
