Give entry VMs of the lab addresses that no other program takes

Cause: the rig found the ports of an entry VM by opening and closing a socket on a port that the kernel assigned. Until the program listened, and while it restarted, the kernel could assign the port to any other program. A JVM can't hand open sockets to the program, and its settings name the addresses, so that the rig has to know them.

Callers resolve the host names of routes to that host.

--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/local/LocalRun.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/local/LocalRun.java
@@ -19,6 +19,7 @@
 import org.damasktiller.lab.rig.LabEventLoop;
 import org.damasktiller.lab.rig.LocalDeployment;
 import org.damasktiller.lab.rig.LocalDeploymentSettings;
+import org.damasktiller.lab.rig.ProcessAddresses;
 import org.damasktiller.lab.table.TableManifestFactory;
 import org.damasktiller.platform.emulator.CallerClient;
 import org.damasktiller.scheduler.model.Manifest;
@@ -133,7 +134,8 @@
         callers =
                 new CallerSimulator(
                         loop.runtime(),
-                        new CallerClient(loop.eventloop(), CALL_TIMEOUT_MILLIS),
+                        new CallerClient(
+                                loop.eventloop(), CALL_TIMEOUT_MILLIS, ProcessAddresses.host()),
                         localDeployment.entryVms().stream()
                                 .map(EntryVmProcess::callerAddress)
                                 .toList(),
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/EntryVmProcess.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/EntryVmProcess.java
@@ -2,9 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -69,12 +67,18 @@
             Path directory) {
         this.name = name;
         this.policies = policies;
-        this.callerAddress = freeAddress();
+        this.callerAddress = ProcessAddresses.next();
         this.settingsFile = directory.resolve(name + ".conf");
         this.logFile = directory.resolve(name + ".log");
         List<String> lines =
                 PlatformRecordEncoder.settingsLines(
-                        name, zone, zones, callerAddress, freeAddress(), freeAddress(), store);
+                        name,
+                        zone,
+                        zones,
+                        callerAddress,
+                        ProcessAddresses.next(),
+                        ProcessAddresses.next(),
+                        store);
         try {
             Files.write(settingsFile, lines);
         } catch (IOException exception) {
@@ -192,18 +196,4 @@
             current.destroyForcibly().onExit().join();
         }
     }
-
-    /**
-     * Finds a loopback port that is free at the moment of the call; another process may take it
-     * later.
-     *
-     * @return the loopback address with the port
-     */
-    private static InetSocketAddress freeAddress() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
-        } catch (IOException exception) {
-            throw new UncheckedIOException(exception);
-        }
-    }
 }
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakRun.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakRun.java
@@ -19,6 +19,7 @@
 import org.damasktiller.lab.rig.LabEventLoop;
 import org.damasktiller.lab.rig.LocalDeployment;
 import org.damasktiller.lab.rig.LocalDeploymentSettings;
+import org.damasktiller.lab.rig.ProcessAddresses;
 import org.damasktiller.platform.emulator.CallerClient;
 import org.damasktiller.scheduler.model.Manifest;
 import org.damasktiller.scheduler.policy.Policy;
@@ -196,7 +197,8 @@
         callers =
                 new CallerSimulator(
                         runtime,
-                        new CallerClient(loop.eventloop(), CALL_TIMEOUT_MILLIS),
+                        new CallerClient(
+                                loop.eventloop(), CALL_TIMEOUT_MILLIS, ProcessAddresses.host()),
                         deployment.entryVms().stream().map(EntryVmProcess::callerAddress).toList(),
                         random,
                         taskBehaviour);
--- a/damasktiller-lab/src/test/java/org/damasktiller/lab/load/GuaranteeCheckerTest.java
+++ b/damasktiller-lab/src/test/java/org/damasktiller/lab/load/GuaranteeCheckerTest.java
@@ -44,7 +44,7 @@
     private final CallerSimulator callers =
             new CallerSimulator(
                     new VirtualTimeRuntime(),
-                    new CallerClient(eventloop, 1_000),
+                    new CallerClient(eventloop, 1_000, InetAddress.getLoopbackAddress()),
                     List.of(new InetSocketAddress(InetAddress.getLoopbackAddress(), 1)),
                     new Well19937c(1),
                     taskBehaviour);
--- a/damasktiller-lab/src/test/java/org/damasktiller/lab/load/InterruptionCheckerTest.java
+++ b/damasktiller-lab/src/test/java/org/damasktiller/lab/load/InterruptionCheckerTest.java
@@ -47,7 +47,7 @@
     private final CallerSimulator callers =
             new CallerSimulator(
                     runtime,
-                    new CallerClient(EventLoops.create(), 1_000),
+                    new CallerClient(EventLoops.create(), 1_000, InetAddress.getLoopbackAddress()),
                     List.of(new InetSocketAddress(InetAddress.getLoopbackAddress(), 1)),
                     new Well19937c(1),
                     taskBehaviour);
