Progress of large submissions in blocks, so that no value outgrows the store

Cause: JobRows wrote the progress of a submission as one value with an entry for each task that has ended, whole with each batch, and nothing bounded it. A final state with parts in 13 or more cells had more rows than a transaction may have, and would have stopped the queue of its cell (found by reading).

Why the fix works: a submission of more than 128 tasks has its progress in blocks of 128 tasks, a bit for each that is done and an entry for each other one that has progress, and a batch writes the blocks that have changed. A version of the job counts as stored once all blocks with older changes are, so that an end is acknowledged only then. Progress in a single value is read, and replaced after the last of its blocks is stored. The record under the former key can't be read by releases before this one, which hold the tasks back. Small submissions keep key and form. Blocks are removed after the final state or a cancel; what an ended owner leaves, the next one removes.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellKeys.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellKeys.java
@@ -121,4 +121,18 @@
     public static String progressPrefix(String cell) {
         return "progress/" + cell + '/';
     }
+
+    /**
+     * Returns the key of a block of the progress of a large submission.
+     *
+     * @param cell the name of the cell
+     * @param id the identifier of the submission
+     * @param block the number of the block, or {@link StoredBlocks#HEADER} for the key of the
+     *     progress itself
+     * @return the key
+     */
+    static String progressBlock(String cell, String id, int block) {
+        String key = progressPrefix(cell) + id;
+        return block == StoredBlocks.HEADER ? key : key + '/' + block;
+    }
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -295,7 +295,7 @@
 
     /** Reads the stored progress, then the roster, then the worker entries. */
     private void loadProgress() {
-        new ProgressReader(context, progressRemover, this::loadRoster).start();
+        new ProgressReader(context, progressRemover, commits::remove, this::loadRoster).start();
     }
 
     /** Reads the roster, which lists the workers that previous owners used. */
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellSettings.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellSettings.java
@@ -24,6 +24,9 @@
     /** The delay before a worker is polled again after a failed poll, in milliseconds. */
     private final long pollRetryMillis;
 
+    /** The longest value of the store, in bytes. */
+    private final int valueBytes;
+
     /** The shortest time between two commits, in milliseconds. */
     private final long commitIntervalMillis;
 
@@ -77,6 +80,7 @@
         ownershipValidityMillis = builder.ownershipValidityMillis;
         pollWaitMillis = builder.pollWaitMillis;
         pollRetryMillis = builder.pollRetryMillis;
+        valueBytes = builder.valueBytes;
         commitIntervalMillis = builder.commitIntervalMillis;
         ownershipCheckIntervalMillis = builder.ownershipCheckIntervalMillis;
         halfTickMillis = builder.halfTickMillis;
@@ -143,6 +147,15 @@
         return pollRetryMillis;
     }
 
+    /**
+     * Returns the longest value of the store.
+     *
+     * @return the length, in bytes
+     */
+    public int valueBytes() {
+        return valueBytes;
+    }
+
     /**
      * Returns the shortest time between two commits.
      *
@@ -253,6 +266,9 @@
         /** The default delay after a failed poll: twice the round trip between regions. */
         private long pollRetryMillis = 120;
 
+        /** The default length of the longest value, given by the platform's documentation. */
+        private int valueBytes = 1_048_576;
+
         /** The default time between commits: they use 1/14 of the smallest store's write rate. */
         private long commitIntervalMillis = 35;
 
@@ -283,6 +299,17 @@
         /** Creates a builder with the default values. */
         private Builder() {}
 
+        /**
+         * Sets the longest value of the store.
+         *
+         * @param bytes the length, in bytes
+         * @return this builder
+         */
+        public Builder valueBytes(int bytes) {
+            valueBytes = bytes;
+            return this;
+        }
+
         /**
          * Sets how long a worker may run tasks without a new lease from the owner.
          *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitBatch.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitBatch.java
@@ -1,6 +1,8 @@
 package org.damasktiller.scheduler.cell;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.damasktiller.scheduler.port.StoreTransaction;
 import org.jspecify.annotations.Nullable;
@@ -17,6 +19,9 @@
     /** The jobs that the batch stores, each with the version that is stored. */
     final Map<Job, Long> jobVersions = new LinkedHashMap<>();
 
+    /** The keys of progress that the batch removes and nobody reads any more. */
+    final List<String> removedKeys = new ArrayList<>();
+
     /** Whether the batch stores the roster. */
     boolean hasRoster;
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitQueue.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitQueue.java
@@ -78,13 +78,14 @@
     }
 
     /**
-     * Queues a job for the next batch after a change of its progress or state. Progress that was
+     * Queues a job for the next batch after a change of a task or of the state. Progress that was
      * set aside is not stored until the store takes it, but the final state of the job is.
      *
-     * @param job the job that has changed
+     * @param task the task that has changed; with it the rest of its gang
      */
-    void enqueue(Job job) {
-        job.version++;
+    void enqueue(TaskRecord task) {
+        Job job = task.step.occurrence.job;
+        job.onChanged(task);
         if (job.setAside && !job.state.isFinal()) {
             return;
         }
@@ -129,6 +130,18 @@
     void discard(Job job) {
         queuedJobs.remove(job);
         job.committedVersion = job.version;
+        queuedJobs.addRemovals(job, true);
+        scheduleSend();
+    }
+
+    /**
+     * Removes a key of the cell's progress.
+     *
+     * @param key the key, which nobody reads any more
+     */
+    void remove(String key) {
+        queuedJobs.addRemoval(key);
+        scheduleSend();
     }
 
     /** Schedules the next batch unless one is scheduled or in flight. */
@@ -269,6 +282,7 @@
      */
     private void discardBatch(CommitBatch batch) {
         batchInFlight = null;
+        queuedJobs.onDiscarded(batch);
         queuedJobs.addFirst(batch.jobVersions.keySet());
         if (batch.hasRoster) {
             rosterQueued = true;
@@ -292,6 +306,7 @@
     private void handleInvalid(CommitBatch batch, String reason) {
         if (rejectedItems.onRejected(batch, reason)) {
             batchInFlight = null;
+            queuedJobs.onDiscarded(batch);
             batch.jobVersions
                     .keySet()
                     .forEach(job -> rejectedItems.scheduleRetry(job, () -> enqueueAgain(job)));
@@ -344,6 +359,7 @@
             return;
         }
         batchInFlight = null;
+        queuedJobs.onDiscarded(batch);
         for (Job job : batch.jobVersions.keySet()) {
             if (job.state.isFinal()) {
                 recordCheck.check(job);
@@ -438,8 +454,9 @@
         headRevision = revision;
         batch.jobVersions.forEach(
                 (job, version) -> {
-                    job.committedVersion = Math.max(job.committedVersion, version);
+                    job.onStored(version);
                     if (job.state.isFinal() && job.committedVersion == job.version) {
+                        queuedJobs.addRemovals(job, false);
                         listener.onStored(job);
                     }
                 });
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CrashTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CrashTracker.java
@@ -202,7 +202,7 @@
                     "crashes",
                     task.crashes.crashes());
             task.crashes = history;
-            commits.enqueue(task.step.occurrence.job);
+            commits.enqueue(task);
         }
         onOutcomeKnown(task);
     }
@@ -292,7 +292,7 @@
     void onOutcomeKnown(TaskRecord task) {
         if (task.recordedStart != null) {
             task.recordedStart = null;
-            commits.enqueue(task.step.occurrence.job);
+            commits.enqueue(task);
         }
     }
 
@@ -305,7 +305,7 @@
     private void recordStart(TaskRecord task, RecordedStart start) {
         Job job = task.step.occurrence.job;
         task.recordedStart = start;
-        commits.enqueue(job);
+        commits.enqueue(task);
         task.recordedStartVersion = job.version;
     }
 
@@ -373,7 +373,7 @@
         CrashHistory before = task.crashes;
         Job job = task.step.occurrence.job;
         task.crashes = crashes;
-        commits.enqueue(job);
+        commits.enqueue(task);
         if (crashes.crashes() == before.crashes()
                 && crashes.unknownOutcomes() == before.unknownOutcomes()) {
             return;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
@@ -69,6 +69,12 @@
     /** Whether the store has rejected the last record of the job, which is not stored since. */
     boolean setAside;
 
+    /** The blocks of the progress of a large submission, null for a small one. */
+    final @Nullable TaskBlocks blocks;
+
+    /** Which of these blocks have changed and are in the store. */
+    final StoredBlocks storedBlocks = new StoredBlocks();
+
     /** When the submission was accepted, in milliseconds on the owner's clock. */
     final long acceptedAtMillis;
 
@@ -95,6 +101,7 @@
         this.acceptedAtMillis = acceptedAtMillis;
         QueueTerms acceptedTerms = accepted.terms();
         this.terms = acceptedTerms == null ? QueueTerms.UNKNOWN : acceptedTerms;
+        this.blocks = TaskBlocks.of(accepted.submission());
         if (!accepted.submission().scheduled()) {
             beginOccurrence(0);
         }
@@ -129,6 +136,32 @@
         }
     }
 
+    /**
+     * Raises the version of the job after a change of a task, or of a gang, that is to be stored.
+     *
+     * @param task the task
+     */
+    void onChanged(TaskRecord task) {
+        version++;
+        if (blocks != null) {
+            List<TaskRecord> changed = task.step.spec.gang() ? task.step.tasks : List.of(task);
+            storedBlocks.onChanged(blocks.blocksOf(changed), version);
+        }
+    }
+
+    /**
+     * Takes note that a batch with the job is stored.
+     *
+     * @param batchVersion the version of the job when the batch was made
+     */
+    void onStored(long batchVersion) {
+        long stored =
+                blocks == null || state.isFinal()
+                        ? batchVersion
+                        : storedBlocks.onStored(batchVersion);
+        committedVersion = Math.max(committedVersion, stored);
+    }
+
     /**
      * Takes over which tasks have their home in the cell, unless a later state is known.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobRows.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobRows.java
@@ -19,12 +19,25 @@
     /** The most rows of a finished job: its record, the condition on it, and two removals. */
     private static final int FINISHED_JOB_ROWS = 4;
 
+    /** The rows of a finished job with parts for their record: the condition and the removal. */
+    private static final int PARTS_RECORD_ROWS = 2;
+
     /** The rows of a finished job for each other cell that has a part: two removals. */
     private static final int PART_ROWS = 2;
 
+    /**
+     * The most cells that may have parts of a submission, so that its final state fits in a
+     * transaction.
+     */
+    static final int MAX_CELLS =
+            MAX_TRANSACTION_ROWS - RESERVED_ROWS - FINISHED_JOB_ROWS - PARTS_RECORD_ROWS + 1;
+
     /** The shared state of the cell's owner. */
     private final CellContext context;
 
+    /** Encodes the progress of jobs. */
+    private final ProgressEncoder encoder;
+
     /**
      * Creates a writer for the jobs of a cell.
      *
@@ -32,6 +45,7 @@
      */
     JobRows(CellContext context) {
         this.context = context;
+        this.encoder = new ProgressEncoder(context.settings.valueBytes());
     }
 
     /**
@@ -42,10 +56,29 @@
      */
     static int countRows(Job job) {
         if (!job.state.isFinal()) {
-            return 1;
+            return job.blocks == null ? 1 : job.storedBlocks.countNext();
         }
         PartsRecord parts = job.parts;
-        return FINISHED_JOB_ROWS + (parts == null ? 0 : parts.allCells().size() * PART_ROWS);
+        if (parts == null) {
+            return FINISHED_JOB_ROWS;
+        }
+        int others = parts.allCells().size() - 1;
+        return FINISHED_JOB_ROWS
+                + PARTS_RECORD_ROWS
+                + (removesProgressElsewhere(parts) ? others * PART_ROWS : others);
+    }
+
+    /**
+     * Returns whether the final state of a submission fits in a transaction together with the
+     * removal of the progress in other cells; otherwise that stays, as after a cancel.
+     *
+     * @param parts the cells that have parts
+     * @return whether the progress is removed
+     */
+    private static boolean removesProgressElsewhere(PartsRecord parts) {
+        int others = parts.allCells().size() - 1;
+        return RESERVED_ROWS + FINISHED_JOB_ROWS + PARTS_RECORD_ROWS + others * PART_ROWS
+                <= MAX_TRANSACTION_ROWS;
     }
 
     /**
@@ -59,7 +92,7 @@
         String progress = CellKeys.progressPrefix(context.cell) + job.id();
         if (!job.state.isFinal()) {
             job.progressStored = true;
-            commit.put(progress, StoredValueCodec.encode(ProgressRecord.of(job)));
+            addProgress(commit, job);
             return;
         }
         String key = CellKeys.submission(job.id());
@@ -82,6 +115,27 @@
         }
     }
 
+    /**
+     * Adds the progress of a job: all of it, or the next blocks that have changed.
+     *
+     * @param commit the transaction
+     * @param job the job, which is not finished
+     */
+    private void addProgress(StoreTransaction commit, Job job) {
+        TaskBlocks blocks = job.blocks;
+        if (blocks == null) {
+            commit.put(
+                    CellKeys.progressPrefix(context.cell) + job.id(),
+                    encoder.encode(job, job.partOrWhole()));
+            return;
+        }
+        for (int block : job.storedBlocks.takeNext()) {
+            commit.put(
+                    CellKeys.progressBlock(context.cell, job.id(), block),
+                    encoder.encode(job, blocks, block, job.partOrWhole()));
+        }
+    }
+
     /**
      * Adds the removal of what other cells store of a finished job to a transaction.
      *
@@ -97,7 +151,9 @@
         for (String cell : parts.allCells()) {
             if (!cell.equals(context.cell)) {
                 commit.remove(CellKeys.openSubmissionsPrefix(cell) + id);
-                commit.remove(CellKeys.progressPrefix(cell) + id);
+                if (removesProgressElsewhere(parts)) {
+                    commit.remove(CellKeys.progressPrefix(cell) + id);
+                }
             }
         }
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
@@ -102,7 +102,7 @@
         }
         if (task.step.spec.lasting() && !task.everRan) {
             task.everRan = true;
-            commits.enqueue(job);
+            commits.enqueue(task);
         }
     }
 
@@ -153,7 +153,7 @@
                     end.sequence());
             crashTracker.onOutcomeKnown(task);
             updateTask(task, worker, end);
-            commits.enqueue(job);
+            commits.enqueue(task);
             finishIfDoneOrFailed(job);
         }
         return new PendingEnd(
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressRecord.java
@@ -26,18 +26,7 @@
      * Creates the record of a job's current progress.
      *
      * @param job the job
-     * @return the progress of its tasks; tasks without progress, and those that have their home in
-     *     another cell, are left out
-     */
-    static ProgressRecord of(Job job) {
-        return of(job, job.partOrWhole());
-    }
-
-    /**
-     * Creates the record of a job's progress after a move.
-     *
-     * @param job the job
-     * @param part the tasks that have their home in the cell after the move
+     * @param part the tasks that have their home in the cell
      * @return the progress of these tasks; tasks without progress are left out
      */
     static ProgressRecord of(Job job, SubmissionPart part) {
@@ -60,7 +49,7 @@
      * @param task the task
      * @return whether it differs from a task that has not run
      */
-    private static boolean hasProgress(TaskRecord task) {
+    static boolean hasProgress(TaskRecord task) {
         return task.highestEndedRunNumber > 0
                 || task.done
                 || task.everRan
@@ -75,23 +64,16 @@
      * @param job the job
      */
     void restore(Job job) {
-        for (Entry entry : tasks) {
-            TaskId id = new TaskId(job.id(), entry.occurrence(), entry.step(), entry.index());
-            TaskRecord task = job.findTask(id);
-            if (task == null) {
-                continue;
-            }
-            task.failedRunNumbers.addAll(entry.failedRuns());
-            task.everRan |= entry.ran();
-            task.highestEndedRunNumber = entry.run();
-            task.highestRunNumber = entry.run();
-            task.checkpoint = entry.checkpoint();
-            task.crashes = entry.crashHistory();
-            task.recordedStart = entry.recordedStart();
-            if (entry.done()) {
-                task.step.markDone(task);
-            }
-        }
+        tasks.forEach(entry -> entry.restore(job));
+    }
+
+    /**
+     * Returns the record without checkpoints.
+     *
+     * @return the record, whose tasks begin again after a change of the owner
+     */
+    ProgressRecord withoutCheckpoints() {
+        return new ProgressRecord(tasks.stream().map(Entry::withoutCheckpoint).toList());
     }
 
     /**
@@ -156,6 +138,49 @@
                     task.recordedStart);
         }
 
+        /**
+         * Returns the entry without its checkpoint.
+         *
+         * @return the entry of a task that begins again
+         */
+        Entry withoutCheckpoint() {
+            return new Entry(
+                    occurrence,
+                    step,
+                    index,
+                    done,
+                    failedRuns,
+                    run,
+                    ran,
+                    "",
+                    crashes,
+                    bystanderCrashes,
+                    unknownOutcomes,
+                    recordedStart);
+        }
+
+        /**
+         * Applies the entry to its task, unless the submission has no such task.
+         *
+         * @param job the job of the submission
+         */
+        void restore(Job job) {
+            TaskRecord task = job.findTask(new TaskId(job.id(), occurrence, step, index));
+            if (task == null) {
+                return;
+            }
+            task.failedRunNumbers.addAll(failedRuns);
+            task.everRan |= ran;
+            task.highestEndedRunNumber = run;
+            task.highestRunNumber = run;
+            task.checkpoint = checkpoint;
+            task.crashes = crashHistory();
+            task.recordedStart = recordedStart;
+            if (done) {
+                task.step.markDone(task);
+            }
+        }
+
         /**
          * Returns the crashes of workers under runs of the task.
          *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RejectedItems.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RejectedItems.java
@@ -1,5 +1,8 @@
 package org.damasktiller.scheduler.cell;
 
+import java.util.Set;
+import java.util.TreeSet;
+
 /**
  * Finds the item for which the store rejects batches as invalid, and sets it aside. Each rejected
  * batch halves the number of items of the next ones, until an item is rejected alone.
@@ -62,11 +65,7 @@
         }
         for (Job job : batch.jobVersions.keySet()) {
             if (!job.setAside) {
-                log(
-                        job.state.isFinal()
-                                ? CellKeys.submission(job.id())
-                                : CellKeys.progressPrefix(context.cell) + job.id(),
-                        reason);
+                log(String.join(" ", writtenKeys(batch)), reason);
             }
             job.setAside = true;
         }
@@ -102,10 +101,22 @@
                 });
     }
 
+    /**
+     * Returns the keys that a batch writes beside the head.
+     *
+     * @param batch the batch
+     * @return the keys
+     */
+    private Set<String> writtenKeys(CommitBatch batch) {
+        Set<String> keys = new TreeSet<>(batch.commit.writes().keySet());
+        keys.remove(CellKeys.head(context.cell));
+        return keys;
+    }
+
     /**
      * Logs that an item is set aside.
      *
-     * @param key the key of the item
+     * @param key the key of the item; a large submission may have several
      * @param reason the answer of the store
      */
     private void log(String key, String reason) {
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskMove.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskMove.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.damasktiller.scheduler.model.AcceptedSubmission;
 import org.damasktiller.scheduler.model.MovedTask;
 import org.damasktiller.scheduler.model.PartsRecord;
@@ -17,6 +18,15 @@
  */
 final class TaskMove implements PendingMove {
 
+    /**
+     * The most blocks of progress in the transaction. Nine of its rows are for the head, the
+     * entries and the records, two each, and for the record of the submission.
+     */
+    private static final int MAX_BLOCKS = JobRows.MAX_TRANSACTION_ROWS - 9;
+
+    /** Encodes the progress that stays. */
+    private final ProgressEncoder encoder;
+
     /** The name of the cell that the tasks leave. */
     private final String cell;
 
@@ -53,6 +63,7 @@
     /**
      * Creates a move.
      *
+     * @param encoder encodes the progress that stays
      * @param cell the name of the cell that the tasks leave
      * @param tasks the tasks
      * @param target the name of the cell that the tasks move to
@@ -64,6 +75,7 @@
      * @param listener called with the outcome
      */
     private TaskMove(
+            ProgressEncoder encoder,
             String cell,
             List<TaskRecord> tasks,
             String target,
@@ -73,6 +85,7 @@
             SubmissionPart targetPart,
             long targetRevision,
             Listener listener) {
+        this.encoder = encoder;
         this.cell = cell;
         this.job = tasks.get(0).step.occurrence.job;
         this.tasks = tasks;
@@ -125,6 +138,7 @@
             moved.add(task.toMovedTask(context.term));
         }
         return new TaskMove(
+                new ProgressEncoder(context.settings.valueBytes()),
                 context.cell,
                 tasks,
                 target,
@@ -138,7 +152,10 @@
 
     @Override
     public boolean isPossible() {
+        TaskBlocks blocks = job.blocks;
         return !job.state.isFinal()
+                && (blocks == null || storedBlocks(blocks).size() <= MAX_BLOCKS)
+                && parts.allCells().size() <= JobRows.MAX_CELLS
                 && job.openRevision == openRevision
                 && tasks.stream().allMatch(task -> task.runs.isEmpty() && !task.away);
     }
@@ -151,13 +168,30 @@
         commit.expectRevision(CellKeys.submission(id), job.recordRevision);
         commit.expectRevision(CellKeys.parts(id), partsRevision);
         commit.put(CellKeys.parts(id), StoredValueCodec.encode(parts));
-        if (job.progressStored) {
-            commit.put(
-                    CellKeys.progressPrefix(cell) + id,
-                    StoredValueCodec.encode(ProgressRecord.of(job, stayingPart)));
+        TaskBlocks blocks = job.blocks;
+        if (blocks != null) {
+            for (int block : storedBlocks(blocks)) {
+                commit.put(
+                        CellKeys.progressBlock(cell, id, block),
+                        encoder.encode(job, blocks, block, stayingPart));
+            }
+        } else if (job.progressStored) {
+            commit.put(CellKeys.progressPrefix(cell) + id, encoder.encode(job, stayingPart));
         }
     }
 
+    /**
+     * Returns the blocks with tasks of the move that may be in the store.
+     *
+     * @param blocks the blocks of the submission
+     * @return the numbers of the blocks
+     */
+    private Set<Integer> storedBlocks(TaskBlocks blocks) {
+        Set<Integer> moved = blocks.blocksOf(tasks);
+        moved.retainAll(job.storedBlocks.stored());
+        return moved;
+    }
+
     @Override
     public void onStored(long revision) {
         job.applyPart(stayingPart, revision);
