Start a gang again away from workers that failed one of its members

Callers would see a submission with a gang fail although only one worker fails what it starts: run after run of the gang gets a member on that worker, until the attempts of the gang are used up.

Cause: GangPlacement chose workers by their free CPU alone. Only the task that had failed avoided the worker (WorkerScorer), and gangs are not placed by that.

Fix: workers on which a run of any member has failed come last for all members. They still serve if no others are left, and with the policy RETRY_SPREADING off as before. The workers to avoid are in the owner's memory, as for other tasks, so that a successor learns them anew.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/GangPlacement.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/GangPlacement.java
@@ -3,17 +3,19 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import org.damasktiller.scheduler.model.Resources;
+import org.damasktiller.scheduler.policy.Policy;
 
 /**
  * Selects the workers for gangs, whose members start all at once or not at all.
  *
  * <p>Load pattern: gangs that run faster on one rack, while the free capacity is fragmented over
- * many workers.
+ * many workers and some workers fail every run.
  */
 final class GangPlacement {
 
@@ -59,7 +61,8 @@
     }
 
     /**
-     * Assigns the members of a gang one by one to the workers with the most free CPU.
+     * Assigns the members of a gang one by one to the workers with the most free CPU. Workers that
+     * any member avoids come last, since one member that fails ends the run of the whole gang.
      *
      * @param step the step of the gang
      * @param rack the label that all workers must have, or an empty string for any worker
@@ -69,7 +72,10 @@
         Map<WorkerRecord, Integer> assignedCounts = new HashMap<>();
         List<WorkerRecord> selected = new ArrayList<>();
         List<WorkerRecord> byFreeCpu = new ArrayList<>(context.allWorkers());
-        byFreeCpu.sort(Comparator.comparingLong(worker -> -worker.freeResources().cpuMillicores()));
+        Set<String> avoidedIds = avoidedWorkerIds(step);
+        byFreeCpu.sort(
+                Comparator.comparing((WorkerRecord worker) -> avoidedIds.contains(worker.id))
+                        .thenComparingLong(worker -> -worker.freeResources().cpuMillicores()));
         Resources need = step.spec.reserved();
         boolean ticketRequired = advice.isRequired(step);
         for (TaskRecord task : step.tasks) {
@@ -92,6 +98,20 @@
         return selected.size() == step.tasks.size() ? selected : List.of();
     }
 
+    /**
+     * Returns the workers on which a run of any member has failed.
+     *
+     * @param step the step of the gang
+     * @return their identifiers, none if retries are not spread
+     */
+    private Set<String> avoidedWorkerIds(StepRecord step) {
+        Set<String> avoidedIds = new HashSet<>();
+        if (context.settings.policies().isEnabled(Policy.RETRY_SPREADING)) {
+            step.tasks.forEach(task -> avoidedIds.addAll(task.avoidedWorkerIds));
+        }
+        return avoidedIds;
+    }
+
     /**
      * Returns the labels that may name a rack. Labels do not say whether they name a rack.
      *
