A submission that has run is not queued again after a takeover

Callers saw a submission shown as queued again, and counted among the pending ones of its queue, after it had been shown as running: under a new owner, while none of its tasks ran, for instance between two occurrences.

Cause: a new owner took each submission for queued until a worker named one of its runs, although the stored progress tells of tasks that are done, of ended runs or of crashes.

Fix: ProgressRecord.restore makes a job running if any entry shows that a run was active. A submission whose runs were all lost without an end leaves no progress (a start writes nothing) and is still queued after a takeover.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
@@ -136,6 +136,13 @@
         }
     }
 
+    /** Takes note of progress that shows that a run of the submission has been active. */
+    void onRunFound() {
+        if (state == SubmissionState.QUEUED) {
+            state = SubmissionState.RUNNING;
+        }
+    }
+
     /**
      * Raises the version of the job after a change of a task, or of a gang, that is to be stored.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressBlockRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressBlockRecord.java
@@ -78,6 +78,7 @@
                         position -> {
                             TaskRecord task = blocks.taskAt(job, block, position);
                             if (task != null) {
+                                job.onRunFound();
                                 task.step.markDone(task);
                             }
                         });
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressRecord.java
@@ -58,8 +58,9 @@
     }
 
     /**
-     * Applies the stored progress to a job that was just read from the store. Entries of tasks that
-     * the submission does not have are ignored.
+     * Applies the stored progress to a job that was just read from the store. A job of which any
+     * task has run is not queued any more. Entries of tasks that the submission does not have are
+     * ignored.
      *
      * @param job the job
      */
@@ -169,6 +170,9 @@
             if (task == null) {
                 return;
             }
+            if (hasRun()) {
+                job.onRunFound();
+            }
             task.failedRunNumbers.addAll(failedRuns);
             task.everRan |= ran;
             task.highestEndedRunNumber = run;
@@ -181,6 +185,15 @@
             }
         }
 
+        /**
+         * Returns whether a run of the task has certainly been active.
+         *
+         * @return whether the record shows an end, a confirmed run or a crash
+         */
+        boolean hasRun() {
+            return done || run > 0 || ran || crashes > 0 || bystanderCrashes > 0;
+        }
+
         /**
          * Returns the crashes of workers under runs of the task.
          *
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -803,6 +803,16 @@
             return owner == null ? List.of() : owner.explainPlacement(route, spec);
         }
 
+        /**
+         * Returns the state of an open submission, as the owner tells it.
+         *
+         * @param id the identifier of the submission
+         * @return the state, or null if the owner does not know the submission
+         */
+        @Nullable SubmissionState submissionState(String id) {
+            return owner == null ? null : owner.submissionState(id);
+        }
+
         /** Kills the process: the owner stops, and its connections are closed. */
         void kill() {
             storeClient.kill();
