Name the revision that each write of counts and estimates replaces

Cause: CountPublisher wrote public/pending/CELL on the one condition that the cell still has the same owner. That goes on to hold, so that an unanswered write of an older count, done 1 to 6 s later, took the place of a newer one. The owner compared with what it had written last and wrote nothing more. InterferenceKeeper wrote interference/CELL in the same way; there the next save, 5 s later at most, put it right.

Why it works: RewrittenRecord adds the revision of the key itself to the condition, so that a late copy fails once a newer value is stored. After a write that failed or had no answer it reads the record back. As long as the revision is the one that such a write replaces, the write may still come; the newest value is then written even if it equals what is stored, since only a newer revision excludes the late one. One call is made at a time, and each change is written once; a term reads its counts once at its start (eachChangeIsWrittenOnce). FaultPlan may tell transactions apart, for the tests.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CountPublisher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CountPublisher.java
@@ -3,8 +3,6 @@
 import java.util.List;
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.placement.LargestWorkers;
-import org.damasktiller.scheduler.port.StoreStatus;
-import org.damasktiller.scheduler.port.StoreTransaction;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -54,7 +52,10 @@
     /** When all entries of workers were first read, in milliseconds. */
     private long workersReadAtMillis;
 
-    /** What was published last, or null if nothing was or the last publication failed. */
+    /** Stores what is published. */
+    private final RewrittenRecord storedRecord;
+
+    /** What is published, or about to be, or null if nothing is. */
     private @Nullable PendingRecord published;
 
     /**
@@ -68,6 +69,12 @@
         this.context = context;
         this.jobTracker = jobTracker;
         this.freeRooms = freeRooms;
+        this.storedRecord =
+                new RewrittenRecord(
+                        context,
+                        CellKeys.pending(context.cell),
+                        "counts.unsaved",
+                        PUBLISH_INTERVAL_MILLIS);
     }
 
     /**
@@ -105,16 +112,7 @@
                         room.dividedSteps());
         if (!record.equals(published)) {
             published = record;
-            StoreTransaction commit = new StoreTransaction();
-            commit.expectRevision(CellKeys.owner(context.cell), context.term.headRevision());
-            commit.put(CellKeys.pending(context.cell), StoredValueCodec.encode(record));
-            context.store.commit(
-                    commit,
-                    result -> {
-                        if (result.status() != StoreStatus.OK) {
-                            published = null;
-                        }
-                    });
+            storedRecord.write(StoredValueCodec.encode(record));
         }
         context.schedule(PUBLISH_INTERVAL_MILLIS, this::start);
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/InterferenceKeeper.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/InterferenceKeeper.java
@@ -6,7 +6,6 @@
 import org.damasktiller.scheduler.port.StoreReading;
 import org.damasktiller.scheduler.port.StoreResult;
 import org.damasktiller.scheduler.port.StoreStatus;
-import org.damasktiller.scheduler.port.StoreTransaction;
 
 /**
  * Hands the interference model of a cell from one owner to the next through the store.
@@ -29,6 +28,9 @@
     /** The estimates. */
     private final InterferenceModel model;
 
+    /** Stores the estimates. */
+    private final RewrittenRecord storedRecord;
+
     /**
      * Creates a keeper that has not started.
      *
@@ -38,6 +40,12 @@
     InterferenceKeeper(CellContext context, InterferenceModel model) {
         this.context = context;
         this.model = model;
+        this.storedRecord =
+                new RewrittenRecord(
+                        context,
+                        CellKeys.interference(context.cell),
+                        "interference.unsaved",
+                        SAVE_INTERVAL_MILLIS);
     }
 
     /** Reads the estimates of the previous owner, and saves those of this one from then on. */
@@ -59,6 +67,7 @@
             return;
         }
         StoreItem item = result.status() == StoreStatus.OK ? result.require().item() : null;
+        storedRecord.onRead(item == null ? StoreItem.ABSENT : item.revision());
         InterferenceRecord record =
                 item == null
                         ? null
@@ -79,28 +88,11 @@
         context.schedule(SAVE_INTERVAL_MILLIS, this::save);
     }
 
-    /**
-     * Saves the estimates if there are any, on condition that this process still owns the cell. A
-     * failed write is left to the next interval.
-     */
+    /** Saves the estimates if there are any, on condition that this process still owns the cell. */
     private void save() {
         InterferenceRecord record = model.toRecord();
         if (!record.effects().isEmpty()) {
-            StoreTransaction commit = new StoreTransaction();
-            commit.expectRevision(CellKeys.owner(context.cell), context.term.headRevision());
-            commit.put(CellKeys.interference(context.cell), StoredValueCodec.encode(record));
-            context.store.commit(
-                    commit,
-                    result -> {
-                        if (result.status() != StoreStatus.OK) {
-                            context.log.log(
-                                    "interference.unsaved",
-                                    "cell",
-                                    context.cell,
-                                    "status",
-                                    result.status());
-                        }
-                    });
+            storedRecord.write(StoredValueCodec.encode(record));
         }
         context.schedule(SAVE_INTERVAL_MILLIS, this::save);
     }
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/metadata/FaultInjectingStoreClient.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/metadata/FaultInjectingStoreClient.java
@@ -101,7 +101,9 @@
 
     @Override
     public void commit(StoreTransaction transaction, Consumer<StoreResult<CommitReply>> callback) {
-        call("commit", () -> store.commit(transaction), callback);
+        if (!killed) {
+            call(faults.faultForCommit(transaction), () -> store.commit(transaction), callback);
+        }
     }
 
     @Override
@@ -168,10 +170,24 @@
      */
     private <T> void call(
             String name, Supplier<StoreResult<T>> operation, Consumer<StoreResult<T>> callback) {
-        if (killed) {
-            return;
+        if (!killed) {
+            call(faults.faultFor(name), operation, callback);
         }
-        switch (faults.faultFor(name)) {
+    }
+
+    /**
+     * Makes a call with a fault.
+     *
+     * @param fault the fault
+     * @param operation executes the call on the store
+     * @param callback receives the result
+     * @param <T> the type of the returned value
+     */
+    private <T> void call(
+            CallFault fault,
+            Supplier<StoreResult<T>> operation,
+            Consumer<StoreResult<T>> callback) {
+        switch (fault) {
             case ANSWERED ->
                     runtime.schedule(
                             ONE_WAY_LATENCY_MILLIS, () -> deliver(operation.get(), callback));
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/metadata/FaultPlan.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/metadata/FaultPlan.java
@@ -1,5 +1,7 @@
 package org.damasktiller.standin.metadata;
 
+import org.damasktiller.scheduler.port.StoreTransaction;
+
 /** Decides which fault affects each simulated call. */
 @FunctionalInterface
 public interface FaultPlan {
@@ -16,4 +18,15 @@
      * @return the fault
      */
     CallFault faultFor(String call);
+
+    /**
+     * Decides which fault affects a transaction. Invoked once for each call; the same as for other
+     * calls of the kind {@code commit} unless a plan tells transactions apart.
+     *
+     * @param transaction the transaction
+     * @return the fault
+     */
+    default CallFault faultForCommit(StoreTransaction transaction) {
+        return faultFor("commit");
+    }
 }
