--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
@@ -9,6 +9,7 @@
 import org.damasktiller.error.Operation;
 import org.damasktiller.error.Outcome;
 import org.damasktiller.scheduler.cell.CellEnvironment;
+import org.damasktiller.scheduler.cell.CellKeys;
 import org.damasktiller.scheduler.cell.CellLayout;
 import org.damasktiller.scheduler.cell.CellOwner;
 import org.damasktiller.scheduler.cell.CellSettings;
@@ -381,7 +382,7 @@
                 .commit(
                         new StoreTransaction()
                                 .put(
-                                        ClusterView.NODE_PREFIX + identity.node(),
+                                        CellKeys.NODE_PREFIX + identity.node(),
                                         StoredValueCodec.encode(record),
                                         context.session().leaseId()),
                         result -> onRegistered(result.status()));
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterView.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterView.java
@@ -29,9 +29,6 @@
  */
 public final class ClusterView implements PrefixWatcher.Listener {
 
-    /** The prefix of the keys that register living processes; the name of the VM follows. */
-    static final String NODE_PREFIX = CellKeys.PUBLIC_PREFIX + "node/";
-
     /** The pause after a change before the next watch call, in milliseconds; it batches changes. */
     private static final long BATCHING_DELAY_MILLIS = 40;
 
@@ -276,10 +273,10 @@
             if (record != null) {
                 pendingByCell.put(key.substring(CellKeys.PENDING_PREFIX.length()), record);
             }
-        } else if (key.startsWith(NODE_PREFIX)) {
+        } else if (key.startsWith(CellKeys.NODE_PREFIX)) {
             NodeRecord record = StoredValueCodec.decode(item.value(), NodeRecord.class);
             if (record != null) {
-                NodeRecord before = nodes.put(key.substring(NODE_PREFIX.length()), record);
+                NodeRecord before = nodes.put(key.substring(CellKeys.NODE_PREFIX.length()), record);
                 if (before != null && !before.equals(record)) {
                     nodeSinceMillis.remove(before);
                 }
@@ -329,8 +326,8 @@
             owners.remove(key.substring(CellKeys.OWNER_PREFIX.length()));
         } else if (key.startsWith(CellKeys.PENDING_PREFIX)) {
             pendingByCell.remove(key.substring(CellKeys.PENDING_PREFIX.length()));
-        } else if (key.startsWith(NODE_PREFIX)) {
-            NodeRecord record = nodes.remove(key.substring(NODE_PREFIX.length()));
+        } else if (key.startsWith(CellKeys.NODE_PREFIX)) {
+            NodeRecord record = nodes.remove(key.substring(CellKeys.NODE_PREFIX.length()));
             if (record != null) {
                 nodeSinceMillis.remove(record);
             }
--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/ManifestDistributionTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/ManifestDistributionTest.java
@@ -192,7 +192,7 @@
             store.commit(
                     new StoreTransaction()
                             .put(
-                                    ClusterView.NODE_PREFIX + name,
+                                    CellKeys.NODE_PREFIX + name,
                                     StoredValueCodec.encode(
                                             new NodeRecord(
                                                     name, name, "zone", near, 1_000, 0, "",
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellKeys.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellKeys.java
@@ -18,6 +18,9 @@
     /** The prefix of the pending counts, one key per cell; see {@link PendingRecord}. */
     public static final String PENDING_PREFIX = PUBLIC_PREFIX + "pending/";
 
+    /** The prefix of the keys of living processes, one key per VM. */
+    public static final String NODE_PREFIX = PUBLIC_PREFIX + "node/";
+
     /** The key that fixes how zones are divided into cells; see {@link LayoutRecord}. */
     public static final String LAYOUT = PUBLIC_PREFIX + "layout";
 
