Submissions that the store can't hold are refused with the bound

One whose record exceeds value_bytes was written again and again for 700 ms and then answered with 503, as if a retry could help.

After an unanswered write the answer stays 504.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
@@ -63,6 +63,9 @@
     /** Returns the largest workers of a service by its name, empty if they are not known. */
     private final Function<String, List<Resources>> largestWorkers;
 
+    /** The longest value of the store, in bytes. */
+    private final int valueBytes;
+
     /** The clock and the timers. */
     private final ProcessRuntime runtime;
 
@@ -78,6 +81,7 @@
      * @param zone the availability zone of this process; submissions go to its cell
      * @param largestWorkers returns the largest workers of a service by its name, empty if they are
      *     not known
+     * @param valueBytes the longest value of the store, in bytes
      * @param runtime the clock and the timers
      * @param log the log
      */
@@ -86,19 +90,22 @@
             Supplier<@Nullable CellLayout> layout,
             String zone,
             Function<String, List<Resources>> largestWorkers,
+            int valueBytes,
             ProcessRuntime runtime,
             DecisionLog log) {
         this.store = store;
         this.layout = layout;
         this.zone = zone;
         this.largestWorkers = largestWorkers;
+        this.valueBytes = valueBytes;
         this.runtime = runtime;
         this.log = log;
     }
 
     /**
      * Stores a submission and responds, at the latest shortly before the caller's deadline. A
-     * submission with a task that no worker can hold is rejected, unless it is already stored.
+     * submission with a task that no worker can hold is rejected, unless it is already stored. So
+     * is one whose record the store can't hold, which therefore never was.
      *
      * @param request the request
      * @param submission the submission to store
@@ -115,7 +122,19 @@
                         submission.steps(), largestWorkers.apply(request.route().service()));
         if (tooLarge == LargestWorkers.NONE) {
             String cell = currentLayout.cellOf(request.route().service(), zone);
-            new RetryingWrite(request, submission, cell, callback).start();
+            byte[] accepted =
+                    StoredValueCodec.encode(
+                            new AcceptedSubmission(
+                                    submission,
+                                    request.route().name(),
+                                    request.route().service(),
+                                    runtime.unixMillis(),
+                                    QueueTerms.of(request.route(), request.manifestVersion())));
+            if (accepted.length > valueBytes) {
+                rejectTooLong(request, accepted.length, callback);
+            } else {
+                new RetryingWrite(request, accepted, cell, callback).start();
+            }
         } else {
             store.read(
                     CellKeys.submission(request.id()),
@@ -139,6 +158,33 @@
                 : result.status();
     }
 
+    /**
+     * Rejects a submission whose record the store can't hold.
+     *
+     * @param request the request
+     * @param length the length of the record, in bytes
+     * @param callback the callback for the response
+     */
+    private void rejectTooLong(
+            CallerRequest request, int length, Consumer<CallerResponse> callback) {
+        log.log(
+                "submission.too-long",
+                "id",
+                request.id(),
+                "route",
+                request.route().name(),
+                "bytes",
+                length,
+                "bound",
+                valueBytes);
+        callback.accept(
+                CallerResponse.malformed(
+                        "the steps take "
+                                + length
+                                + " bytes as a record, but must take at most "
+                                + valueBytes));
+    }
+
     /**
      * Rejects a submission that can never run, unless an earlier request has stored it.
      *
@@ -214,33 +260,24 @@
          * Creates the transaction without sending it.
          *
          * @param request the request
-         * @param submission the submission to store
+         * @param accepted the record of the submission
          * @param cell the cell that will run the submission
          * @param callback the callback for the response
          */
         RetryingWrite(
                 CallerRequest request,
-                Submission submission,
+                byte[] accepted,
                 String cell,
                 Consumer<CallerResponse> callback) {
             this.request = request;
             this.callback = callback;
             this.startMillis = runtime.nowMillis();
-            String service = request.route().service();
             this.cell = cell;
-            long unixMillis = runtime.unixMillis();
             String route = request.route().name();
             byte[] record =
                     StoredValueCodec.encode(
-                            new SubmissionRecord(cell, route, SubmissionState.QUEUED, unixMillis));
-            byte[] accepted =
-                    StoredValueCodec.encode(
-                            new AcceptedSubmission(
-                                    submission,
-                                    route,
-                                    service,
-                                    unixMillis,
-                                    QueueTerms.of(request.route(), request.manifestVersion())));
+                            new SubmissionRecord(
+                                    cell, route, SubmissionState.QUEUED, runtime.unixMillis()));
             String key = CellKeys.submission(request.id());
             this.commit =
                     new StoreTransaction()
@@ -302,6 +339,12 @@
             writePending = false;
             if (result.status() == StoreStatus.OK) {
                 respond(result.status(), CallerResponse.accepted());
+            } else if (result.status() == StoreStatus.INVALID) {
+                respond(
+                        result.status(),
+                        uncertain
+                                ? CallerResponse.outcomeUnknown("the store did not respond in time")
+                                : CallerResponse.malformed("the store can't hold the submission"));
             } else {
                 uncertain |= result.status() == StoreStatus.UNKNOWN;
                 retryOrRespond(result.status());
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -253,6 +253,7 @@
                         clusterMember::layout,
                         settings.zone(),
                         clusterMember::largestWorkers,
+                        settings.bounds().storeValueBytes(),
                         runtime,
                         log),
                 new SubmissionStateHandler(store, clusterMember::submissionState, runtime, log),
@@ -298,6 +299,7 @@
                 .policies(policies)
                 .evacuationBoundMillis(settings.bounds().evacuationMillis())
                 .remoteFactor(settings.bounds().remoteFactor())
+                .valueBytes(settings.bounds().storeValueBytes())
                 .maximumWorkerLeaseMillis(settings.bounds().maximumWorkerLeaseMillis())
                 .minimumStoreLeaseMillis(settings.bounds().minimumStoreLeaseMillis())
                 .build();
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/SubmissionAcceptorTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/SubmissionAcceptorTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
@@ -47,6 +48,9 @@
     /** What each task of the submission needs. */
     private Resources need = Resources.NONE;
 
+    /** The longest value of the store, in bytes. */
+    private int valueBytes = 1_048_576;
+
     /** How long the caller waits for a response, in milliseconds. */
     private long patienceMillis = 3_000;
 
@@ -69,6 +73,29 @@
         assertThat(store.value(CellKeys.submission(ID)), nullValue());
     }
 
+    /** A record that no write could ever store was written until the time was up. */
+    @Test
+    void submissionWhoseRecordIsTooLongIsRefusedWithTheBound() {
+        valueBytes = 50;
+        submit(List.of());
+        assertThat(status(), equalTo(400));
+        assertThat(
+                new String(responses.get(0).body(), StandardCharsets.UTF_8)
+                        .contains("must take at most 50"),
+                equalTo(true));
+        assertThat(respondedAtMillis, lessThan(10L));
+        assertThat(store.value(CellKeys.submission(ID)), nullValue());
+    }
+
+    /** A record that the store rejects as invalid was written until the time was up. */
+    @Test
+    void submissionThatTheStoreRejectsIsRefusedAtOnce() {
+        store.limitValues(50);
+        submit(List.of());
+        assertThat(status(), equalTo(400));
+        assertThat(respondedAtMillis, lessThan(10L));
+    }
+
     @Test
     void repeatedSubmissionIsAccepted() {
         submit(List.of());
@@ -185,6 +212,7 @@
                         () -> layout,
                         "a",
                         service -> largestWorkers,
+                        valueBytes,
                         runtime,
                         (event, fields) -> {});
         Route route = new Route("route", "host", "/", "service", 0, 2, 2, 600, false);
