Plan the faults of a soak's seed before the run

Cause: one generator was shared by the faults, the load, the callers, the tasks and the emulated calls, so that each draw depended on how many calls had arrived before it; the time of the next fault was drawn from it, too.

Fix: FaultPlanner draws time, duration and a seed of each fault before the run from a generator of its own. FaultGenerator draws kind, target and parameters of a fault from that seed alone, among the workers that the deployment had at first; one that has left for good is replaced by another. Load and callers, and tasks and emulated calls, have a generator each. The plan is printed.

Planned work, capacities and evacuations had generators of their own and still draw while the run goes on.

--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/FaultGenerator.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/FaultGenerator.java
@@ -1,6 +1,8 @@
 package org.damasktiller.lab.soak;
 
+import java.util.List;
 import org.apache.commons.math3.random.RandomGenerator;
+import org.apache.commons.math3.random.Well19937c;
 import org.damasktiller.lab.link.FaultyLink;
 import org.damasktiller.lab.link.LinkState;
 import org.damasktiller.lab.rig.LocalDeployment;
@@ -9,8 +11,8 @@
 import org.damasktiller.standin.metadata.CallFault;
 
 /**
- * Generates random faults of all kinds. The sequence of faults depends on the order of the draws
- * and of the constants and array elements that they select from.
+ * Generates random faults of all kinds. A fault depends on its seed, on the order of the draws and
+ * of the constants and array elements that they select from.
  */
 final class FaultGenerator {
 
@@ -38,65 +40,69 @@
      */
     private static final String[] SIGNALS = {"KILL", "TERM", "STOP", "HUP"};
 
-    /** Selects the faults and their parameters. */
-    private final RandomGenerator random;
-
     /** The deployment whose components the faults affect. */
     private final LocalDeployment deployment;
 
     /** The manifest that is in force without a fault. */
     private final Manifest manifest;
 
+    /** The workers of the deployment before any was replaced. */
+    private final List<LocalWorker> firstWorkers;
+
     /**
      * Creates a generator.
      *
-     * @param random the random number generator that selects the faults and their parameters
      * @param deployment the deployment whose components the faults affect
      * @param manifest the manifest that is in force without a fault
      */
-    FaultGenerator(RandomGenerator random, LocalDeployment deployment, Manifest manifest) {
-        this.random = random;
+    FaultGenerator(LocalDeployment deployment, Manifest manifest) {
         this.deployment = deployment;
         this.manifest = manifest;
+        this.firstWorkers = List.copyOf(deployment.workers());
     }
 
     /**
-     * Draws the next fault.
+     * Draws a fault.
      *
+     * @param seed the seed of the fault
      * @return the fault, which has not begun
      */
-    Fault nextFault() {
-        return switch (drawOne(FaultTarget.values())) {
+    Fault create(long seed) {
+        RandomGenerator random = new Well19937c(seed);
+        return switch (drawOne(random, FaultTarget.values())) {
             case SIGNAL ->
                     new SignalFault(
                             deployment.entryVms().get(random.nextInt(deployment.entryVms().size())),
-                            drawOne(SIGNALS));
+                            drawOne(random, SIGNALS));
             case STORE_LINK -> {
                 int number = random.nextInt(deployment.storeLinks().size());
                 yield drawLinkFault(
+                        random,
                         deployment.storeLinks().get(number),
                         "link of entry-" + number + " to store");
             }
             case WORKER_LINK -> {
-                LocalWorker worker = drawWorker();
-                yield drawLinkFault(worker.link(), "link to " + worker.simulatedWorker().id());
+                LocalWorker worker = drawWorker(random);
+                yield drawLinkFault(
+                        random, worker.link(), "link to " + worker.simulatedWorker().id());
             }
             case STORE_CALLS ->
                     new ServiceCallFault(
                             deployment.storeFaultPlan(),
                             "store",
-                            drawOne(CALL_FAULTS),
+                            drawOne(random, CALL_FAULTS),
                             random.nextDouble());
             case WORKER_CALLS -> {
-                LocalWorker worker = drawWorker();
+                LocalWorker worker = drawWorker(random);
                 yield new ServiceCallFault(
                         worker.faultPlan(),
                         worker.simulatedWorker().id(),
-                        drawOne(CALL_FAULTS),
+                        drawOne(random, CALL_FAULTS),
                         random.nextDouble());
             }
             case WORKER_LIFE ->
-                    new WorkerFault(drawWorker(), random.nextBoolean() ? DRAIN_NOTICE_MILLIS : 0);
+                    new WorkerFault(
+                            drawWorker(random), random.nextBoolean() ? DRAIN_NOTICE_MILLIS : 0);
             case STORE_STATE -> new StoreFault(deployment.store(), random.nextBoolean());
             case MANIFEST ->
                     new ManifestFault(deployment, manifest, random.nextInt(ADDED_ROUTES_BOUND));
@@ -106,35 +112,44 @@
     /**
      * Draws a fault of a link: broken connections or a faulty state.
      *
+     * @param random the random number generator of the fault
      * @param link the affected link
      * @param name the name of the link in the report
      * @return the fault
      */
-    private Fault drawLinkFault(FaultyLink link, String name) {
+    private static Fault drawLinkFault(RandomGenerator random, FaultyLink link, String name) {
         if (random.nextBoolean()) {
-            return new ConnectionFault(link, name, drawOne(ConnectionFault.Mode.values()));
+            return new ConnectionFault(link, name, drawOne(random, ConnectionFault.Mode.values()));
         }
         return new LinkFault(
-                link, name, drawOne(FAULTY_LINK_STATES), random.nextInt(DELAY_BOUND_MILLIS));
+                link,
+                name,
+                drawOne(random, FAULTY_LINK_STATES),
+                random.nextInt(DELAY_BOUND_MILLIS));
     }
 
     /**
-     * Draws a worker. All workers are equally likely.
+     * Draws one of the workers that the deployment had at first. All are equally likely.
      *
-     * @return the worker
+     * @param random the random number generator of the fault
+     * @return the worker, or another one if it has left for good
      */
-    private LocalWorker drawWorker() {
-        return deployment.workers().get(random.nextInt(deployment.workers().size()));
+    private LocalWorker drawWorker(RandomGenerator random) {
+        int number = random.nextInt(firstWorkers.size());
+        LocalWorker worker = firstWorkers.get(number);
+        List<LocalWorker> present = deployment.workers();
+        return present.contains(worker) ? worker : present.get(number % present.size());
     }
 
     /**
      * Draws one of several values. All values are equally likely.
      *
+     * @param random the random number generator of the fault
      * @param values the values
      * @param <T> the type of the values
      * @return the drawn value
      */
-    private <T> T drawOne(T[] values) {
+    private static <T> T drawOne(RandomGenerator random, T[] values) {
         return values[random.nextInt(values.length)];
     }
 
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakRun.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/soak/SoakRun.java
@@ -37,18 +37,6 @@
     /** The time that the deployment runs before the first fault, in milliseconds. */
     private static final long WARM_UP_MILLIS = 4_000;
 
-    /** The exclusive upper bound of the time between the starts of two faults, in milliseconds. */
-    private static final int FAULT_GAP_BOUND_MILLIS = 1_500;
-
-    /** The minimum duration of a fault, in milliseconds. */
-    private static final long MIN_FAULT_DURATION_MILLIS = 200;
-
-    /**
-     * The exclusive upper bound of the random time that is added to the minimum duration of a
-     * fault, in milliseconds.
-     */
-    private static final int EXTRA_DURATION_BOUND_MILLIS = 8_000;
-
     /** The number of entry VMs of a run with planned work only; each restart takes about 5 s. */
     private static final int PLANNED_ENTRY_VMS = 6;
 
@@ -67,6 +55,9 @@
     /** The exclusive upper bound of the random time added to this duration, in milliseconds. */
     private static final int EXTRA_PLANNED_DURATION_BOUND_MILLIS = 15_000;
 
+    /** Separates the generator of the tasks and the emulated services from the others of a seed. */
+    private static final long SERVICE_SEED_MASK = 0x6c6c6c6c6c6c6c6cL;
+
     /** Separates the generator of crashing work and capacities from the others of a seed. */
     private static final long CRASH_SEED_MASK = 0x5c5c5c5c5c5c5c5cL;
 
@@ -112,11 +103,6 @@
     /** The directory for the settings and logs of this seed. */
     private final Path directory;
 
-    /**
-     * The seeded random number generator, shared by the faults, the load and the emulated services.
-     */
-    private final RandomGenerator random;
-
     /** The random number generator of planned work, apart from those of the other faults. */
     private final RandomGenerator plannedRandom;
 
@@ -170,7 +156,8 @@
         this.settings = settings;
         this.output = output;
         this.directory = createDirectory(settings);
-        random = new Well19937c(settings.seed());
+        RandomGenerator loadRandom = new Well19937c(settings.seed());
+        RandomGenerator serviceRandom = new Well19937c(settings.seed() ^ SERVICE_SEED_MASK);
         plannedRandom = new Well19937c(~settings.seed());
         loop = new LabEventLoop("soak", uncheckedExceptions::add);
         runtime = loop.runtime();
@@ -178,34 +165,29 @@
                 new EvacuationSeries(
                         runtime, settings.seed(), settings.planned(), invariantChecker);
         SubmittedTaskBehaviour taskBehaviour =
-                new SubmittedTaskBehaviour(random, FAILURE_PROBABILITY);
-        LocalDeploymentSettings.Builder deploymentSettings =
-                LocalDeploymentSettings.builder(directory).policies(policiesOf(settings.seed()));
-        if (settings.planned()) {
-            deploymentSettings.entryVms(PLANNED_ENTRY_VMS);
-        }
+                new SubmittedTaskBehaviour(serviceRandom, FAILURE_PROBABILITY);
         deployment =
                 loop.await(
                         created ->
                                 created.complete(
                                         new LocalDeployment(
                                                 loop,
-                                                deploymentSettings.build(),
+                                                deploymentSettings(settings, directory),
                                                 taskBehaviour,
                                                 evacuations.checker(),
-                                                random)));
+                                                serviceRandom)));
         callers =
                 new CallerSimulator(
                         runtime,
                         new CallerClient(
                                 loop.eventloop(), CALL_TIMEOUT_MILLIS, ProcessAddresses.host()),
                         deployment.entryVms().stream().map(EntryVmProcess::callerAddress).toList(),
-                        random,
+                        loadRandom,
                         taskBehaviour);
         load =
                 new SoakLoad(
                         runtime,
-                        random,
+                        loadRandom,
                         callers,
                         settings.planned()
                                 ? SoakLoad.PLANNED_LONG_RUNNING_PROBABILITY
@@ -214,7 +196,7 @@
         interruptionChecker =
                 new InterruptionChecker(
                         runtime, callers, invariantChecker, taskBehaviour, deployment::roomFor);
-        faultGenerator = new FaultGenerator(random, deployment, manifest);
+        faultGenerator = new FaultGenerator(deployment, manifest);
     }
 
     /**
@@ -263,7 +245,7 @@
                     WARM_UP_MILLIS, () -> beginPlannedWork(settings.seconds() * MILLIS_PER_SECOND));
             checkInterruptions();
         } else {
-            runtime.schedule(WARM_UP_MILLIS, this::beginNextFault);
+            scheduleFaults();
             runtime.schedule(WARM_UP_MILLIS + drawPlannedGap(), this::beginNextPlannedWork);
             runtime.schedule(WARM_UP_MILLIS, this::beginCrashesAndCapacityChanges);
         }
@@ -280,15 +262,23 @@
                 settings.seconds() * MILLIS_PER_SECOND);
     }
 
-    /** Begins a fault, and schedules its end and the next fault. */
-    private void beginNextFault() {
-        if (runtime.nowMillis() >= faultsEndMillis) {
-            return;
+    /** Prints the plan of the faults, and schedules them. */
+    private void scheduleFaults() {
+        List<PlannedFault> plan =
+                FaultPlanner.plan(settings.seed(), settings.seconds() * MILLIS_PER_SECOND);
+        for (PlannedFault planned : plan) {
+            output.printf(
+                    "  planned at %d ms: %s for %d ms%n",
+                    planned.startMillis(),
+                    faultGenerator.create(planned.seed()).describe(),
+                    planned.durationMillis());
+            runtime.schedule(
+                    WARM_UP_MILLIS + planned.startMillis(),
+                    () ->
+                            beginFault(
+                                    faultGenerator.create(planned.seed()),
+                                    planned.durationMillis()));
         }
-        beginFault(
-                faultGenerator.nextFault(),
-                MIN_FAULT_DURATION_MILLIS + random.nextInt(EXTRA_DURATION_BOUND_MILLIS));
-        runtime.schedule(random.nextInt(FAULT_GAP_BOUND_MILLIS), this::beginNextFault);
     }
 
     /** Begins planned work among other faults, and schedules its end and the next such work. */
@@ -416,6 +406,23 @@
         return exceptionLines;
     }
 
+    /**
+     * Creates the settings of the deployment of a run.
+     *
+     * @param settings the settings of the run
+     * @param directory the directory for the settings and logs of the entry VMs
+     * @return the settings
+     */
+    private static LocalDeploymentSettings deploymentSettings(
+            SoakSettings settings, Path directory) {
+        LocalDeploymentSettings.Builder builder =
+                LocalDeploymentSettings.builder(directory).policies(policiesOf(settings.seed()));
+        if (settings.planned()) {
+            builder.entryVms(PLANNED_ENTRY_VMS);
+        }
+        return builder.build();
+    }
+
     /**
      * Chooses the policies of a run: all of them with even seeds, no policy with one odd seed in
      * {@link #SEEDS_PER_RUN_WITHOUT_POLICIES}, and all but one with the others.
