Adapt the tests of the callers to each other's changes

The constructor of SubmissionAcceptor takes the longest value of the store, and a relayed result the revision of the manifest; tests that were written beside these changes now pass them. No check is changed.

--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/CallerRelayTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/CallerRelayTest.java
@@ -96,7 +96,7 @@
     /** The tombstone of a cancel is found by each peer. */
     @Test
     void cancelledSubmissionIsNotTriedElsewhere() {
-        results.put("a-2", new RelayResult(CallerResponse.cancelledBefore(), true, ""));
+        results.put("a-2", new RelayResult(CallerResponse.cancelledBefore(), 0, true, ""));
         results.put("b-1", ACCEPTED);
         submit();
         assertThat(sentTo, contains("a-2"));
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/TestVm.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/TestVm.java
@@ -103,6 +103,7 @@
                                 member::layout,
                                 ZONE,
                                 member::largestWorkers,
+                                1 << 20,
                                 runtime,
                                 (event, fields) -> {}),
                         new SubmissionStateHandler(
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/UnknownSubmissionCancelTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/UnknownSubmissionCancelTest.java
@@ -291,6 +291,7 @@
                         () -> layout,
                         "a",
                         service -> largestWorkers,
+                        1 << 20,
                         runtime,
                         (event, fields) -> {})
                 .accept(request(), new Submission(ID, "", List.of(step), 0, 0, 0), responses::add);
