Let a starved filler wait anew after each end of its submission

Cause: a filler counted as starved if it had been ready for 2.5 s and nothing of its submission was active at that moment. After its first start each end made the next task starved at once, so that the submission went on without a pause.

Fix: the time counts from when the job was first found without runs since its last one.

Evidence: IdleFillerTest.fillersOfOneSubmissionWaitAgainAfterEachEnd failed before ("Expected: <2> but: was <6>" starts in 6 s) and passes, as do the other cases of the class.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
@@ -48,6 +48,12 @@
     /** The number of runs of its tasks that are or may be active. */
     int runCount;
 
+    /**
+     * When a pass first found the job without runs since its last run, in milliseconds, or 0 if
+     * none has.
+     */
+    long idleSinceMillis;
+
     /** The current state; a final state may not be stored yet. */
     SubmissionState state = SubmissionState.QUEUED;
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
@@ -120,6 +120,11 @@
             if (!mayStart(job)) {
                 continue;
             }
+            if (job.runCount > 0) {
+                job.idleSinceMillis = 0;
+            } else if (job.idleSinceMillis == 0) {
+                job.idleSinceMillis = context.now();
+            }
             job.beginDueOccurrences(dueLimitUnixMillis);
             for (OccurrenceRecord occurrence : job.occurrences.values()) {
                 collectWaitingSteps(occurrence, waitingSteps);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerScorer.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerScorer.java
@@ -192,15 +192,18 @@
     }
 
     /**
-     * Returns whether a filler has waited for some time with nothing of its submission active.
+     * Returns whether a filler is ready, and nothing of its submission has been active for some
+     * time.
      *
      * @param task the task of the filler
-     * @return whether it has
+     * @return whether it is starved
      */
     private boolean isStarved(TaskRecord task) {
-        return task.readySinceMillis != 0
-                && context.now() - task.readySinceMillis >= FILLER_YIELD_MILLIS
-                && task.step.occurrence.job.runCount == 0;
+        Job job = task.step.occurrence.job;
+        return job.runCount == 0
+                && task.readySinceMillis != 0
+                && context.now() - Math.max(task.readySinceMillis, job.idleSinceMillis)
+                        >= FILLER_YIELD_MILLIS;
     }
 
     /**
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/IdleFillerTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/IdleFillerTest.java
@@ -78,6 +78,22 @@
         assertThat(simulation.invariants.violations(), empty());
     }
 
+    /** Once it had waited, a submission could disturb serving tasks without a pause. */
+    @Test
+    void fillersOfOneSubmissionWaitAgainAfterEachEnd() {
+        CellSimulation simulation = createCell(3, 500);
+        simulation.tailMillis = 2 * TARGET;
+        simulation.runtime.advance(2_000);
+        simulation.submit(id(0), filler(FILLERS));
+        simulation.runtime.advance(2 * MAX_WAIT_MILLIS);
+        int starts = 0;
+        for (int index = 0; index < FILLERS; index++) {
+            starts += simulation.invariants.startCount(new TaskId(id(0), 0, 0, index));
+        }
+        assertThat(starts, equalTo(2));
+        assertThat(simulation.invariants.violations(), empty());
+    }
+
     /**
      * Creates a cell in which each worker has some serving tasks.
      *
@@ -108,7 +124,17 @@
      * @return the step
      */
     private static StepSpec filler() {
-        return StepSpec.builder(1, new Resources(2_000, 1_000, 0))
+        return filler(1);
+    }
+
+    /**
+     * Creates a step of fillers.
+     *
+     * @param count the number of tasks
+     * @return the step
+     */
+    private static StepSpec filler(int count) {
+        return StepSpec.builder(count, new Resources(2_000, 1_000, 0))
                 .estimateMillis(400)
                 .filling(true)
                 .image("filler")
