Hold a SIGHUP that comes while the program starts

Cause: NodeProcess.run installed the handlers after the command line, the settings and all components. Until then the JVM's own handler holds, which exits, and before that the default of the operating system.

Fix: Main installs the handler before anything else is loaded. PendingSignal holds the signal until the event loop can read the settings file again. The rest of the program is NodeProgram.

Why it works: from the first statements of Main on, the signal reaches our handler.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/Main.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/Main.java
@@ -1,22 +1,11 @@
 package org.damasktiller.node.process;
 
-import com.beust.jcommander.JCommander;
-import com.beust.jcommander.ParameterException;
-import java.nio.file.Path;
-import org.damasktiller.error.DamasktillerException;
-import org.damasktiller.platform.settings.SettingsReader;
-
 /**
- * The main class of an entry VM: parses the command line, reads the settings and runs the process.
+ * The main class of an entry VM: takes SIGHUP, which would end the process, and then runs the
+ * program. Nothing else is loaded before the handler is installed.
  */
 public final class Main {
 
-    /** The exit code for an invalid command line. */
-    private static final int EXIT_INVALID_COMMAND_LINE = 2;
-
-    /** The exit code for settings that are invalid, or an address that can't be listened on. */
-    private static final int EXIT_INVALID_SETTINGS = 3;
-
     /** Prevents instantiation. */
     private Main() {}
 
@@ -26,27 +15,8 @@
      * @param arguments the command-line arguments
      */
     public static void main(String[] arguments) {
-        Options options = new Options();
-        JCommander parser =
-                JCommander.newBuilder().programName("damasktiller-node").addObject(options).build();
-        try {
-            parser.parse(arguments);
-            options.validate();
-        } catch (ParameterException exception) {
-            System.err.println(exception.getMessage());
-            parser.usage();
-            System.exit(EXIT_INVALID_COMMAND_LINE);
-        }
-        if (options.help) {
-            parser.usage();
-            return;
-        }
-        Path path = Path.of(options.settings);
-        try {
-            new NodeProcess(path, SettingsReader.read(path), options).run();
-        } catch (DamasktillerException exception) {
-            System.err.println(exception.code() + ": " + exception.getMessage());
-            System.exit(EXIT_INVALID_SETTINGS);
-        }
+        PendingSignal hangup = new PendingSignal();
+        ProcessSignals.handle("HUP", hangup);
+        NodeProgram.run(arguments, hangup);
     }
 }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -193,13 +193,25 @@
                 newServer(request -> serveStatus(request).toPromise(), settings.readinessAddress());
     }
 
+    /**
+     * Takes SIGHUP from now on and runs the event loop as {@link #run(PendingSignal)} does.
+     *
+     * @throws DamasktillerException with code BAD_SETTING if an address can't be listened on
+     */
+    public void run() {
+        PendingSignal hangup = new PendingSignal();
+        ProcessSignals.handle("HUP", hangup);
+        run(hangup);
+    }
+
     /**
      * Runs the event loop on the current thread. After SIGTERM and an orderly shutdown, the JVM
      * exits with code 0.
      *
+     * @param hangup SIGHUP, which may have arrived before; the settings file is read again then
      * @throws DamasktillerException with code BAD_SETTING if an address can't be listened on
      */
-    public void run() {
+    void run(PendingSignal hangup) {
         jsonLog.start(System.out);
         log.log(
                 "process.start",
@@ -214,7 +226,7 @@
                 "policiesOff",
                 policies);
         ProcessSignals.handle("TERM", () -> eventloop.execute(this::stop));
-        ProcessSignals.handle("HUP", () -> eventloop.execute(this::reload));
+        hangup.release(() -> eventloop.execute(this::reload));
         try {
             callerServer.listen();
             readinessServer.listen();
