--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/StoredKeysTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/StoredKeysTest.java
@@ -146,7 +146,7 @@
                 method.setAccessible(true);
                 Object[] arguments =
                         Arrays.stream(method.getParameterTypes())
-                                .map(parameter -> parameter == long.class ? (Object) 1L : NAME)
+                                .map(StoredKeysTest::argumentOf)
                                 .toArray();
                 keys.add(String.valueOf(method.invoke(null, arguments)));
             }
@@ -154,6 +154,19 @@
         return keys;
     }
 
+    /**
+     * Returns an argument for a method that builds a key.
+     *
+     * @param type the type of the parameter
+     * @return a number, or a name
+     */
+    private static Object argumentOf(Class<?> type) {
+        if (type == int.class) {
+            return 1;
+        }
+        return type == long.class ? (Object) 1L : NAME;
+    }
+
     /**
      * Starts the process of a VM, which knows two versions of the manifest.
      *
