--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerScorer.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerScorer.java
@@ -214,7 +214,7 @@
      * @param task the task of the filler
      * @return whether it may share the CPU that is left with the other fillers
      */
-    boolean maySqueezeIn(TaskRecord task) {
+    boolean mayShareIdleCpu(TaskRecord task) {
         return cellLoad.reservedFraction() < IDLE_FRACTION && isStarved(task);
     }
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -364,7 +364,7 @@
                     !worker.throttleState.paused
                             && worker.fillerMillicores() + spec.need().cpuMillicores()
                                     <= worker.idleMillicores();
-            return sufficient || scorer.maySqueezeIn(task);
+            return sufficient || scorer.mayShareIdleCpu(task);
         }
         if (spec.lasting() && !task.everRan) {
             return !urgentReserve.contains(worker.id) || hasWaitedDespiteRoom(task);
--- /dev/null
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CrashingStepTest.java
@@ -0,0 +1,87 @@
+package org.damasktiller.verification.owner;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import org.damasktiller.scheduler.model.SubmissionState;
+import org.damasktiller.scheduler.model.TaskId;
+import org.damasktiller.verification.owner.CellSimulation.OwnerProcess;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** Tests a step of many tasks that crash half of the workers at the same time. */
+final class CrashingStepTest {
+
+    /** The identifier of the submission whose tasks crash their workers. */
+    private static final String CRASHING = "00000000000000c1";
+
+    /** The number of workers. */
+    private static final int WORKERS = 16;
+
+    /** The number of tasks; four fit on a worker. */
+    private static final int TASKS = 32;
+
+    /** The most starts of a task, given by the platform's documentation. */
+    private static final int MAX_STARTS = 5;
+
+    /** How long the cell is followed, in milliseconds. */
+    private static final long TIME_LIMIT_MILLIS = 120_000;
+
+    /** The cell. */
+    private final CellSimulation simulation = new CellSimulation(WORKERS);
+
+    /** Crashes of many workers at once must not keep their tasks from being given up. */
+    @Test
+    void manyTasksThatCrashTheirWorkersLaterAreNotStartedWithoutEnd() {
+        OwnerProcess owner = begin();
+        simulation.runtime.advance(TIME_LIMIT_MILLIS);
+        assertGivenUp(owner);
+    }
+
+    /** Owners that end before they have stored a crash let the next one count anew. */
+    @Tag("known-red")
+    @Test
+    void manyTasksThatCrashTheirWorkersUnderOwnersInSeriesAreNotStartedWithoutEnd() {
+        OwnerProcess owner = begin();
+        for (int takeover = 0; takeover < 24; takeover++) {
+            simulation.runtime.advance(TIME_LIMIT_MILLIS / 24);
+            owner.kill();
+            owner = simulation.startOwner();
+        }
+        assertGivenUp(owner);
+    }
+
+    /**
+     * Starts an owner and the step.
+     *
+     * @return the process of the owner
+     */
+    private OwnerProcess begin() {
+        simulation.taskDurationMillis = 2_500;
+        simulation.crashDelayMillis = 2_000;
+        OwnerProcess owner = simulation.startOwner();
+        simulation.runtime.advance(3_000);
+        simulation.crashingSubmissions.add(CRASHING);
+        simulation.submit(CRASHING, CellSimulation.shortStep(TASKS));
+        return owner;
+    }
+
+    /**
+     * Asserts that no task was started too often, and the submission has failed.
+     *
+     * @param owner the last owner
+     */
+    private void assertGivenUp(OwnerProcess owner) {
+        simulation.runtime.advance(TIME_LIMIT_MILLIS / 4);
+        for (int index = 0; index < TASKS; index++) {
+            TaskId task = new TaskId(CRASHING, 0, 0, index);
+            assertThat(
+                    "starts of " + task,
+                    simulation.invariants.startCount(task),
+                    lessThanOrEqualTo(MAX_STARTS));
+        }
+        assertThat(simulation.submissionState(CRASHING), equalTo(SubmissionState.FAILED));
+        owner.kill();
+    }
+}
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/IdleFillerTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/IdleFillerTest.java
@@ -26,7 +26,7 @@
     private static final int FILLERS = 6;
 
     /** The number of fillers that fit beside each other, but need more CPU than is idle. */
-    private static final int CROWD = 16;
+    private static final int FILLERS_BEYOND_IDLE_CPU = 16;
 
     /**
      * The longest time that a submission may wait while half of the cell is free, in milliseconds;
@@ -67,7 +67,7 @@
     void fillersStartInTimeBesideOtherFillersInACellWithRoom() {
         CellSimulation simulation = createCell(2, 1_500);
         simulation.taskDurationMillis = 60_000;
-        for (int number = 0; number < CROWD; number++) {
+        for (int number = 0; number < FILLERS_BEYOND_IDLE_CPU; number++) {
             simulation.submit(id(number), filler());
             simulation.runtime.advance(MAX_WAIT_MILLIS);
             assertThat(
