Deny nothing by a manifest that a peer's lost answer leaves in doubt (CONFIG)

What callers saw: a VM without the store passed a submission to a new queue on to a peer, whose answer was lost (504). The peer had taken it, and a worker may run its task. Once the store answered the VM again, it said 404 for the same queue until its watch of the manifest was answered. The same through a second peer that had not received the version.

An answer names the version that it rests on, but an outcome that is unknown names none, and changed nothing.

Fix: after an unknown outcome, ManifestFloor asks the store for newer versions, by a watch that does not wait, every 150 ms while the store answers. Until one is answered that was sent after the last unknown outcome, what the VM or a peer denies by its manifest (404, 413) is answered 503 with Retry-After; the request had no effect. All else is handled as before, so that an outage costs nobody more.

Evidence: ManifestRegressionTest, on the code before: vmDoesNotDenyAQueueThatAPeerMayHaveAnsweredFor and answerOfALaterPeerDoesNotDenyTheQueueEither, both "Expected: <503> but: was <404>"; the six other tests passed. All eight pass now.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerRelay.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerRelay.java
@@ -215,6 +215,7 @@
             }
             selector.onFailed(peer, runtime.nowMillis());
             if (response == null && result.possiblySent()) {
+                manifestFloor.onOutcomeUnknown();
                 callback.accept(
                         CallerResponse.outcomeUnknown(
                                 "the peer " + peer.node() + " did not respond"));
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerResponse.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerResponse.java
@@ -180,6 +180,15 @@
                 RETRY_AFTER_SECONDS);
     }
 
+    /**
+     * Tells whether the request was denied by the manifest, so that a newer version may allow it.
+     *
+     * @return whether there is no such queue, or the body exceeds the limit in force
+     */
+    boolean deniedByManifest() {
+        return status == NOT_FOUND || status == PAYLOAD_TOO_LARGE;
+    }
+
     /**
      * Returns whether another VM may be able to carry out the request. A submission that no worker
      * can hold, or that was cancelled, is rejected everywhere, which another Retry-After shows.
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerServlet.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerServlet.java
@@ -131,13 +131,21 @@
                         request.getPath(),
                         deadlineMillis(request),
                         request::loadBody);
+        boolean unconfirmed = manifestFloor.isUnconfirmed();
         Promise<CallerResponse> promise =
                 switch (manifestFloor.handler()) {
                     case SELF -> handle(incoming);
                     case PEER -> passOn(incoming);
                     case NONE -> refuse(incoming);
                 };
-        return promise.whenComplete((response, error) -> requestsInFlight--).map(this::render);
+        return promise.then(
+                        response ->
+                                response.deniedByManifest()
+                                                && (unconfirmed || manifestFloor.isUnconfirmed())
+                                        ? refuse(incoming)
+                                        : Promise.of(response))
+                .whenComplete((response, error) -> requestsInFlight--)
+                .map(this::render);
     }
 
     /**
@@ -252,7 +260,8 @@
     }
 
     /**
-     * Refuses a request that had no effect, since the manifest of this VM is too old.
+     * Refuses a request that had no effect, since the manifest by which it could be handled is too
+     * old, or may be.
      *
      * @param incoming the request
      * @return the response, after which the caller may come back
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestFloor.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestFloor.java
@@ -7,7 +7,9 @@
 /**
  * Knows the oldest version of the manifest by which this process may answer callers: the newest one
  * that it has answered by, itself or through a peer, or that a peer has named. While the own
- * version is older, the manifest is read until it has caught up.
+ * version is older, the manifest is read until it has caught up. After a request whose outcome a
+ * peer has left unknown, the peer's version is unknown too; until the store has confirmed that the
+ * own version is the newest, no request is denied by a manifest.
  *
  * <p>Load pattern: the store does not answer one VM, whose peers take its requests and receive a
  * new version meanwhile. When the store answers the VM again, its watch of the manifest is still
@@ -45,6 +47,15 @@
     /** Whether the manifest is being read until the own version is no longer older. */
     private boolean catchingUp;
 
+    /** The number of requests whose outcome a peer has left unknown. */
+    private long unknownOutcomes;
+
+    /** How many of them came before the store last confirmed the own version. */
+    private long confirmedOutcomes;
+
+    /** Whether a request to confirm the own version has no answer yet. */
+    private boolean confirmationPending;
+
     /**
      * Since when the store has answered while the own version was older, on the monotonic clock, in
      * milliseconds, or {@link #NEVER}.
@@ -136,28 +147,72 @@
         }
         peerRevision = revision;
         log.log("manifest.behind", "revision", watcher.revision(), "peers", revision);
+        startCatchingUp();
+    }
+
+    /** Takes note of a request that a peer may have handled by a version that it has not named. */
+    public void onOutcomeUnknown() {
+        if (!isUnconfirmed()) {
+            log.log("manifest.unconfirmed", "revision", watcher.revision());
+        }
+        unknownOutcomes++;
+        startCatchingUp();
+    }
+
+    /**
+     * Tells whether a peer may have handled a request by a newer version than the own one, so that
+     * no request may be denied by it.
+     *
+     * @return whether the store has not confirmed the own version since
+     */
+    public boolean isUnconfirmed() {
+        return confirmedOutcomes < unknownOutcomes;
+    }
+
+    /** Starts to read the manifest at intervals, unless that is being done. */
+    private void startCatchingUp() {
         if (!catchingUp) {
             catchingUp = true;
             catchUp();
         }
     }
 
-    /** Reads the manifest at intervals while the store answers and the own version is older. */
+    /**
+     * Reads the manifest at intervals while the store answers and the own version is older or
+     * unconfirmed.
+     */
     private void catchUp() {
         if (!isBehind()) {
-            log.log("manifest.caught-up", "revision", watcher.revision());
-            catchingUp = false;
             behindSinceMillis = NEVER;
-            return;
+            if (!isUnconfirmed()) {
+                log.log("manifest.caught-up", "revision", watcher.revision());
+                catchingUp = false;
+                return;
+            }
         }
         if (storeFailing.getAsBoolean()) {
             behindSinceMillis = NEVER;
-        } else {
+        } else if (isBehind()) {
             if (behindSinceMillis == NEVER) {
                 behindSinceMillis = runtime.nowMillis();
             }
             watcher.readNow();
+        } else if (!confirmationPending) {
+            confirm();
         }
         runtime.schedule(READ_INTERVAL_MILLIS, this::catchUp);
     }
+
+    /** Asks the store whether the own version is the newest. */
+    private void confirm() {
+        long outcomes = unknownOutcomes;
+        confirmationPending = true;
+        watcher.confirmNow(
+                confirmed -> {
+                    confirmationPending = false;
+                    if (confirmed) {
+                        confirmedOutcomes = outcomes;
+                    }
+                });
+    }
 }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestWatcher.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ManifestWatcher.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.damasktiller.scheduler.cell.PrefixWatcher;
 import org.damasktiller.scheduler.cell.Snapshot;
 import org.damasktiller.scheduler.model.Manifest;
@@ -10,6 +11,7 @@
 import org.damasktiller.scheduler.port.MetadataStore;
 import org.damasktiller.scheduler.port.PlatformRecordDecoder;
 import org.damasktiller.scheduler.port.ProcessRuntime;
+import org.damasktiller.scheduler.port.StoreChanges;
 import org.damasktiller.scheduler.port.StoreEvent;
 import org.damasktiller.scheduler.port.StoreItem;
 import org.damasktiller.scheduler.port.StoreReading;
@@ -126,6 +128,46 @@
         }
     }
 
+    /**
+     * Asks the store for versions newer than the current one, beside the watch.
+     *
+     * @param callback receives whether the store has answered; its newest version is in force then,
+     *     unless that can't be decoded
+     */
+    void confirmNow(Consumer<Boolean> callback) {
+        store.watch(
+                formats.manifestKey(),
+                revision,
+                0,
+                result -> callback.accept(onConfirmation(result)));
+    }
+
+    /**
+     * Handles the answer to a request for newer versions. The whole manifest is read if the store
+     * has discarded the changes since the current version.
+     *
+     * @param result the changes, or the failure
+     * @return whether the newest version is known
+     */
+    private boolean onConfirmation(StoreResult<StoreChanges> result) {
+        if (result.status() == StoreStatus.OK) {
+            result.require().events().forEach(this::onChange);
+            return true;
+        }
+        log.log(
+                "manifest.not-confirmed",
+                "status",
+                result.status(),
+                "reason",
+                result.reason(),
+                "revision",
+                revision);
+        if (result.status() == StoreStatus.COMPACTED) {
+            readNow();
+        }
+        return false;
+    }
+
     /**
      * Handles the result of a read outside the watch.
      *
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/ManifestRegressionTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/ManifestRegressionTest.java
@@ -31,6 +31,8 @@
 
     private static final int SERVICE_UNAVAILABLE = 503;
 
+    private static final int GATEWAY_TIMEOUT = 504;
+
     private final VirtualTimeRuntime runtime = new VirtualTimeRuntime();
 
     private final InMemoryStore store = new InMemoryStore(runtime);
@@ -138,6 +140,38 @@
         assertThat(response.getHeader(HttpHeaders.RETRY_AFTER), nullValue());
     }
 
+    // The VM answered 404 for a queue to which a peer may have taken a submission for it.
+    @Test
+    void vmDoesNotDenyAQueueThatAPeerMayHaveAnsweredFor() {
+        peer.answersLost = true;
+        addQueueWhileStoreIsSilent();
+        assertThat(vm.count("new").getCode(), equalTo(GATEWAY_TIMEOUT));
+        answerAgain();
+        HttpResponse response = vm.count("new");
+        assertThat(response.getCode(), equalTo(SERVICE_UNAVAILABLE));
+        assertThat(response.getHeader(HttpHeaders.RETRY_AFTER), notNullValue());
+        assertThat(vm.count("old").getCode(), equalTo(OK));
+        vm.watchesSilent = false;
+        runtime.advance(2_000);
+        assertThat(vm.count("new").getCode(), equalTo(OK));
+        assertThat(vm.count("other").getCode(), equalTo(NOT_FOUND));
+    }
+
+    // A second peer, which has not received the new version, denied the queue.
+    @Test
+    void answerOfALaterPeerDoesNotDenyTheQueueEither() {
+        peer.answersLost = true;
+        TestVm laterPeer = new TestVm("later-peer", store, runtime);
+        runtime.advance(500);
+        laterPeer.watchesSilent = true;
+        runtime.advance(2_000);
+        addQueueWhileStoreIsSilent();
+        assertThat(vm.count("new").getCode(), equalTo(GATEWAY_TIMEOUT));
+        vm.peers.set(0, laterPeer);
+        assertThat(laterPeer.version(), equalTo(1L));
+        assertThat(vm.count("new").getCode(), equalTo(SERVICE_UNAVAILABLE));
+    }
+
     /** Silences the store for the VM until it has noticed, and adds a queue. */
     private void addQueueWhileStoreIsSilent() {
         vm.storeSilent = true;
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/TestVm.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/TestVm.java
@@ -44,6 +44,9 @@
     /** Whether the VM's answers to its peers name no version, as those of an earlier release. */
     boolean earlierRelease;
 
+    /** Whether the VM's answers to its peers are lost, although it has handled the requests. */
+    boolean answersLost;
+
     /** The peers to which the VM passes requests on. */
     final List<TestVm> peers = new ArrayList<>();
 
@@ -174,6 +177,9 @@
 
     /** Returns how the VM's answer to a peer arrives there. */
     private RelayResult toResult(RelayedResponse relayed) {
+        if (answersLost) {
+            return new RelayResult(null, 0, true, "no answer");
+        }
         return new RelayResult(
                 relayed.response(), earlierRelease ? 0 : relayed.manifestRevision(), true, "");
     }
