--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerServlet.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerServlet.java
@@ -305,7 +305,7 @@
         }
         String id = path.substring(route.pathPrefix().length());
         if (id.isEmpty() && incoming.method() == HttpMethod.GET) {
-            return Promise.of(CallerResponse.pending(clusterMember.pendingCount(route.name())));
+            return promise(callback -> countPending(route, callback));
         }
         if (!IDENTIFIER_PATTERN.matcher(id).matches()) {
             return Promise.of(
@@ -321,6 +321,23 @@
         };
     }
 
+    /**
+     * Counts the pending submissions of a route.
+     *
+     * @param route the route
+     * @param callback receives the response: the count, or that the store does not answer
+     */
+    private void countPending(Route route, Consumer<CallerResponse> callback) {
+        clusterMember.countPending(
+                route.name(),
+                count ->
+                        callback.accept(
+                                count.isPresent()
+                                        ? CallerResponse.pending(count.getAsInt())
+                                        : CallerResponse.notExecuted(
+                                                "the store does not answer for the count")));
+    }
+
     /**
      * Loads the body of a submission and accepts it.
      *
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.function.Consumer;
 import org.damasktiller.error.DamasktillerException;
 import org.damasktiller.error.ErrorCode;
@@ -76,6 +77,9 @@
     /** The dependencies that all elections share. */
     private final ClusterContext context;
 
+    /** Counts the pending submissions. */
+    private final PendingCounts pendingCounts;
+
     /** Publishes what new versions of the manifest change. */
     private final ManifestPublisher manifestPublisher;
 
@@ -135,6 +139,7 @@
         this.cells = new OwnCells(identity, context);
         this.balancer = new OwnershipBalancer(identity, context, cells);
         this.layouts = new LayoutCoordinator(context, layoutSettings);
+        this.pendingCounts = new PendingCounts(context);
         this.manifestPublisher = new ManifestPublisher(context, identity.node());
     }
 
@@ -231,14 +236,14 @@
     }
 
     /**
-     * Returns how many submissions of a route are pending, that is, wait for the start of their
+     * Counts the submissions of a route that are pending, that is, wait for the start of their
      * first task.
      *
      * @param route the name of the route
-     * @return the number over all cells
+     * @param callback receives the number over all cells; empty if the store does not answer
      */
-    public int pendingCount(String route) {
-        return context.view().pendingCount(route);
+    public void countPending(String route, Consumer<OptionalInt> callback) {
+        pendingCounts.count(route, callback);
     }
 
     /**
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterView.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterView.java
@@ -196,15 +196,22 @@
     }
 
     /**
-     * Returns how many submissions of a route wait for the start of their first task.
+     * Returns how long ago the view was up to date.
      *
-     * @param route the name of the route
-     * @return the number over all cells
+     * @return the time since the store last answered the watch, in milliseconds; {@link
+     *     Long#MAX_VALUE} before all keys have been read once
      */
-    public int pendingCount(String route) {
-        return pendingByCell.values().stream()
-                .mapToInt(record -> record.byRoute().getOrDefault(route, 0))
-                .sum();
+    long ageMillis() {
+        return synced ? runtime.nowMillis() - watch.answeredAtMillis() : Long.MAX_VALUE;
+    }
+
+    /**
+     * Returns what the owners of the cells have published.
+     *
+     * @return a live view, which changes with the next event
+     */
+    Collection<PendingRecord> pendingRecords() {
+        return pendingByCell.values();
     }
 
     /**
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/TestVm.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/TestVm.java
@@ -25,6 +25,7 @@
 import org.damasktiller.standin.metadata.CallFault;
 import org.damasktiller.standin.metadata.FaultInjectingStoreClient;
 import org.damasktiller.standin.metadata.InMemoryStore;
+import org.damasktiller.standin.time.VirtualTimeRuntime;
 
 /** The parts of an entry VM that answer callers, with the store and the peers of a test. */
 final class TestVm {
@@ -41,6 +42,9 @@
     /** Whether the store does not answer single reads of the VM. */
     boolean readsSilent;
 
+    /** Whether the store does not answer the listings of the VM. */
+    boolean listingsSilent;
+
     /** Whether the VM's answers to its peers name no version, as those of an earlier release. */
     boolean earlierRelease;
 
@@ -53,8 +57,16 @@
     /** The number of requests that were passed on to the VM. */
     int relayedCount;
 
+    /** The longest time for which a request waits for its answer, in milliseconds. */
+    private static final long MAX_WAIT_MILLIS = 2_000;
+
+    /** How many listings the VM has asked the store for. */
+    int listingCount;
+
     private final String name;
 
+    private final VirtualTimeRuntime runtime;
+
     private final ClusterMember member;
 
     private final ManifestWatcher watcher;
@@ -62,8 +74,9 @@
     private final CallerServlet servlet;
 
     /** Creates and starts a VM. */
-    TestVm(String name, InMemoryStore store, ProcessRuntime runtime) {
+    TestVm(String name, InMemoryStore store, VirtualTimeRuntime runtime) {
         this.name = name;
+        this.runtime = runtime;
         MetadataStore client = new FaultInjectingStoreClient(store, runtime, this::faultFor);
         member =
                 new ClusterMember(
@@ -157,6 +170,9 @@
         } catch (Exception exception) {
             throw new IllegalStateException(exception);
         }
+        for (int millis = 0; millis < MAX_WAIT_MILLIS && !promise.isComplete(); millis++) {
+            runtime.advance(1);
+        }
         return promise.getResult();
     }
 
@@ -185,10 +201,14 @@
     }
 
     private CallFault faultFor(String call) {
+        if (call.equals("list")) {
+            listingCount++;
+        }
         boolean silent =
                 storeSilent
                         || (watchesSilent && call.startsWith("watch"))
-                        || (readsSilent && call.equals("read"));
+                        || (readsSilent && call.equals("read"))
+                        || (listingsSilent && call.equals("list"));
         return silent ? CallFault.LOST : CallFault.ANSWERED;
     }
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PrefixWatcher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PrefixWatcher.java
@@ -182,7 +182,7 @@
      * @return the time of the last answer, or of the creation of this watcher, on the monotonic
      *     clock, in milliseconds
      */
-    long answeredAtMillis() {
+    public long answeredAtMillis() {
         return answeredMillis;
     }
 
