--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
@@ -1,6 +1,7 @@
 package org.damasktiller.node.cluster;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
@@ -235,6 +236,19 @@
                 .toList();
     }
 
+    /**
+     * Tells whether this process does what a single process does for all: the one whose VM comes
+     * first by name. Two may for a while, as their views differ.
+     *
+     * @return whether it is registered and no VM that comes before it is
+     */
+    public boolean isFirstRegistered() {
+        return context.view().nodes().stream()
+                .min(Comparator.comparing(NodeRecord::node))
+                .map(first -> first.process().equals(identity.process()))
+                .orElse(false);
+    }
+
     /**
      * Counts the submissions of a route that are pending, that is, wait for the start of their
      * first task.
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -21,6 +21,7 @@
 import org.damasktiller.node.caller.RelayServlet;
 import org.damasktiller.node.caller.SubmissionAcceptor;
 import org.damasktiller.node.caller.SubmissionStateHandler;
+import org.damasktiller.node.caller.TombstoneRemover;
 import org.damasktiller.node.cluster.ClusterMember;
 import org.damasktiller.node.cluster.LayoutSettings;
 import org.damasktiller.node.cluster.ManifestFloor;
@@ -125,6 +126,9 @@
     /** Serves the requests of callers. */
     private final CallerServlet callerServlet;
 
+    /** Removes tombstones that are no longer needed. */
+    private final TombstoneRemover tombstoneRemover;
+
     /** The HTTP server for callers. */
     private final HttpServer callerServer;
 
@@ -183,6 +187,8 @@
         manifestFloor =
                 new ManifestFloor(manifestWatcher, clusterMember::isStoreFailing, runtime, log);
         callerServlet = createCallerServlet(store);
+        tombstoneRemover =
+                new TombstoneRemover(store, clusterMember::isFirstRegistered, runtime, log);
         InetSocketAddress peerAddress = settings.peerAddress();
         peerServer =
                 peerAddress == null
@@ -247,6 +253,7 @@
                     new ClockMonitor(runtime, log).start();
                     manifestWatcher.start();
                     clusterMember.start();
+                    tombstoneRemover.start();
                 });
         eventloop.run();
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellKeys.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellKeys.java
@@ -27,6 +27,9 @@
     /** The key of what the last published version of the operator's manifest changed. */
     public static final String MANIFEST_CHANGE = PUBLIC_PREFIX + "manifest-change";
 
+    /** The prefix of the list of tombstones, one key per submission without a record. */
+    public static final String TOMBSTONE_PREFIX = "tombstone/";
+
     /** The prefix of the submission records, which are found without knowing the cell. */
     private static final String SUBMISSION_PREFIX = "submission/";
 
@@ -43,6 +46,17 @@
         return SUBMISSION_PREFIX + id;
     }
 
+    /**
+     * Returns the key by which the tombstone of a submission is found for its removal. It is
+     * written in one transaction with the tombstone and has the same revision.
+     *
+     * @param id the identifier of the submission
+     * @return the key
+     */
+    public static String tombstone(String id) {
+        return TOMBSTONE_PREFIX + id;
+    }
+
     /**
      * Returns the key of the cells that have a part of a submission; it exists once tasks of the
      * submission have moved to another cell.
