--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitQueue.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitQueue.java
@@ -129,6 +129,7 @@
      */
     void discard(Job job) {
         queuedJobs.remove(job);
+        job.discarded = true;
         job.committedVersion = job.version;
         queuedJobs.addRemovals(job, true);
         scheduleSend();
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
@@ -18,6 +18,9 @@
 /** An accepted submission and its progress, in the memory of the owner of its cell. */
 public final class Job {
 
+    /** A version that is never stored. */
+    static final long NEVER_STORED = Long.MAX_VALUE;
+
     /** The submission, its route and its service as they are stored. */
     final AcceptedSubmission accepted;
 
@@ -63,6 +66,9 @@
     /** The highest version that is known to be stored. */
     long committedVersion;
 
+    /** Whether no change of the job has to be stored any more, since it has been cancelled. */
+    boolean discarded;
+
     /** Whether the store has a progress record of the job. */
     boolean progressStored;
 
@@ -216,6 +222,16 @@
         return present != null && !present.first();
     }
 
+    /**
+     * Returns whether a version of the job is stored, or need not be any more.
+     *
+     * @param wanted the version, or {@link #NEVER_STORED}
+     * @return whether the ends of runs that it includes may be acknowledged
+     */
+    boolean isStored(long wanted) {
+        return discarded || committedVersion >= wanted;
+    }
+
     /**
      * Returns whether no task of the job may start or move, since it is not known which are done or
      * their ends can't be stored.
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
@@ -109,7 +109,8 @@
     /**
      * Applies the end of a run that a worker has reported. The ends of a task that is already done
      * are ignored. So are ends other than {@link EndKind#DONE} and {@link EndKind#FAILED} if the
-     * end of the same or a later run has been applied.
+     * end of the same or a later run has been applied. An end of a job whose progress can't be read
+     * can't be stored, and is left to an owner that can read it.
      *
      * @param worker the worker
      * @param end the end of the run
@@ -129,7 +130,7 @@
                     end.task(),
                     end.run(),
                     job,
-                    job == null ? 0 : job.version,
+                    versionToStore(job),
                     context.hasMoved(end.task().submission()));
         }
         boolean relevant =
@@ -160,6 +161,20 @@
                 end.sequence(), end.task(), end.run(), job, job.version, job.part != null);
     }
 
+    /**
+     * Returns which version of a job must be stored before an end that changes nothing here is
+     * acknowledged.
+     *
+     * @param job the job, or null if it is not open here
+     * @return the version
+     */
+    private static long versionToStore(@Nullable Job job) {
+        if (job == null) {
+            return 0;
+        }
+        return job.progressUnreadable ? Job.NEVER_STORED : job.version;
+    }
+
     /**
      * Applies the loss of a run whose end no worker reports, for example because its worker has
      * restarted or its lease has expired.
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PendingEnd.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PendingEnd.java
@@ -36,7 +36,7 @@
      * @return whether the end needs no further commit
      */
     boolean isStored() {
-        return job == null || job.committedVersion >= version;
+        return job == null || job.isStored(version);
     }
 
     /**
