--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -295,15 +295,15 @@
     }
 
     /**
-     * Returns whether the known capacity of a worker is too old for a start. Only a worker that
-     * does not refuse what exceeds its capacity needs a recent one.
+     * Returns whether the known capacity of a worker is too old for a start. Only a worker that is
+     * not known to refuse what exceeds its capacity needs a recent one.
      *
      * @param worker the worker
      * @return whether its entry is that of a former boot, or the store has not confirmed it for too
      *     long
      */
     private boolean isCapacityOutdated(WorkerRecord worker) {
-        if (!context.manifest().unguardedServices().contains(worker.entry.service())) {
+        if (context.manifest().guardsCapacity(worker.entry.service())) {
             return false;
         }
         return worker.entry.isOfBootBefore(worker.bootUnixMillis)
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/model/Manifest.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/model/Manifest.java
@@ -58,6 +58,16 @@
                 .orElse(null);
     }
 
+    /**
+     * Tells whether the workers of a service are known to refuse what exceeds their capacity.
+     *
+     * @param service the name of the service
+     * @return whether they do; false if this version of the manifest lacks the service
+     */
+    public boolean guardsCapacity(String service) {
+        return services.contains(service) && !unguardedServices.contains(service);
+    }
+
     /**
      * Finds a route by name.
      *
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -134,6 +134,9 @@
     /** The number of failed runs that the manifest allows the only queue. */
     int maxAttempts = MAX_ATTEMPTS;
 
+    /** Whether the manifest lacks the only service. */
+    boolean serviceMissing;
+
     /** Whether the manifest lacks the only queue. */
     boolean queueMissing;
 
@@ -713,8 +716,8 @@
         return new Manifest(
                 manifestVersion,
                 queueMissing ? List.of() : List.of(route()),
-                Set.of(CELL),
-                unguardedServices,
+                serviceMissing ? Set.of() : Set.of(CELL),
+                serviceMissing ? Set.of() : unguardedServices,
                 new IngressLimits(1 << 18, 15_000));
     }
 
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OutdatedEntryTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/OutdatedEntryTest.java
@@ -10,6 +10,7 @@
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.standin.fleet.SimulatedWorker;
+import org.damasktiller.verification.owner.CellSimulation.OwnerProcess;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -88,6 +89,30 @@
         assertThat(simulation.invariants.violations(), empty());
     }
 
+    // A service that the manifest lacked for a moment counted as one that guards its capacity.
+    @Test
+    void workersOfAServiceThatTheManifestLacksGetNothingByAnOutdatedEntry() {
+        CellSimulation simulation = createSimulation();
+        simulation.unguardedServices = Set.of(CellSimulation.CELL);
+        SimulatedWorker worker = simulation.workers.get(WORKER);
+        worker.ignoreCapacity();
+        OwnerProcess owner = simulation.startOwner();
+        simulation.runtime.advance(START_MILLIS);
+        simulation.serviceMissing = true;
+        simulation.publishManifest(owner);
+        worker.boot();
+        worker.resize(new Resources(2_000, 2_000, 0));
+        simulation.runtime.advance(2 * START_MILLIS);
+        simulation.submit(SUBMISSION, CellSimulation.shortStep(4));
+        simulation.runtime.advance(START_MILLIS);
+        assertThat(simulation.startCount(WORKER), equalTo(0));
+        assertThat(simulation.invariants.violations(), empty());
+        simulation.register(WORKER, false);
+        simulation.runtime.advance(START_MILLIS);
+        assertThat(simulation.startCount(WORKER), equalTo(4));
+        assertThat(simulation.invariants.violations(), empty());
+    }
+
     /** Creates a cell with one worker, of a special kind. */
     private static CellSimulation createSimulation() {
         CellSimulation simulation = new CellSimulation(1);
