Refuse a submission for good only once a tombstone excludes it

Callers saw 503 with UNSERVABLE, after which the submission never runs, and its tasks ran nevertheless. The refusal rested on a read that found no record. An earlier write of the submission, sent by a VM that did not know the sizes of the workers and left without an answer, still met its condition and was carried out 1 to 6 s later. The same held for a 503 by a tombstone that was about to be removed: a write that was sent after the tombstone took effect after its removal.

Each such refusal now stores a tombstone, as a cancel does, and is answered once that is stored (FinalRejection). One that is there is replaced, so that it outlives each write that was sent before the answer. It is under no lease. It costs one write instead of one read for a submission that no worker can hold, one write more for one that meets a tombstone, and nothing on the path of other submissions. If the store refuses the tombstone the answer is 503 STORE_UNAVAILABLE, and 504 after a write without an answer. Until the tombstone is removed every VM refuses the identifier as UNSERVABLE; Retry-After is 180 s instead of 60 s, so that a caller that waits that long does not renew it.

SubmissionAcceptorTest asserted that nothing at all is stored after such a refusal, which now stores the tombstone. It asserts instead that the tombstone of this cause and its entry are the only two keys.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerResponse.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerResponse.java
@@ -2,6 +2,7 @@
 
 import org.damasktiller.error.ErrorCode;
 import org.damasktiller.platform.ingress.CallerCodec;
+import org.damasktiller.scheduler.cell.TombstoneCause;
 import org.damasktiller.scheduler.model.SubmissionState;
 
 /**
@@ -41,9 +42,9 @@
 
     /**
      * The Retry-After value of a submission that no worker can hold, in seconds: larger workers are
-     * not added at short notice.
+     * not added at short notice, and its tombstone is removed by then.
      */
-    private static final int UNSERVABLE_RETRY_AFTER_SECONDS = 60;
+    private static final int UNSERVABLE_RETRY_AFTER_SECONDS = 180;
 
     /**
      * Creates the response to an accepted submission.
@@ -141,7 +142,7 @@
     }
 
     /**
-     * Creates the response to a submission that no worker could run, which was not stored.
+     * Creates the response to a submission that no worker could run. It never runs.
      *
      * @param message why it can't run
      * @return status 503 with the error code UNSERVABLE and a Retry-After header
@@ -154,17 +155,24 @@
     }
 
     /**
-     * Creates the response to a submission that was cancelled before it was stored. It never runs.
+     * Creates the response to a submission that has a tombstone. It never runs.
      *
-     * @return status 503 with the error code CANCELLED_BEFORE and no Retry-After header
+     * @param cause why the submission was not stored
+     * @return status 503 with the error code CANCELLED_BEFORE and no Retry-After header, or with
+     *     the error code UNSERVABLE
      */
-    static CallerResponse cancelledBefore() {
-        return new CallerResponse(
-                SERVICE_UNAVAILABLE,
-                CallerCodec.encodeError(
-                        ErrorCode.CANCELLED_BEFORE,
-                        "the submission was cancelled before it was stored"),
-                0);
+    static CallerResponse rejectedBefore(TombstoneCause cause) {
+        return switch (cause) {
+            case CANCELLED ->
+                    new CallerResponse(
+                            SERVICE_UNAVAILABLE,
+                            CallerCodec.encodeError(
+                                    ErrorCode.CANCELLED_BEFORE,
+                                    "the submission was cancelled before it was stored"),
+                            0);
+            case UNSERVABLE ->
+                    unservable("the submission was rejected, since no worker could hold a task");
+        };
     }
 
     /**
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
@@ -1,6 +1,7 @@
 package org.damasktiller.node.caller;
 
 import java.util.List;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -8,6 +9,7 @@
 import org.damasktiller.scheduler.cell.CellLayout;
 import org.damasktiller.scheduler.cell.StoredValueCodec;
 import org.damasktiller.scheduler.cell.SubmissionTombstone;
+import org.damasktiller.scheduler.cell.TombstoneCause;
 import org.damasktiller.scheduler.model.AcceptedSubmission;
 import org.damasktiller.scheduler.model.QueueTerms;
 import org.damasktiller.scheduler.model.Resources;
@@ -31,7 +33,8 @@
  * is stored under its identifier, so that a retry is idempotent: it either succeeds or conflicts
  * with the write that was applied first. After a write without a response the submission is never
  * reported as rejected, because the store may still apply that write. A submission that was
- * cancelled before it was stored conflicts with the tombstone of its cancellation and is rejected.
+ * cancelled or rejected for good before it was stored conflicts with its tombstone and is rejected
+ * once more.
  */
 public final class SubmissionAcceptor {
 
@@ -66,6 +69,9 @@
     /** The longest value of the store, in bytes. */
     private final int valueBytes;
 
+    /** Stores the tombstones of submissions that are rejected for good. */
+    private final TombstoneWriter tombstones;
+
     /** The clock and the timers. */
     private final ProcessRuntime runtime;
 
@@ -98,6 +104,7 @@
         this.zone = zone;
         this.largestWorkers = largestWorkers;
         this.valueBytes = valueBytes;
+        this.tombstones = new TombstoneWriter(store, runtime, log);
         this.runtime = runtime;
         this.log = log;
     }
@@ -136,28 +143,10 @@
                 new RetryingWrite(request, accepted, cell, callback).start();
             }
         } else {
-            store.read(
-                    CellKeys.submission(request.id()),
-                    result ->
-                            rejectUnlessStored(
-                                    request, tooLarge, submission, statusOf(result), callback));
+            rejectUnlessStored(request, tooLarge, submission, callback);
         }
     }
 
-    /**
-     * Returns whether a submission is stored.
-     *
-     * @param result the result of reading its record
-     * @return OK if it is, ABSENT if there is no record or a tombstone, otherwise why that is not
-     *     known
-     */
-    private static StoreStatus statusOf(StoreResult<StoreReading> result) {
-        return result.status() == StoreStatus.OK
-                        && SubmissionTombstone.isTombstone(result.require().item())
-                ? StoreStatus.ABSENT
-                : result.status();
-    }
-
     /**
      * Rejects a submission whose record the store can't hold.
      *
@@ -191,39 +180,56 @@
      * @param request the request
      * @param step the number of a step of which no task fits on any worker
      * @param submission the submission
-     * @param status the result of reading the record of the submission
      * @param callback the callback for the response
      */
     private void rejectUnlessStored(
             CallerRequest request,
             int step,
             Submission submission,
-            StoreStatus status,
             Consumer<CallerResponse> callback) {
-        CallerResponse response =
-                switch (status) {
-                    case OK -> CallerResponse.accepted();
-                    case ABSENT ->
-                            CallerResponse.unservable("no worker can hold a task of step " + step);
-                    default -> CallerResponse.notExecuted("the store refused the submission");
-                };
-        log.log(
-                "submission.unservable",
-                "id",
-                request.id(),
-                "route",
-                request.route().name(),
-                "step",
-                step,
-                "needs",
-                submission.steps().get(step).reserved(),
-                "largest",
-                largestWorkers.apply(request.route().service()),
-                "store",
-                status,
-                "status",
-                response.status());
-        callback.accept(response);
+        reject(
+                request,
+                TombstoneCause.UNSERVABLE,
+                CallerResponse.unservable("no worker can hold a task of step " + step),
+                StoreItem.ABSENT,
+                (status, response) -> {
+                    log.log(
+                            "submission.unservable",
+                            "id",
+                            request.id(),
+                            "route",
+                            request.route().name(),
+                            "step",
+                            step,
+                            "needs",
+                            submission.steps().get(step).reserved(),
+                            "largest",
+                            largestWorkers.apply(request.route().service()),
+                            "store",
+                            status,
+                            "status",
+                            response.status());
+                    callback.accept(response);
+                });
+    }
+
+    /**
+     * Rejects a submission for good, unless it is stored.
+     *
+     * @param request the request
+     * @param cause why the submission is rejected
+     * @param rejection the response if no earlier write of it can take effect any more
+     * @param revision the revision of the tombstone that is there, or {@link StoreItem#ABSENT}
+     * @param callback receives the result of the last call to the store, and the response
+     */
+    private void reject(
+            CallerRequest request,
+            TombstoneCause cause,
+            CallerResponse rejection,
+            long revision,
+            BiConsumer<StoreStatus, CallerResponse> callback) {
+        new FinalRejection(request, cause, rejection, store, tombstones, runtime, callback)
+                .write(revision);
     }
 
     /** Writes one submission and retries until it is stored or the time is up. */
@@ -385,20 +391,26 @@
         /**
          * Responds after a conflict. It counts as success if a submission is stored under the
          * identifier, by an earlier write or an earlier request. A tombstone shows that it was
-         * cancelled before it was stored.
+         * cancelled or rejected before it was stored; unless a write of this request may have been
+         * applied before that, the submission is rejected as it was then.
          *
          * @param item the record that the write conflicted with
          */
         private void respondToConflict(@Nullable StoreItem item) {
-            writePending = false;
-            if (!SubmissionTombstone.isTombstone(item)) {
+            if (item == null || !SubmissionTombstone.isTombstone(item)) {
                 respond(StoreStatus.CONFLICT, CallerResponse.accepted());
             } else if (uncertain) {
                 respond(
                         StoreStatus.CONFLICT,
-                        CallerResponse.outcomeUnknown("the submission was cancelled"));
+                        CallerResponse.outcomeUnknown("the submission was cancelled or rejected"));
             } else {
-                respond(StoreStatus.CONFLICT, CallerResponse.cancelledBefore());
+                TombstoneCause cause = SubmissionTombstone.causeOf(item);
+                reject(
+                        request,
+                        cause,
+                        CallerResponse.rejectedBefore(cause),
+                        item.revision(),
+                        this::respond);
             }
         }
 
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionStateHandler.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionStateHandler.java
@@ -6,6 +6,7 @@
 import org.damasktiller.scheduler.cell.CellKeys;
 import org.damasktiller.scheduler.cell.StoredValueCodec;
 import org.damasktiller.scheduler.cell.SubmissionTombstone;
+import org.damasktiller.scheduler.cell.TombstoneCause;
 import org.damasktiller.scheduler.model.PartsRecord;
 import org.damasktiller.scheduler.model.SubmissionRecord;
 import org.damasktiller.scheduler.model.SubmissionState;
@@ -191,11 +192,12 @@
         tombstones.write(
                 request.id(),
                 revision,
-                status -> {
-                    if (status == StoreStatus.OK) {
+                TombstoneCause.CANCELLED,
+                result -> {
+                    if (result.status() == StoreStatus.OK) {
                         callback.accept(CallerResponse.unknownSubmission());
                     } else {
-                        retryOrRespond(request, true, callback, status);
+                        retryOrRespond(request, true, callback, result.status());
                     }
                 });
     }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/TombstoneWriter.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/TombstoneWriter.java
@@ -3,16 +3,18 @@
 import java.util.function.Consumer;
 import org.damasktiller.scheduler.cell.CellKeys;
 import org.damasktiller.scheduler.cell.SubmissionTombstone;
+import org.damasktiller.scheduler.cell.TombstoneCause;
+import org.damasktiller.scheduler.port.CommitReply;
 import org.damasktiller.scheduler.port.DecisionLog;
 import org.damasktiller.scheduler.port.MetadataStore;
 import org.damasktiller.scheduler.port.ProcessRuntime;
-import org.damasktiller.scheduler.port.StoreStatus;
+import org.damasktiller.scheduler.port.StoreResult;
 import org.damasktiller.scheduler.port.StoreTransaction;
 
 /**
- * Stores cancellations of submissions that are not stored. A tombstone is under no lease, which the
- * store may end during an outage; {@link TombstoneRemover} ends it, long after any write of its
- * submission that was sent before it.
+ * Stores cancellations and final rejections of submissions that are not stored. A tombstone is
+ * under no lease, which the store may end during an outage; {@link TombstoneRemover} ends it, long
+ * after any write of its submission that was sent before it.
  */
 final class TombstoneWriter {
 
@@ -44,10 +46,15 @@
      * @param id the identifier of the submission
      * @param revision the revision of the tombstone to replace, or {@link
      *     org.damasktiller.scheduler.port.StoreItem#ABSENT} if there was no record
+     * @param cause why the submission is not stored
      * @param callback receives OK if the tombstone is stored, otherwise why it is not known to be
      */
-    void write(String id, long revision, Consumer<StoreStatus> callback) {
-        byte[] tombstone = SubmissionTombstone.encode(runtime.unixMillis());
+    void write(
+            String id,
+            long revision,
+            TombstoneCause cause,
+            Consumer<StoreResult<CommitReply>> callback) {
+        byte[] tombstone = SubmissionTombstone.encode(cause, runtime.unixMillis());
         StoreTransaction commit =
                 new StoreTransaction()
                         .expectRevision(CellKeys.submission(id), revision)
@@ -60,11 +67,13 @@
                             "tombstone.written",
                             "id",
                             id,
+                            "cause",
+                            cause,
                             "replaces",
                             revision,
                             "status",
                             result.status());
-                    callback.accept(result.status());
+                    callback.accept(result);
                 });
     }
 }
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/CallerRelayTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/CallerRelayTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.damasktiller.scheduler.cell.TombstoneCause;
 import org.damasktiller.standin.time.VirtualTimeRuntime;
 import org.junit.jupiter.api.Test;
 
@@ -96,7 +97,10 @@
     /** The tombstone of a cancel is found by each peer. */
     @Test
     void cancelledSubmissionIsNotTriedElsewhere() {
-        results.put("a-2", new RelayResult(CallerResponse.cancelledBefore(), 0, true, ""));
+        results.put(
+                "a-2",
+                new RelayResult(
+                        CallerResponse.rejectedBefore(TombstoneCause.CANCELLED), 0, true, ""));
         results.put("b-1", ACCEPTED);
         submit();
         assertThat(sentTo, contains("a-2"));
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/SubmissionAcceptorTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/SubmissionAcceptorTest.java
@@ -13,10 +13,13 @@
 import java.util.Map;
 import org.damasktiller.scheduler.cell.CellKeys;
 import org.damasktiller.scheduler.cell.CellLayout;
+import org.damasktiller.scheduler.cell.SubmissionTombstone;
+import org.damasktiller.scheduler.cell.TombstoneCause;
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.Route;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.model.Submission;
+import org.damasktiller.scheduler.port.StoreItem;
 import org.damasktiller.standin.metadata.CallFault;
 import org.damasktiller.standin.metadata.FaultInjectingStoreClient;
 import org.damasktiller.standin.metadata.InMemoryStore;
@@ -160,7 +163,7 @@
 
     /**
      * Tasks that no worker can hold would otherwise wait until their caller gives up. The rejection
-     * does not wait for a timeout, and nothing is stored.
+     * does not wait for a timeout, and only its tombstone is stored.
      */
     @Test
     void submissionThatNoWorkerCanHoldIsRejectedAtOnce() {
@@ -169,7 +172,11 @@
         submit(List.of());
         assertThat(status(), equalTo(503));
         assertThat(respondedAtMillis, lessThan(100L));
-        assertThat(store.value(CellKeys.submission(ID)), nullValue());
+        StoreItem record = store.read(CellKeys.submission(ID)).require().item();
+        assertThat(SubmissionTombstone.isTombstone(record), equalTo(true));
+        assertThat(SubmissionTombstone.causeOf(record), equalTo(TombstoneCause.UNSERVABLE));
+        assertThat(store.list("", "").items().size(), equalTo(2));
+        assertThat(store.value(CellKeys.tombstone(ID)), notNullValue());
     }
 
     @Test
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/UnknownSubmissionCancelTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/UnknownSubmissionCancelTest.java
@@ -26,7 +26,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** Tests cancellations of submissions that are not stored when the cancellation arrives. */
+/** Tests cancellations and final rejections of submissions that are not stored when they arrive. */
 final class UnknownSubmissionCancelTest {
 
     /** The identifier of the submission. */
@@ -53,6 +53,9 @@
     /** Longer than any tombstone lasts, in milliseconds. */
     private static final long AFTER_TOMBSTONES_MILLIS = 600_000;
 
+    /** Workers that can't hold the task of the submission. */
+    private static final List<Resources> SMALL_WORKERS = List.of(new Resources(1_000, 1_000, 0));
+
     /** The route of the submission. */
     private final Route route = new Route("route", "host", "/", "service", 0, 2, 2, 600, false);
 
@@ -111,7 +114,7 @@
     // A submission that no worker can hold was said to be accepted, since a record was there.
     @Test
     void cancelledSubmissionThatNoWorkerCanHoldIsRefused() {
-        largestWorkers = List.of(new Resources(1_000, 1_000, 0));
+        largestWorkers = SMALL_WORKERS;
         assertThat(cancel(), equalTo(GONE));
         assertThat(submit(FaultPlan.NO_FAULTS), equalTo(UNAVAILABLE));
         assertNotRun();
@@ -247,6 +250,53 @@
         assertThat(cancel(), equalTo(GONE));
     }
 
+    // A refusal was answered from an absence, and the late write of the submission ran.
+    @Test
+    void lateWriteOfSubmissionThatNoWorkerCanHoldIsNotCarriedOut() {
+        assertThat(submit(call -> CallFault.LATE), equalTo(TIMEOUT));
+        largestWorkers = SMALL_WORKERS;
+        assertThat(submit(FaultPlan.NO_FAULTS), equalTo(UNAVAILABLE));
+        store.revokeAllLeases();
+        runtime.advance(LATEST_WRITE_MILLIS);
+        assertNotRun();
+        assertThat(query(), equalTo(GONE));
+    }
+
+    // A VM that does not know the sizes of the workers accepted what another one had refused.
+    @Test
+    void otherVmsRefuseWhatNoWorkerCanHoldUntilTheTombstoneIsRemoved() {
+        largestWorkers = SMALL_WORKERS;
+        assertThat(submit(FaultPlan.NO_FAULTS), equalTo(UNAVAILABLE));
+        largestWorkers = List.of();
+        assertThat(submit(FaultPlan.NO_FAULTS), equalTo(UNAVAILABLE));
+        assertNotRun();
+        remover(FaultPlan.NO_FAULTS).start();
+        runtime.advance(AFTER_TOMBSTONES_MILLIS);
+        assertThat(submit(FaultPlan.NO_FAULTS), equalTo(OK));
+    }
+
+    @Test
+    void refusalIsNotSaidToBeFinalUnlessItsTombstoneIsStored() {
+        largestWorkers = SMALL_WORKERS;
+        assertThat(submit(call -> CallFault.LOST), equalTo(TIMEOUT));
+        assertThat(store.value(CellKeys.submission(ID)), nullValue());
+        assertThat(submit(call -> CallFault.ANSWER_LOST), equalTo(TIMEOUT));
+        assertThat(submit(FaultPlan.NO_FAULTS), equalTo(UNAVAILABLE));
+        assertNotRun();
+    }
+
+    // A refusal rested on a tombstone that was removed before an earlier write took effect.
+    @Test
+    void lateWriteAfterRefusalByOldTombstoneIsNotCarriedOut() {
+        remover(FaultPlan.NO_FAULTS).start();
+        assertThat(cancel(), equalTo(GONE));
+        runtime.advance(3 * TombstoneRemover.LISTING_INTERVAL_MILLIS - 1_800);
+        assertThat(submit(call -> CallFault.LATE), equalTo(TIMEOUT));
+        assertThat(submit(FaultPlan.NO_FAULTS), equalTo(UNAVAILABLE));
+        runtime.advance(LATEST_WRITE_MILLIS);
+        assertNotRun();
+    }
+
     // The release before takes a tombstone for the record of a cancelled submission.
     @Test
     void tombstoneReadsAsCancelledSubmissionInTheReleaseBefore() {
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionTombstone.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionTombstone.java
@@ -6,9 +6,10 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The record of a cancellation of a submission that is not stored, under the key of its record. A
- * write of the submission that the store carries out later conflicts with it. It has the form of
- * the record of a cancelled submission that no cell and no route has.
+ * The record of a cancellation or a final rejection of a submission that is not stored, under the
+ * key of its record. A write of the submission that the store carries out later conflicts with it.
+ * It has the form of the record of a cancelled submission that no cell and no route has, and a
+ * cause, which earlier releases ignore.
  */
 public final class SubmissionTombstone {
 
@@ -21,12 +22,13 @@
     /**
      * Encodes a tombstone.
      *
+     * @param cause why the submission is not stored
      * @param unixMillis the present time, in milliseconds since 1970
      * @return the stored value
      */
-    public static byte[] encode(long unixMillis) {
+    public static byte[] encode(TombstoneCause cause, long unixMillis) {
         return StoredValueCodec.encode(
-                new SubmissionRecord(NONE, NONE, SubmissionState.CANCELLED, unixMillis));
+                new Stored(NONE, NONE, SubmissionState.CANCELLED, unixMillis, cause.name()));
     }
 
     /**
@@ -52,4 +54,33 @@
         return item != null
                 && isTombstone(StoredValueCodec.decode(item.value(), SubmissionRecord.class));
     }
+
+    /**
+     * Returns why a submission has a tombstone.
+     *
+     * @param tombstone the item under the key of its record
+     * @return the cause; CANCELLED for one without a cause, and for one that is not known here
+     */
+    public static TombstoneCause causeOf(StoreItem tombstone) {
+        Stored stored = StoredValueCodec.decode(tombstone.value(), Stored.class);
+        return stored != null && TombstoneCause.UNSERVABLE.name().equals(stored.cause())
+                ? TombstoneCause.UNSERVABLE
+                : TombstoneCause.CANCELLED;
+    }
+
+    /**
+     * The stored form: a {@link SubmissionRecord} with a cause.
+     *
+     * @param cell empty
+     * @param route empty
+     * @param state CANCELLED
+     * @param changedUnixMillis when the tombstone was written, in milliseconds since 1970
+     * @param cause the name of the cause, or null in a tombstone of an earlier release
+     */
+    private record Stored(
+            String cell,
+            String route,
+            SubmissionState state,
+            long changedUnixMillis,
+            @Nullable String cause) {}
 }
