Try the other tasks of a step when one is refused

Callers saw tasks of a step wait although a worker could take them. A pass ended a step at its first task without a worker, though some refusals depend on the task: a suspect worker takes a task that has waited for 1.5 s with room in the cell, but not one that has failed there. The task that had failed kept the next one waiting until the suspicion ended, up to 8 s. Suspect tasks behind it were not tried either, not even on a worker held for them.

Now the pass goes on with each task that may use a worker which a refused one may not: it has run, has waited longer, or has failed on fewer workers.

RefusedTaskTest failed before: the second of two tasks had 0 starts after 3 s.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
@@ -285,31 +285,31 @@
     }
 
     /**
-     * Starts the waiting tasks of a step one by one until no worker is left for the next. Suspect
-     * tasks do not hold up the others.
+     * Starts the waiting tasks of a step one by one. Tasks that may use no more workers than one
+     * that was refused are left out. Suspect tasks are all tried.
      *
      * @param step the step
      */
     private void startTasks(StepRecord step) {
-        long now = context.now();
-        for (TaskRecord task : inStartOrder(step)) {
-            if (!mayStart(task, now) || crashTracker.isOutcomePending(task)) {
-                continue;
-            }
+        RefusedTasks refused = new RefusedTasks();
+        for (TaskRecord task : RefusedTasks.inStartOrder(waitingTasks(step))) {
             boolean suspect = crashTracker.isSuspect(task);
             if (step.occurrence.job.state.isFinal()) {
                 return;
             }
+            if (!suspect && refused.covers(task)) {
+                continue;
+            }
             WorkerRecord worker =
                     suspect
                             ? suspectPlacement.selectWorker(task)
                             : workerSelector.selectWorker(task);
             if (worker == null) {
                 requestTickets(step);
-                if (suspect) {
-                    continue;
+                if (!suspect) {
+                    refused.add(task);
                 }
-                return;
+                continue;
             }
             if (suspect && !crashTracker.isStartRecorded(task, worker)) {
                 continue;
@@ -326,19 +326,20 @@
     }
 
     /**
-     * Orders the tasks of a step so that where no worker is found for one, none is found for the
-     * next ones either: long-running tasks that have run before may use more workers.
+     * Lists the tasks of a step that may start.
      *
      * @param step the step
-     * @return its tasks
+     * @return its waiting tasks without those of which an earlier start may still show
      */
-    private static List<TaskRecord> inStartOrder(StepRecord step) {
-        if (!step.spec.lasting()) {
-            return step.tasks;
+    private List<TaskRecord> waitingTasks(StepRecord step) {
+        long now = context.now();
+        List<TaskRecord> waiting = new ArrayList<>();
+        for (TaskRecord task : step.tasks) {
+            if (mayStart(task, now) && !crashTracker.isOutcomePending(task)) {
+                waiting.add(task);
+            }
         }
-        List<TaskRecord> ordered = new ArrayList<>(step.tasks);
-        ordered.sort(Comparator.comparing(task -> !task.everRan));
-        return ordered;
+        return waiting;
     }
 
     /**
