Let long-running tasks use an unneeded reserve after six seconds

A long-running task that had never run waited without an end beside an empty worker that was kept for urgent tasks, where more than half of the cell was reserved: a thirteenth task on four workers with four on each of three. The smallest reserve is kept without any demand, and a whole worker is a quarter of such a cell. Only a load of less than half ended the wait.

After 6 s such a task may now use the reserve, as far as long-running tasks leave it the CPU that urgent tasks have needed lately (1.2 times their recent maximum, up to 15% of the cell, halved each 8 s). The platform asks for the run of a long-running task from 6 s after its last run on, however full the service is; for a task that has never run the time since its turn is taken.

ReservedWorkerTest failed before: 0 starts after 9 s in both cases. With a steady load of urgent tasks, one of four waiting tasks starts. ReserveTest passes unchanged.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -43,6 +43,13 @@
     /** The fraction of the CPU in use below which tasks may do so. */
     private static final double YIELD_FRACTION = 0.5;
 
+    /**
+     * How long a long-running task waits before it may use what recent urgent tasks have not needed
+     * of their reserve, in milliseconds: how long it may be interrupted before the platform looks
+     * for its run.
+     */
+    private static final long RESERVE_PATIENCE_MILLIS = 6_000;
+
     /** The time of an event that has not happened. */
     private static final long NEVER = -1;
 
@@ -139,10 +146,11 @@
     }
 
     /**
-     * Returns whether a worker is kept for urgent tasks, however long others wait.
+     * Returns whether a worker is kept for urgent tasks, also from others that have waited for a
+     * short time.
      *
      * @param worker the worker
-     * @return whether new long-running tasks may not use it
+     * @return whether new long-running tasks may not use it before they have waited for long
      */
     boolean isKeptForUrgentTasks(WorkerRecord worker) {
         return urgentReserve.contains(worker.id) && load.reservedFraction() >= YIELD_FRACTION;
@@ -383,7 +391,9 @@
             return sufficient || scorer.mayShareIdleCpu(task);
         }
         if (spec.lasting() && !task.everRan) {
-            return !urgentReserve.contains(worker.id) || hasWaitedDespiteRoom(task);
+            return !urgentReserve.contains(worker.id)
+                    || hasWaitedDespiteRoom(task)
+                    || mayUseReserve(task, worker);
         }
         return true;
     }
@@ -397,8 +407,34 @@
      * @return whether it has
      */
     private boolean hasWaitedDespiteRoom(TaskRecord task) {
-        boolean waitedLong =
-                task.readySinceMillis != 0 && context.now() - task.readySinceMillis >= YIELD_MILLIS;
-        return waitedLong && load.reservedFraction() < YIELD_FRACTION;
+        return hasWaited(task, YIELD_MILLIS) && load.reservedFraction() < YIELD_FRACTION;
+    }
+
+    /**
+     * Returns whether a task that has waited for long may use a worker of the reserve: the tasks
+     * that last leave it the CPU that urgent tasks have needed lately.
+     *
+     * @param task the task
+     * @param worker the worker, in the reserve
+     * @return whether it may, however full the cell is
+     */
+    private boolean mayUseReserve(TaskRecord task, WorkerRecord worker) {
+        long left =
+                worker.entry.capacity().cpuMillicores()
+                        - worker.longRunningMillicores()
+                        - task.step.spec.need().cpuMillicores();
+        return hasWaited(task, RESERVE_PATIENCE_MILLIS)
+                && left >= urgentReserve.demandedMillicores(worker.id);
+    }
+
+    /**
+     * Returns whether a task has been ready for some time.
+     *
+     * @param task the task
+     * @param millis the time, in milliseconds
+     * @return whether it was first found ready that long ago
+     */
+    private boolean hasWaited(TaskRecord task, long millis) {
+        return task.readySinceMillis != 0 && context.now() - task.readySinceMillis >= millis;
     }
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/placement/UrgentReserve.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/placement/UrgentReserve.java
@@ -3,9 +3,9 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 
 /**
  * Keeps some workers free of new long-running tasks, so that large urgent tasks find a worker with
@@ -30,8 +30,8 @@
     /** The time in which a demand that is over loses half of its weight, in milliseconds. */
     private static final double HALF_LIFE_MILLIS = 8_000;
 
-    /** The identifiers of the workers in the reserve. */
-    private final Set<String> members = new HashSet<>();
+    /** For each worker in the reserve, the CPU that recent urgent tasks need, in millicores. */
+    private final Map<String, Long> members = new HashMap<>();
 
     /** The demand of urgent tasks, in millicores: the recent maximum, which decays. */
     private double demandMillicores;
@@ -44,7 +44,12 @@
 
     @Override
     public boolean contains(String id) {
-        return members.contains(id);
+        return members.containsKey(id);
+    }
+
+    @Override
+    public long demandedMillicores(String id) {
+        return members.getOrDefault(id, 0L);
     }
 
     @Override
@@ -68,25 +73,24 @@
         demandMillicores = Math.max((double) urgentMillicores, demandMillicores * decay);
         updatedAtMillis = nowMillis;
         long capacity = workers.stream().mapToLong(ReserveCandidate::capacityMillicores).sum();
-        double wanted =
-                Math.max(
-                        capacity * MIN_FRACTION,
-                        Math.min(capacity * MAX_FRACTION, demandMillicores * RESERVE_PER_DEMAND));
+        double demanded = Math.min(capacity * MAX_FRACTION, demandMillicores * RESERVE_PER_DEMAND);
+        double wanted = Math.max(capacity * MIN_FRACTION, demanded);
         List<ReserveCandidate> ordered = new ArrayList<>(workers);
         ordered.sort(
                 Comparator.comparingLong(ReserveCandidate::longRunningMillicores)
-                        .thenComparing(worker -> !members.contains(worker.id()))
+                        .thenComparing(worker -> !members.containsKey(worker.id()))
                         .thenComparingInt(worker -> worker.id().hashCode()));
-        Set<String> chosen = new HashSet<>();
+        Map<String, Long> chosen = new HashMap<>();
         double reserved = 0;
         for (ReserveCandidate worker : ordered) {
             if (reserved >= wanted) {
                 break;
             }
-            chosen.add(worker.id());
+            double demandLeft = Math.max(0, demanded - reserved);
+            chosen.put(worker.id(), Math.min(worker.capacityMillicores(), (long) demandLeft));
             reserved += worker.capacityMillicores();
         }
         members.clear();
-        members.addAll(chosen);
+        members.putAll(chosen);
     }
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/placement/WorkerReserve.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/placement/WorkerReserve.java
@@ -13,6 +13,11 @@
                     return false;
                 }
 
+                @Override
+                public long demandedMillicores(String id) {
+                    return 0;
+                }
+
                 @Override
                 public int size() {
                     return 0;
@@ -33,6 +38,15 @@
      */
     boolean contains(String id);
 
+    /**
+     * Returns how much of a worker in the reserve recent urgent tasks have needed. The rest of it
+     * is kept for urgent tasks that may come.
+     *
+     * @param id the identifier of the worker
+     * @return the CPU, in millicores, 0 if the worker is not in the reserve
+     */
+    long demandedMillicores(String id);
+
     /**
      * Returns the size of the reserve.
      *
