Propose no layout while registrations may come back

If the store ended all leases after the first registrations and before the layout of the cells was stored, the process that looked next stored one that followed from the VMs that were left: from none, or from the one that had registered again first. It holds for good, and gave weak VMs cells of up to six zones.

A layout is proposed only once no registration has gone for 3 s, longer than a process takes to find its lease ended and to register again. A start in which no registration goes is as before; one in which a VM is lost has its layout up to 3 s later.

LayoutCoordinatorTest.layoutDoesNotRestOnRegistrationsThatTheStoreHasEnded failed before ("Expected: null but: was <CellLayout>"). The tests of the package pass (99).

--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterView.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterView.java
@@ -53,6 +53,9 @@
      */
     private final Map<NodeRecord, Long> nodeSinceMillis = new HashMap<>();
 
+    /** When a registration was last seen to be gone, in milliseconds; -1 if none was. */
+    private long nodeLostAtMillis = -1;
+
     /** The clock. */
     private final ProcessRuntime runtime;
 
@@ -195,6 +198,16 @@
         return now - nodeSinceMillis.getOrDefault(record, now);
     }
 
+    /**
+     * Returns for how long no registration has gone.
+     *
+     * @return the time since this process last saw that one was gone, in milliseconds; {@link
+     *     Long#MAX_VALUE} if it saw none
+     */
+    long withoutLossMillis() {
+        return nodeLostAtMillis < 0 ? Long.MAX_VALUE : runtime.nowMillis() - nodeLostAtMillis;
+    }
+
     /**
      * Returns how long ago the view was up to date.
      *
@@ -238,7 +251,9 @@
         pendingByCell.clear();
         nodes.clear();
         snapshot.forEach(this::put);
-        nodeSinceMillis.keySet().retainAll(nodes.values());
+        if (nodeSinceMillis.keySet().retainAll(nodes.values())) {
+            nodeLostAtMillis = runtime.nowMillis();
+        }
         synced = true;
         changeListener.run();
     }
@@ -337,6 +352,7 @@
             NodeRecord record = nodes.remove(key.substring(CellKeys.NODE_PREFIX.length()));
             if (record != null) {
                 nodeSinceMillis.remove(record);
+                nodeLostAtMillis = runtime.nowMillis();
             }
         }
     }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/LayoutCoordinator.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/LayoutCoordinator.java
@@ -17,6 +17,13 @@
  */
 final class LayoutCoordinator {
 
+    /**
+     * How long no registration must have been lost before a layout is proposed, in milliseconds:
+     * longer than a process takes to notice that the store has ended its lease, and to register
+     * again.
+     */
+    static final long REGISTRATION_MILLIS = 3_000;
+
     /** The dependencies of the cluster's components. */
     private final ClusterContext context;
 
@@ -54,11 +61,18 @@
         return layout;
     }
 
-    /** Proposes a layout if all published keys have been read and none of them is a layout. */
+    /**
+     * Proposes a layout if all published keys have been read and none of them is a layout. It holds
+     * for good and follows from the registered processes, so that it waits if some of them may
+     * register again.
+     */
     void proposeIfAbsent() {
         if (proposalPending || !context.view().isSynced() || layout() != null) {
             return;
         }
+        if (context.view().withoutLossMillis() < REGISTRATION_MILLIS) {
+            return;
+        }
         proposalPending = true;
         LayoutRecord record =
                 new LayoutRecord(LayoutPolicy.maxZonesPerCell(settings, context.view().nodes()));
--- a/damasktiller-node/src/test/java/org/damasktiller/node/cluster/LayoutCoordinatorTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/cluster/LayoutCoordinatorTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Objects;
 import org.damasktiller.scheduler.cell.CellKeys;
+import org.damasktiller.scheduler.cell.StoredValueCodec;
 import org.damasktiller.scheduler.port.MetadataStore;
 import org.damasktiller.scheduler.port.StoreTransaction;
 import org.damasktiller.standin.metadata.FaultInjectingStoreClient;
@@ -23,6 +24,10 @@
     /** Two zones of one region. */
     private static final Map<String, String> ZONES = Map.of("a", "north", "b", "north");
 
+    /** So many zones that the layout depends on the registered VMs. */
+    private static final Map<String, String> MANY_ZONES =
+            Map.of("a", "north", "b", "north", "c", "north", "d", "north");
+
     /** The clock and the timers, which the tests advance. */
     private final VirtualTimeRuntime runtime = new VirtualTimeRuntime();
 
@@ -62,6 +67,37 @@
         assertThat(store.value(CellKeys.LAYOUT), equalTo(unreadable));
     }
 
+    // The layout, which holds for good, was proposed by what was left after all leases had ended.
+    @Test
+    void layoutDoesNotRestOnRegistrationsThatTheStoreHasEnded() {
+        LayoutCoordinator coordinator = coordinator(MANY_ZONES, LayoutPolicy.AUTOMATIC);
+        registerWeakVm();
+        runtime.advance(1_000);
+        store.revokeAllLeases();
+        runtime.advance(1_000);
+        coordinator.proposeIfAbsent();
+        registerWeakVm();
+        runtime.advance(1_000);
+        assertThat(coordinator.layout(), nullValue());
+        runtime.advance(LayoutCoordinator.REGISTRATION_MILLIS);
+        coordinator.proposeIfAbsent();
+        runtime.advance(1_000);
+        assertThat(
+                cells(coordinator),
+                containsInAnyOrder("service@a", "service@b", "service@c", "service@d"));
+    }
+
+    /** Registers a VM that can own the workers of one zone only, under a lease. */
+    private void registerWeakVm() {
+        NodeRecord record = new NodeRecord("vm", "process", "a", true, 120, 0, "", true);
+        store.commit(
+                new StoreTransaction()
+                        .put(
+                                CellKeys.NODE_PREFIX + "vm",
+                                StoredValueCodec.encode(record),
+                                store.grantLease(60_000).id()));
+    }
+
     /**
      * Creates the coordinator of a process that has begun to read the store.
      *
@@ -69,6 +105,17 @@
      * @return the coordinator
      */
     private LayoutCoordinator coordinator(int maxZonesPerCell) {
+        return coordinator(ZONES, maxZonesPerCell);
+    }
+
+    /**
+     * Creates the coordinator of a process that has begun to read the store.
+     *
+     * @param zones the zones with their regions
+     * @param maxZonesPerCell the most zones of a cell as configured on its VM
+     * @return the coordinator
+     */
+    private LayoutCoordinator coordinator(Map<String, String> zones, int maxZonesPerCell) {
         MetadataStore client = new FaultInjectingStoreClient(store, runtime, FaultPlan.NO_FAULTS);
         ClusterView view = new ClusterView(client, runtime, (event, fields) -> {}, () -> {});
         view.start();
@@ -76,7 +123,7 @@
                 new StoreSession(client, runtime, (event, fields) -> {}, 2_000, () -> {});
         ClusterContext context =
                 new ClusterContext(client, session, view, runtime, (event, fields) -> {});
-        return new LayoutCoordinator(context, new LayoutSettings(ZONES, maxZonesPerCell));
+        return new LayoutCoordinator(context, new LayoutSettings(zones, maxZonesPerCell));
     }
 
     /**
