Start tasks that have waited where room is kept for a larger one

A task waited beside free room on the only worker that could run it, since that room was kept for a larger task. The wait lasted for as long as a run there that did not end when it was expected to: the expected end of such a run is always now, and only a start of the larger task, or that task being too late to be of use, ended the reservation. The cell was nearly idle.

A task that has waited for 1.5 s while less than half of the cell is reserved may now use that room, as it may use a suspect worker or the urgent reserve. In a cell with less room the reservation holds as before.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -35,8 +35,8 @@
     private static final long RESERVE_UPDATE_MILLIS = 250;
 
     /**
-     * How long a task waits before it may use the reserve for urgent tasks or a suspect worker, in
-     * milliseconds.
+     * How long a task waits before it may use the reserve for urgent tasks, room that is kept for
+     * larger ones, or a suspect worker, in milliseconds.
      */
     private static final long YIELD_MILLIS = 1_500;
 
@@ -170,7 +170,7 @@
         for (WorkerRecord worker : context.allWorkers()) {
             if (!worker.hasRoomFor(need)
                     || !isEligible(task, worker, ticketRequired)
-                    || !lookAhead.admits(task, worker)) {
+                    || isRoomKept(task, worker)) {
                 continue;
             }
             double score = scorer.score(task, worker);
@@ -246,7 +246,7 @@
         if (!worker.hasRoomFor(task.step.spec.reserved())) {
             return PlacementVerdict.NO_ROOM;
         }
-        if (!lookAhead.admits(task, worker)) {
+        if (isRoomKept(task, worker)) {
             return PlacementVerdict.ROOM_KEPT;
         }
         return scorer.score(task, worker) == WorkerScorer.REJECTED
@@ -318,6 +318,19 @@
         return worker.hasProbe() || (worker.failureDetector.isSuspect(context.now()) && !needed);
     }
 
+    /**
+     * Returns whether the room of a worker is kept for a larger task. The expected ends on which
+     * that depends may be wrong.
+     *
+     * @param task the task
+     * @param worker the worker
+     * @return whether the task would delay the larger one, and has not waited for long with room in
+     *     the cell
+     */
+    private boolean isRoomKept(TaskRecord task, WorkerRecord worker) {
+        return !lookAhead.admits(task, worker) && !hasWaitedDespiteRoom(task);
+    }
+
     /**
      * Returns whether the known capacity of a worker is too old for a start. Only a worker that is
      * not known to refuse what exceeds its capacity needs a recent one.
@@ -400,8 +413,8 @@
 
     /**
      * Returns whether a task has waited for some time although the cell is less than half full. It
-     * may then use the workers that are kept for urgent tasks, or are suspect: its step may need
-     * more workers than the others.
+     * may then use the workers that are kept for urgent or larger tasks, or are suspect: its step
+     * may need more workers than the others.
      *
      * @param task the task
      * @return whether it has
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/LookAheadTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/LookAheadTest.java
@@ -9,6 +9,7 @@
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.model.SubmissionState;
+import org.damasktiller.scheduler.model.TaskId;
 import org.damasktiller.scheduler.policy.Policy;
 import org.damasktiller.scheduler.policy.PolicySet;
 import org.damasktiller.verification.owner.CellSimulation.OwnerProcess;
@@ -26,6 +27,15 @@
     /** The identifier of the submission with a large task. */
     private static final String LARGE = "00000000000000c1";
 
+    /** The label of one of the workers. */
+    private static final String LABEL = "special";
+
+    /**
+     * The longest time that a submission may wait while half of the cell is free, in milliseconds;
+     * given by the platform's documentation.
+     */
+    private static final long MAX_WAIT_MILLIS = 3_000;
+
     /** The number of small submissions sent. */
     private int submissionCount;
 
@@ -68,6 +78,25 @@
     }
 
     /** The worker that keeps the room is lost before the large task starts there. */
+    /** Room was kept for as long as a run lasted that did not end when it was expected to. */
+    @Test
+    void smallTaskStartsWhereRoomIsKeptInACellThatIsNearlyIdle() {
+        CellSimulation simulation = createSimulation(true);
+        simulation.labels.put("w0", List.of(LABEL));
+        simulation.register("w0", false);
+        simulation.taskDurationMillis = 20_000;
+        simulation.startOwner();
+        simulation.submit("00000000000000c2", labelledStep(2_000));
+        simulation.runtime.advance(1_000);
+        simulation.submit(LARGE, labelledStep(WORKER_CPU));
+        simulation.runtime.advance(1_000);
+        String small = "00000000000000c3";
+        simulation.submit(small, labelledStep(1_000));
+        simulation.runtime.advance(MAX_WAIT_MILLIS);
+        assertThat(simulation.invariants.startCount(new TaskId(small, 0, 0, 0)), equalTo(1));
+        assertThat(simulation.invariants.violations(), empty());
+    }
+
     @Test
     void lossOfTheWorkerThatKeepsTheRoomMovesTheReservation() {
         CellSimulation simulation = createSimulation(true);
@@ -129,4 +158,17 @@
                 .after(List.of())
                 .build();
     }
+
+    /**
+     * Creates a step of one task that needs the label.
+     *
+     * @param cpuMillicores the CPU that the task needs, in millicores
+     * @return the step
+     */
+    private static StepSpec labelledStep(long cpuMillicores) {
+        return StepSpec.builder(1, new Resources(cpuMillicores, 100, 0))
+                .estimateMillis(400)
+                .requiredLabel(LABEL)
+                .build();
+    }
 }
