Retry a start that was not understood on another worker

A task whose start a worker rejects as invalid was sent to the same worker each second, without an end: the delay applied to the task alone, and the worker went on to rank first. Other workers had room.

The worker now counts among those that the task avoids, so that it ranks last. Where all workers reject the start, they are tried in turn each second.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRequestSender.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRequestSender.java
@@ -185,6 +185,7 @@
             case INVALID -> {
                 if (record.task != null) {
                     record.task.earliestStartMillis = now + INVALID_BACKOFF_MILLIS;
+                    record.task.avoidedWorkerIds.add(worker.id);
                 }
             }
             default -> worker.fullUntilMillis = now + FULL_BACKOFF_MILLIS;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecord.java
@@ -24,7 +24,10 @@
     /** The runs that are or may be active. */
     final List<RunRecord> runs = new ArrayList<>(1);
 
-    /** The identifiers of the workers on which a run of the task failed or was too slow. */
+    /**
+     * The identifiers of the workers on which a run of the task failed or was too slow, or that did
+     * not understand its start.
+     */
     final Set<String> avoidedWorkerIds = new HashSet<>(2);
 
     /** Whether the task is done. */
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/SimulatedWorker.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/SimulatedWorker.java
@@ -248,6 +248,9 @@
         if (running != null && running.number == request.run()) {
             return reply(WorkerStatus.OK);
         }
+        if (!behaviour.understandsStart(id, request.task())) {
+            return reply(WorkerStatus.INVALID);
+        }
         if (request.leaseUntilMillis() <= clockMillis()) {
             return reply(WorkerStatus.EXPIRED);
         }
--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/TaskBehaviour.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/fleet/TaskBehaviour.java
@@ -60,4 +60,15 @@
     default long load(String worker, TaskId task) {
         return 0;
     }
+
+    /**
+     * Returns whether a worker understands the start requests of a task.
+     *
+     * @param worker the identifier of the worker
+     * @param task the identifier of the task
+     * @return false if it rejects them as invalid
+     */
+    default boolean understandsStart(String worker, TaskId task) {
+        return true;
+    }
 }
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -116,6 +116,9 @@
     /** The identifiers of the workers on which all runs fail. */
     final Set<String> failingWorkers = FaultInjectingWorkerClient.newIdSet();
 
+    /** The identifiers of the workers that understand no start request. */
+    final Set<String> misunderstandingWorkers = FaultInjectingWorkerClient.newIdSet();
+
     /** The identifiers of the submissions of which all runs fail. */
     final Set<String> failingSubmissions = FaultInjectingWorkerClient.newIdSet();
 
@@ -631,6 +634,11 @@
         return fails ? EndKind.FAILED : EndKind.DONE;
     }
 
+    @Override
+    public boolean understandsStart(String worker, TaskId task) {
+        return !misunderstandingWorkers.contains(worker);
+    }
+
     @Override
     public long load(String worker, TaskId task) {
         return tailMillis;
