Ask for advice only about workers that may run the step

A step that needs advice and a label could wait without an end in a large cell. Tickets were asked for about 30 workers at a time with the most free CPU, whether they had the label or not. Tickets of the first ones lapsed before the last ones were asked for, so that the first ones were asked for again, and the workers with the label never were.

Now a request names only workers on which the refused task could start but for the ticket.

AdviceTest failed before: 0 starts after 3 s with 200 workers, 20 ms for each in a call and tickets of 3 s. OwnerTest and MissingQueueTest pass.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/AdviceTicketProvider.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/AdviceTicketProvider.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.Predicate;
 import org.damasktiller.scheduler.port.AdviceClient;
 import org.damasktiller.scheduler.port.AdviceReply;
 
@@ -10,8 +11,8 @@
  * Requests tickets from the advice service for the steps of routes that require them, and stores
  * the tickets in the steps. Load pattern: the service handles one call per VM at a time and takes
  * several milliseconds per worker in the call. Each call therefore lists only a limited number of
- * workers with enough free capacity, and leaves out workers that have a valid ticket or that the
- * service has already ruled out for the step.
+ * workers on which a task of the step could start, and leaves out workers that have a valid ticket
+ * or that the service has already ruled out for the step.
  */
 final class AdviceTicketProvider {
 
@@ -85,8 +86,10 @@
      * flight, shortly after a request without an answer, or if no worker qualifies.
      *
      * @param step the step
+     * @param mayUse tells whether a task of the step may start on a worker that has room, once it
+     *     has a ticket
      */
-    void request(StepRecord step) {
+    void request(StepRecord step, Predicate<WorkerRecord> mayUse) {
         long now = context.now();
         if (requestInFlight || now < nextRequestAtMillis) {
             return;
@@ -97,7 +100,7 @@
             boolean ticketMissing =
                     !step.rejectedWorkerIds.contains(worker.id)
                             && usableTicket(step, worker).isEmpty();
-            if (hasCapacity && ticketMissing && context.mayStartOn(worker, now)) {
+            if (hasCapacity && ticketMissing && mayUse.test(worker)) {
                 candidates.add(worker);
             }
         }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
@@ -305,7 +305,7 @@
                             ? suspectPlacement.selectWorker(task)
                             : workerSelector.selectWorker(task);
             if (worker == null) {
-                requestTickets(step);
+                requestTickets(task);
                 if (!suspect) {
                     refused.add(task);
                 }
@@ -358,7 +358,7 @@
         }
         List<WorkerRecord> workers = gangPlacement.selectWorkers(step);
         if (workers.isEmpty()) {
-            requestTickets(step);
+            requestTickets(step.tasks.get(0));
             return;
         }
         if (!areStartsRecorded(step.tasks, workers)) {
@@ -393,13 +393,13 @@
     }
 
     /**
-     * Requests tickets for a step if its route needs them.
+     * Requests tickets for the step of a task if its route needs them.
      *
-     * @param step the step, for which no worker was found
+     * @param task the task, for which no worker was found
      */
-    private void requestTickets(StepRecord step) {
-        if (advice.isRequired(step)) {
-            advice.request(step);
+    private void requestTickets(TaskRecord task) {
+        if (advice.isRequired(task.step)) {
+            advice.request(task.step, worker -> workerSelector.isEligible(task, worker, false));
         }
     }
 
