Start tasks that have waited beside long runs on probation

A worker on probation, on which runs of two submissions had failed, got no further start while it ran a task that ends by itself. A task that only this worker could run waited for as long as the other one lasted, beside free room in a cell that was nearly idle.

A task that has waited for 1.5 s while less than half of the cell is reserved, and has not failed there, now waits only until all runs of the worker have been active for 1 s. A worker that fails all runs soon after their start still gets one at a time.

The new case of ProbationTest failed before: the second task had no start 3 s after it was submitted, beside a run of 20 s. The other cases, which ask for one probe at a time, are unchanged.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -50,6 +50,12 @@
      */
     private static final long RESERVE_PATIENCE_MILLIS = 6_000;
 
+    /**
+     * How long all runs of a worker on probation must be active until it gets the start of a task
+     * that has waited for long, in milliseconds.
+     */
+    private static final long RECENT_START_MILLIS = 1_000;
+
     /** The time of an event that has not happened. */
     private static final long NEVER = -1;
 
@@ -300,8 +306,8 @@
 
     /**
      * Returns whether a worker has failed runs and may not get a start of a task now: while another
-     * run has yet to show whether it fails, and while the worker is suspect, unless the task has
-     * waited for long with room in the cell and has not failed there.
+     * run has yet to show whether it fails, and while the worker is suspect. A task that has waited
+     * for long with room in the cell and has not failed there waits only for recent starts.
      *
      * @param task the task
      * @param worker the worker
@@ -315,7 +321,21 @@
                 task.isWaiting(context.now())
                         && hasWaitedDespiteRoom(task)
                         && !task.avoidedWorkerIds.contains(worker.id);
-        return worker.hasProbe() || (worker.failureDetector.isSuspect(context.now()) && !needed);
+        return needed
+                ? hasRecentStart(worker)
+                : worker.hasProbe() || worker.failureDetector.isSuspect(context.now());
+    }
+
+    /**
+     * Returns whether a run of a worker is not known to have been active for some time. A worker
+     * that fails all runs thus gets few starts of tasks that have waited for long.
+     *
+     * @param worker the worker
+     * @return whether one of its runs, of whatever kind, has started a short time ago
+     */
+    private static boolean hasRecentStart(WorkerRecord worker) {
+        return worker.runs.values().stream()
+                .anyMatch(run -> run.knownActiveMillis() < RECENT_START_MILLIS);
     }
 
     /**
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/ProbationTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/ProbationTest.java
@@ -95,6 +95,34 @@
         assertThat(simulation.invariants.violations(), empty());
     }
 
+    /** A worker on probation was excluded for as long as a task lasted that it ran. */
+    @Test
+    void tasksStartBesideALongRunOnTheOnlyWorkerThatCanRunThem() {
+        simulation.labels.put("w0", List.of("special"));
+        simulation.register("w0", false);
+        simulation.startOwner();
+        simulation.failingWorkers.add("w0");
+        while (suspicionCount("w0") < 1) {
+            submit();
+            simulation.runtime.advance(20);
+        }
+        simulation.failingWorkers.clear();
+        simulation.taskDurationMillis = 20_000;
+        List<TaskId> tasks = new ArrayList<>();
+        for (int number = 0; number < 2; number++) {
+            String id = String.format("%016x", 0x8000 + number);
+            simulation.submit(
+                    id,
+                    StepSpec.builder(1, new Resources(500, 100, 0))
+                            .requiredLabel("special")
+                            .build());
+            tasks.add(new TaskId(id, 0, 0, 0));
+            simulation.runtime.advance(MAX_WAIT_MILLIS);
+        }
+        assertThat(lateTasks(tasks), empty());
+        assertThat(simulation.invariants.violations(), empty());
+    }
+
     /** A task must not use up its attempts on the only worker that is left, which fails it. */
     @Test
     void taskThatFailedOnASuspectWorkerKeepsItsOtherAttempts() {
