Count waiting steps by cause with the oldest age

step.waiting explains eight steps a second at most and is no metric, so that an exclusion that lasts was seen only by reading the lines of its step. Every 5 s the owner now logs one line for each cause for which steps have waited for 2 s: how many, and for how long the first of them.

WaitingReportTest: three steps without room give one line in an interval.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WaitingReporter.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WaitingReporter.java
@@ -2,15 +2,18 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
+import java.util.LongSummaryStatistics;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Logs why tasks wait for long although their turn has come. Each line explains a step by one of
- * its tasks. Only few steps are explained at a time, long-running ones first, since each takes a
- * look at all workers.
+ * Logs why tasks wait for long although their turn has come: how many steps wait for each cause,
+ * and lines that explain a step by one of its tasks. Only few steps are explained at a time,
+ * long-running ones first, since each takes a look at all workers.
  */
 final class WaitingReporter {
 
@@ -20,7 +23,7 @@
     /** How long a task waits before it is explained, in milliseconds. */
     private static final long MIN_WAIT_MILLIS = 2_000;
 
-    /** The shortest time between two lines on a step, in milliseconds. */
+    /** The shortest time between two lines on a step or a cause, in milliseconds. */
     private static final long REPORT_INTERVAL_MILLIS = 5_000;
 
     /** The most steps that are explained at a look. */
@@ -44,6 +47,9 @@
     /** Tells which tasks may crash their workers. */
     private final CrashTracker crashTracker;
 
+    /** When the waiting steps were last counted by cause, in milliseconds. */
+    private long countedAtMillis = WorkerRecord.NEVER;
+
     /** A waiting task of each step that has one. */
     private Map<StepRecord, WaitingSample> samples = new HashMap<>();
 
@@ -81,6 +87,36 @@
                 .sorted(ORDER)
                 .limit(MAX_STEPS_PER_CHECK)
                 .forEach(this::report);
+        if (now - countedAtMillis >= REPORT_INTERVAL_MILLIS) {
+            countedAtMillis = now;
+            logCounts(now);
+        }
+    }
+
+    /**
+     * Logs for each cause how many steps have waited for long, and for how long the first of them.
+     *
+     * @param now the current time, in milliseconds
+     */
+    private void logCounts(long now) {
+        Map<WaitingCause, LongSummaryStatistics> ages = new EnumMap<>(WaitingCause.class);
+        for (WaitingSample sample : samples.values()) {
+            long ageMillis = now - sample.sinceMillis;
+            if (ageMillis >= MIN_WAIT_MILLIS) {
+                ages.computeIfAbsent(causeOf(sample.task), cause -> new LongSummaryStatistics())
+                        .accept(ageMillis);
+            }
+        }
+        ages.forEach(
+                (cause, age) ->
+                        context.log.log(
+                                "waiting." + cause.name().toLowerCase(Locale.ROOT),
+                                "cell",
+                                context.cell,
+                                "steps",
+                                age.getCount(),
+                                "millis",
+                                age.getMax()));
     }
 
     /** Determines a waiting task of each step. It is the same as before while that one waits. */
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/WaitingReportTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/WaitingReportTest.java
@@ -97,6 +97,24 @@
         assertThat(reports().size(), lessThanOrEqualTo(5 * 8));
     }
 
+    /** Each cause is counted once in each interval, with the age of the oldest wait. */
+    @Test
+    void waitingStepsAreCountedByCause() {
+        simulation.startOwner();
+        simulation.submit("00000000000000e0", CellSimulation.longRunningStep(8));
+        simulation.runtime.advance(2_000);
+        for (int number = 0; number < 3; number++) {
+            simulation.submit(String.format("%016x", 0x7000 + number), CellSimulation.shortStep(1));
+        }
+        simulation.runtime.advance(10_000);
+        List<String> counts =
+                simulation.logLines.stream()
+                        .filter(line -> line.contains(" waiting.no_worker "))
+                        .toList();
+        assertThat(counts.size(), lessThanOrEqualTo(MAX_LINES));
+        assertThat(counts, hasItem(containsString("steps, 3, millis, ")));
+    }
+
     /**
      * Returns the lines that explain waiting tasks.
      *
