--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskMover.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskMover.java
@@ -5,12 +5,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.damasktiller.scheduler.cell.RoomReader.PublishedRoom;
 import org.damasktiller.scheduler.model.PartsRecord;
 import org.damasktiller.scheduler.model.TaskId;
 import org.damasktiller.scheduler.placement.MoveTarget;
 import org.damasktiller.scheduler.policy.Policy;
 import org.damasktiller.scheduler.port.StoreItem;
-import org.damasktiller.scheduler.port.StorePage;
 import org.damasktiller.scheduler.port.StoreReading;
 import org.damasktiller.scheduler.port.StoreResult;
 import org.damasktiller.scheduler.port.StoreStatus;
@@ -56,6 +56,9 @@
     /** Tells up to which store revision this owner is verified to own the cell. */
     private final OwnershipVerifier ownership;
 
+    /** Reads the room of the other cells. */
+    private final RoomReader rooms;
+
     /** Whether tasks may move at all. */
     private final boolean enabled;
 
@@ -85,6 +88,7 @@
         this.context = context;
         this.commits = commits;
         this.ownership = ownership;
+        this.rooms = new RoomReader(context);
         this.enabled =
                 !context.siblingCells.isEmpty()
                         && context.settings.policies().isEnabled(Policy.TASK_MOVES);
@@ -113,7 +117,8 @@
                 && ownership.covers(due.get(0).step.occurrence.job.openRevision)) {
             busy = true;
             due.forEach(task -> task.moving = true);
-            readRooms(due);
+            rooms.read(
+                    found -> readParts(due, found), () -> giveUp(due, "the store does not answer"));
         }
     }
 
@@ -191,32 +196,6 @@
                 && task.checkpoint.isEmpty();
     }
 
-    /**
-     * Reads what the other cells have published.
-     *
-     * @param tasks the tasks to move, of one step
-     */
-    private void readRooms(List<TaskRecord> tasks) {
-        context.store.list(
-                CellKeys.PENDING_PREFIX,
-                "",
-                result -> ifOk(result, tasks, pending -> readOwners(tasks, pending)));
-    }
-
-    /**
-     * Reads the owners of the cells.
-     *
-     * @param tasks the tasks to move, of one step
-     * @param pending what the cells have published
-     */
-    private void readOwners(List<TaskRecord> tasks, StorePage pending) {
-        context.store.list(
-                CellKeys.OWNER_PREFIX,
-                "",
-                result ->
-                        ifOk(result, tasks, owners -> readParts(tasks, roomsOf(pending, owners))));
-    }
-
     /**
      * Passes the value of a call on, or ends the attempt if there is none.
      *
@@ -236,43 +215,13 @@
         }
     }
 
-    /**
-     * Returns the rooms of the other cells that have an owner which has published them.
-     *
-     * @param pending the published records
-     * @param owners the owners
-     * @return the records by the name of the cell
-     */
-    private Map<String, PendingRecord> roomsOf(StorePage pending, StorePage owners) {
-        Map<String, Long> generations = new HashMap<>();
-        for (StoreItem item : owners.items()) {
-            OwnerRecord owner = StoredValueCodec.decode(item.value(), OwnerRecord.class);
-            if (owner != null) {
-                generations.put(
-                        item.key().substring(CellKeys.OWNER_PREFIX.length()), owner.generation());
-            }
-        }
-        Map<String, PendingRecord> rooms = new HashMap<>();
-        for (StoreItem item : pending.items()) {
-            String cell = item.key().substring(CellKeys.PENDING_PREFIX.length());
-            PendingRecord record = StoredValueCodec.decode(item.value(), PendingRecord.class);
-            Long generation = generations.get(cell);
-            boolean current =
-                    record != null && generation != null && record.generation() == generation;
-            if (current && context.siblingCells.contains(cell)) {
-                rooms.put(cell, record);
-            }
-        }
-        return rooms;
-    }
-
     /**
      * Reads which cells have parts of the submission.
      *
      * @param tasks the tasks to move
      * @param rooms what the other cells have published, by the name of the cell
      */
-    private void readParts(List<TaskRecord> tasks, Map<String, PendingRecord> rooms) {
+    private void readParts(List<TaskRecord> tasks, Map<String, PublishedRoom> rooms) {
         Job job = tasks.get(0).step.occurrence.job;
         context.store.read(CellKeys.parts(job.id()), result -> onParts(tasks, rooms, result));
     }
@@ -286,7 +235,7 @@
      */
     private void onParts(
             List<TaskRecord> tasks,
-            Map<String, PendingRecord> rooms,
+            Map<String, PublishedRoom> rooms,
             StoreResult<StoreReading> result) {
         if (context.ended) {
             return;
@@ -316,7 +265,7 @@
      */
     private void chooseTarget(
             List<TaskRecord> tasks,
-            Map<String, PendingRecord> rooms,
+            Map<String, PublishedRoom> rooms,
             PartsRecord parts,
             long partsRevision) {
         if (context.ended) {
@@ -326,16 +275,18 @@
         boolean full = parts.allCells().size() >= MAX_CELLS;
         List<MoveTarget.Candidate> candidates = new ArrayList<>();
         for (String cell : context.siblingCells) {
-            PendingRecord record = rooms.get(cell);
+            PublishedRoom room = rooms.get(cell);
             boolean paused = context.now() < pausedUntilMillis.getOrDefault(cell, 0L);
-            if (record != null && !paused && (!full || parts.allCells().contains(cell))) {
+            if (room != null && !paused && (!full || parts.allCells().contains(cell))) {
                 candidates.add(
                         new MoveTarget.Candidate(
                                 cell,
-                                record.rooms(),
-                                record.slotsTaken(
-                                        step.name(),
-                                        parts.countTasks(cell, step.number, step.tasks.size()))));
+                                room.record().rooms(),
+                                room.record()
+                                        .slotsTaken(
+                                                step.name(),
+                                                parts.countTasks(
+                                                        cell, step.number, step.tasks.size()))));
             }
         }
         MoveTarget target = MoveTarget.choose(step.spec, candidates);
