--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/CountAgeTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/CountAgeTest.java
@@ -113,7 +113,8 @@
     private void publish(int count) {
         for (String cell : CELLS) {
             PendingRecord record =
-                    new PendingRecord(Map.of("queue", count), List.of(), 1, List.of(), List.of());
+                    new PendingRecord(
+                            Map.of("queue", count), List.of(), 1, List.of(), List.of(), null);
             store.commit(
                     new StoreTransaction()
                             .put(CellKeys.pending(cell), StoredValueCodec.encode(record)));
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
@@ -10,6 +10,7 @@
 import org.damasktiller.scheduler.evacuation.ZoneGuard;
 import org.damasktiller.scheduler.model.Manifest;
 import org.damasktiller.scheduler.model.Route;
+import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.scheduler.port.DecisionLog;
 import org.damasktiller.scheduler.port.MetadataStore;
 import org.damasktiller.scheduler.port.ProcessRuntime;
@@ -83,6 +84,9 @@
     /** Decides which workers the stored roster names. */
     final Roster roster = new Roster(this);
 
+    /** The submissions that have moved to another cell. */
+    final DepartedSubmissions departed = new DepartedSubmissions();
+
     /** The manifest in effect. */
     private Manifest manifest;
 
@@ -244,6 +248,21 @@
         }
     }
 
+    /**
+     * Removes a job that has moved to another cell, from which it may return.
+     *
+     * @param job the job
+     * @param revision the store revision at which it has left
+     */
+    void removeDeparted(Job job, long revision) {
+        jobs.remove(job.id());
+        closedMovedIds.add(job.id());
+        departed.add(job.id(), revision);
+        if (job.state == SubmissionState.QUEUED) {
+            departed.keepCounting(job.id(), job.accepted.route(), now());
+        }
+    }
+
     /**
      * Returns whether tasks of a submission are known to have moved between cells.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -79,6 +79,9 @@
     /** Moves tasks that wait in vain to other cells. */
     private final TaskMover taskMover;
 
+    /** Moves submissions of which nothing runs to other cells. */
+    private final SubmissionMover submissionMover;
+
     /** Publishes the pending counts, the largest workers and the free room. */
     private final CountPublisher counts;
 
@@ -159,12 +162,12 @@
                         new JobObjectives(context, runTimes));
         passSchedule = new PassSchedule(context, taskScheduler::runPass);
         taskMover = new TaskMover(context, commits, ownership);
+        submissionMover = new SubmissionMover(context, commits, ownership, jobTracker::cancel);
         counts = new CountPublisher(context, jobTracker, new FreeRooms(context, workerSelector));
         submissionWatcher = new SubmissionWatcher(context, new SubmissionListener());
         workerWatcher =
                 new WorkerEntryWatcher(
                         context, environment.formats(), belongsToCell, new WorkerListener());
-        context.workerEntriesReadAtMillis = workerWatcher::answeredAtMillis;
         evacuationWatcher =
                 new EvacuationWatcher(
                         context, environment.formats().evacuationKeyPrefix(), this::schedulePass);
@@ -193,6 +196,7 @@
                 context.term.generation(),
                 "headRevision",
                 context.term.headRevision());
+        context.workerEntriesReadAtMillis = workerWatcher::answeredAtMillis;
         submissionWatcher.start();
         if (context.settings.policies().isEnabled(Policy.INTERFERENCE_HANDOVER)) {
             interferenceKeeper.start();
@@ -351,6 +355,7 @@
             }
         }
         taskMover.update();
+        submissionMover.update();
         schedulePass();
     }
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CountPublisher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CountPublisher.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.placement.LargestWorkers;
+import org.damasktiller.scheduler.policy.Policy;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -109,7 +110,10 @@
                         largestCapacities(),
                         context.term.generation(),
                         room.workers(),
-                        room.dividedSteps());
+                        room.dividedSteps(),
+                        context.settings.policies().isEnabled(Policy.TASK_MOVES)
+                                ? room.idleWorkers()
+                                : null);
         if (!record.equals(published)) {
             published = record;
             storedRecord.write(StoredValueCodec.encode(record));
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FreeRooms.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/FreeRooms.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.damasktiller.scheduler.model.Resources;
@@ -14,6 +13,9 @@
     /** The free room of a worker is rounded down to this part of its capacity. */
     private static final int ROUNDING_DIVISOR = 8;
 
+    /** The fraction of its CPU below which a worker may get a filler that has waited for long. */
+    private static final double IDLE_FRACTION = 0.5;
+
     /** The shared state of the cell's owner. */
     private final CellContext context;
 
@@ -36,7 +38,8 @@
     }
 
     /**
-     * Returns the free room of the workers that may get long-running tasks now.
+     * Returns the free room of the workers that may get long-running tasks now, and of those that
+     * are idle.
      *
      * @return the room
      */
@@ -44,24 +47,44 @@
         long now = context.now();
         Map<WorkerRecord, WorkerRoom> roomsByWorker = new HashMap<>();
         Map<String, WorkerRoom> rooms = new TreeMap<>();
+        Map<String, WorkerRoom> idleRooms = new TreeMap<>();
         for (WorkerRecord worker : context.allWorkers()) {
-            if (isOpen(worker, now)) {
-                Resources free = roundedFree(worker);
-                List<String> labels = worker.entry.labels().stream().sorted().toList();
-                WorkerRoom room = new WorkerRoom(free, labels, 1);
+            if (!isOpen(worker, now)) {
+                continue;
+            }
+            if (!workerSelector.isKeptForUrgentTasks(worker)) {
+                WorkerRoom room = roomOf(worker, worker.reserved);
                 roomsByWorker.put(worker, room);
-                rooms.merge(
-                        free + " " + labels,
-                        room,
-                        (known, one) ->
-                                new WorkerRoom(known.free(), known.labels(), known.workers() + 1));
+                add(rooms, room);
+            }
+            Resources used = worker.reserved.plus(new Resources(worker.fillerMillicores(), 0, 0));
+            if (!worker.throttleState.paused
+                    && used.cpuMillicores()
+                            < IDLE_FRACTION * worker.entry.capacity().cpuMillicores()) {
+                add(idleRooms, roomOf(worker, used));
             }
         }
-        return new CellRoom(new ArrayList<>(rooms.values()), dividedSteps.list(roomsByWorker));
+        return new CellRoom(
+                new ArrayList<>(rooms.values()),
+                dividedSteps.list(roomsByWorker),
+                new ArrayList<>(idleRooms.values()));
+    }
+
+    /**
+     * Adds the room of a worker to that of others with the same room and labels.
+     *
+     * @param rooms the rooms
+     * @param room the room of the worker
+     */
+    private static void add(Map<String, WorkerRoom> rooms, WorkerRoom room) {
+        rooms.merge(
+                room.free() + " " + room.labels(),
+                room,
+                (known, one) -> new WorkerRoom(known.free(), known.labels(), known.workers() + 1));
     }
 
     /**
-     * Returns whether a worker may get long-running tasks now.
+     * Returns whether a worker may get tasks now.
      *
      * @param worker the worker
      * @param nowMillis the current time, in milliseconds
@@ -73,23 +96,25 @@
                 && !worker.failureDetector.isSuspect(nowMillis)
                 && !(worker.failureDetector.isOnProbation() && worker.hasProbe())
                 && worker.quarantine() == Quarantine.NONE
-                && worker.isRoomKnown()
-                && !workerSelector.isKeptForUrgentTasks(worker);
+                && worker.isRoomKnown();
     }
 
     /**
      * Returns the free room of a worker, rounded down so that it changes seldom.
      *
      * @param worker the worker
+     * @param used what is not free
      * @return the room
      */
-    private static Resources roundedFree(WorkerRecord worker) {
+    private static WorkerRoom roomOf(WorkerRecord worker, Resources used) {
         Resources capacity = worker.entry.capacity();
-        Resources free = capacity.minus(worker.reserved);
-        return new Resources(
-                round(free.cpuMillicores(), capacity.cpuMillicores()),
-                round(free.memoryMb(), capacity.memoryMb()),
-                Math.max(0, free.accelerators()));
+        Resources free = capacity.minus(used);
+        Resources rounded =
+                new Resources(
+                        round(free.cpuMillicores(), capacity.cpuMillicores()),
+                        round(free.memoryMb(), capacity.memoryMb()),
+                        Math.max(0, free.accelerators()));
+        return new WorkerRoom(rounded, worker.entry.labels().stream().sorted().toList(), 1);
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
@@ -69,6 +69,12 @@
     /** Whether no change of the job has to be stored any more, since it has been cancelled. */
     boolean discarded;
 
+    /** Whether the job is about to move to another cell, so that its entry here is removed. */
+    boolean departing;
+
+    /** Whether its entry was removed while it was about to move. */
+    boolean removedWhileDeparting;
+
     /** Whether the store has a progress record of the job. */
     boolean progressStored;
 
@@ -122,6 +128,7 @@
         this.openRevision = createdRevision;
         if (stored != null) {
             applyPart(stored, createdRevision);
+            progressStored = stored.first() && !stored.arrived().isEmpty();
         }
     }
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
@@ -254,6 +254,7 @@
                 counts.merge(job.accepted.route(), 1, Integer::sum);
             }
         }
+        context.departed.addTo(counts, context.now());
         return counts;
     }
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PendingRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PendingRecord.java
@@ -6,6 +6,7 @@
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.placement.DividedStep;
 import org.damasktiller.scheduler.placement.WorkerRoom;
+import org.jspecify.annotations.Nullable;
 
 /**
  * What the owner of a cell publishes to all entry VMs: how many submissions of each route wait for
@@ -17,13 +18,16 @@
  * @param rooms the free room of the workers, empty if the service has no other cell
  * @param dividedSteps what tasks of steps that several cells share take of that room; a step
  *     without an entry has an unknown share
+ * @param idleRooms the room of workers of which less than half is in use, or null if the owner
+ *     takes no submissions from other cells, as those of earlier releases
  */
 public record PendingRecord(
         Map<String, Integer> byRoute,
         List<Resources> largestWorkers,
         long generation,
         List<WorkerRoom> rooms,
-        List<DividedStep> dividedSteps) {
+        List<DividedStep> dividedSteps,
+        @Nullable List<WorkerRoom> idleRooms) {
 
     /** Copies the counts, sorted by route name, and the lists, which older records lack. */
     @SuppressWarnings("ConstantConditions")
@@ -32,6 +36,7 @@
         largestWorkers = largestWorkers == null ? List.of() : List.copyOf(largestWorkers);
         rooms = rooms == null ? List.of() : List.copyOf(rooms);
         dividedSteps = dividedSteps == null ? List.of() : List.copyOf(dividedSteps);
+        idleRooms = idleRooms == null ? null : List.copyOf(idleRooms);
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionWatcher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionWatcher.java
@@ -92,8 +92,8 @@
         String id = idOf(event.key());
         Job job = context.jobs.get(id);
         if (item == null) {
-            if (job != null && !job.state.isFinal() && event.revision() > job.createdRevision) {
-                listener.onCancelled(job);
+            if (job != null && event.revision() > job.createdRevision) {
+                onRemoved(job);
             }
         } else if (job == null && event.revision() <= snapshotRevision) {
             reread(event.key());
@@ -130,7 +130,21 @@
         Job job = context.jobs.get(idOf(key));
         if (item != null) {
             admit(item);
-        } else if (job != null && !job.state.isFinal()) {
+        } else if (job != null) {
+            onRemoved(job);
+        }
+    }
+
+    /**
+     * Reports that the caller has cancelled a submission whose key is removed. The key of one that
+     * is about to move may be removed by the move, whose outcome decides then.
+     *
+     * @param job the open job of the submission
+     */
+    private void onRemoved(Job job) {
+        if (job.departing) {
+            job.removedWhileDeparting = true;
+        } else if (!job.state.isFinal()) {
             listener.onCancelled(job);
         }
     }
@@ -145,7 +159,8 @@
         String id = idOf(item.key());
         Job open = context.jobs.get(id);
         boolean changed = open != null && item.revision() > open.openRevision;
-        if (context.isKnown(id) && !changed) {
+        boolean known = context.isKnown(id) || context.departed.isOutdated(id, item.revision());
+        if (known && !changed) {
             return;
         }
         AcceptedSubmission accepted =
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecord.java
@@ -128,7 +128,9 @@
                 everRan,
                 crashes.crashes(),
                 crashes.bystanderCrashes(),
-                crashes.unknownOutcomes());
+                crashes.unknownOutcomes(),
+                done,
+                List.copyOf(failedRunNumbers));
     }
 
     /**
@@ -150,6 +152,13 @@
             recordedStart = null;
             readySinceMillis = 0;
             step.readyElsewhere = true;
+            failedRunNumbers.addAll(arrival.failedRuns());
+            if (arrival.done()) {
+                step.markDone(this);
+            }
+            if (arrival.done() || !arrival.failedRuns().isEmpty()) {
+                step.occurrence.job.onRunFound();
+            }
         }
         arrived = arrival != null;
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/model/MovedTask.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/model/MovedTask.java
@@ -1,6 +1,7 @@
 package org.damasktiller.scheduler.model;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
+import java.util.List;
 
 /**
  * A task that has moved to another cell.
@@ -13,6 +14,8 @@
  * @param bystanderCrashes the number of crashes of workers under runs that had been active for some
  *     time
  * @param unknownOutcomes the number of runs that may have crashed their worker
+ * @param done whether the task is done, which a move of the whole submission tells the new home
+ * @param failedRuns the numbers of the runs that failed, empty for a long-running task
  */
 @JsonInclude(JsonInclude.Include.NON_DEFAULT)
 public record MovedTask(
@@ -22,7 +25,15 @@
         boolean ran,
         int crashes,
         int bystanderCrashes,
-        int unknownOutcomes) {
+        int unknownOutcomes,
+        boolean done,
+        List<Integer> failedRuns) {
+
+    /** Copies the list, which a stored record leaves out if it is empty. */
+    @SuppressWarnings("ConstantConditions")
+    public MovedTask {
+        failedRuns = failedRuns == null ? List.of() : List.copyOf(failedRuns);
+    }
 
     /**
      * Returns whether this is the record of a task.
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/placement/WorkerRoom.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/placement/WorkerRoom.java
@@ -29,17 +29,29 @@
      * @return the number of tasks, within the limit of tasks per worker
      */
     public int slots(StepSpec spec) {
-        return slots(spec, 0);
+        return slots(spec, spec.reserved(), 0);
+    }
+
+    /**
+     * Returns how many tasks of a step the workers can take if each, also a filler, gets the
+     * processors that it needs.
+     *
+     * @param spec the step
+     * @return the number of tasks, within the limit of tasks per worker
+     */
+    int idleSlots(StepSpec spec) {
+        return slots(spec, spec.need(), 0);
     }
 
     /**
      * Returns how many more tasks of a step the workers can take.
      *
      * @param spec the step
+     * @param taken what each of them takes
      * @param present the number of tasks of the step that run on each worker already
      * @return the number of tasks, within the limit of tasks per worker
      */
-    private int slots(StepSpec spec, int present) {
+    private int slots(StepSpec spec, Resources taken, int present) {
         if (!spec.requiredLabel().isEmpty() && !labels.contains(spec.requiredLabel())) {
             return 0;
         }
@@ -47,8 +59,8 @@
         limit -= present;
         Resources left = free;
         int tasks = 0;
-        while (tasks < limit && left.covers(spec.reserved())) {
-            left = left.minus(spec.reserved());
+        while (tasks < limit && left.covers(taken)) {
+            left = left.minus(taken);
             tasks++;
         }
         return tasks * workers;
@@ -63,6 +75,6 @@
      * @return the number of slots that can't take another task
      */
     public int slotsTaken(StepSpec spec, int present) {
-        return slots(spec) - slots(spec, present);
+        return slots(spec) - slots(spec, spec.reserved(), present);
     }
 }
