--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/LookAheadTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/LookAheadTest.java
@@ -77,7 +77,6 @@
         assertThat(simulation.invariants.violations(), empty());
     }
 
-    /** The worker that keeps the room is lost before the large task starts there. */
     /** Room was kept for as long as a run lasted that did not end when it was expected to. */
     @Test
     void smallTaskStartsWhereRoomIsKeptInACellThatIsNearlyIdle() {
@@ -97,6 +96,7 @@
         assertThat(simulation.invariants.violations(), empty());
     }
 
+    /** The worker that keeps the room is lost before the large task starts there. */
     @Test
     void lossOfTheWorkerThatKeepsTheRoomMovesTheReservation() {
         CellSimulation simulation = createSimulation(true);
