Do not count a worker that was only cut off as crashed (LOST)

Callers saw a sound submission shown as failed though no worker had crashed: its workers were cut off and its owner ended, several times in a row.

Cause: a run that had been active counted as a crash of a bystander if its worker did not answer the next owner, and a sound start turned outcomes that are not known into crashes. Silence is no crash: both stay unknown outcomes, which by themselves end no submission.

The comments of the classes that the review stumbled over say more now.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CrashTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CrashTracker.java
@@ -261,12 +261,7 @@
                 CrashHistory crashes = task.crashes.withCrash(start.roleInCrash(task.crashes));
                 update(start.worker(), task, crashes, "its worker is gone or has started again");
             } else if (!RecordedStarts.isAlive(start, context.workers.get(start.worker()))) {
-                CrashRole role = start.active() ? CrashRole.BYSTANDER : CrashRole.UNCERTAIN;
-                update(
-                        start.worker(),
-                        task,
-                        task.crashes.withCrash(role),
-                        "the outcome is unknown");
+                countUnknown(start.worker(), task);
             }
         }
         return task.crashes.isSuspect();
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SuspectAssignments.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SuspectAssignments.java
@@ -26,7 +26,7 @@
     }
 
     /**
-     * Adds a task.
+     * Adds a task for the rest of the pass.
      *
      * @param worker its worker
      * @param quarantine its quarantine
@@ -38,7 +38,7 @@
     }
 
     /**
-     * Returns whether a task was assigned to a worker.
+     * Returns whether a task was assigned to a worker in the pass.
      *
      * @param worker the worker
      * @return whether one was
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SuspectPlacement.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SuspectPlacement.java
@@ -20,10 +20,10 @@
  */
 final class SuspectPlacement {
 
-    /** The number of workers per worker that may run a suspect task alone at the same time. */
+    /** One worker in this many may run a suspect task alone at the same time. */
     private static final int WORKERS_PER_SUSPECT = 8;
 
-    /** The number of workers per worker that suspect tasks may share at the same time. */
+    /** One worker in this many may be shared by suspect tasks at the same time. */
     private static final int WORKERS_PER_SHARED_WORKER = 2;
 
     /** The number of workers that may run suspect tasks at the same time in a small cell. */
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/crash/CommonCause.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/crash/CommonCause.java
@@ -4,8 +4,14 @@
 public enum CommonCause {
     /** Nothing points to one. */
     NONE,
-    /** Many workers crashed at about the same time. Tasks of one kind may have crashed them. */
+    /**
+     * Many workers crashed at about the same time. Tasks of one kind may have crashed them, so that
+     * it does not clear suspects.
+     */
     LIKELY,
-    /** Workers crashed at about the same time on which no run explains that. */
+    /**
+     * Workers crashed at about the same time on which no run explains that. It clears those that
+     * are suspect for such crashes only.
+     */
     SHOWN
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/crash/CrashHistory.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/crash/CrashHistory.java
@@ -9,7 +9,7 @@
  *
  * @param crashes the number of crashes that the task may have caused
  * @param bystanderCrashes the number of crashes under runs that had been active for some time, or
- *     while many workers crashed
+ *     while many workers crashed, and of those that a sound run has followed
  * @param unknownOutcomes the number of runs that may have crashed their worker, but may as well
  *     have ended otherwise
  */
@@ -50,7 +50,8 @@
 
     /**
      * Returns whether the task is suspect only since workers crashed for causes that were more
-     * likely than it, so that it may start beside others of its kind. Its last start is its own.
+     * likely than it, so that it may start beside others of its kind. The last start that it is
+     * allowed is alone.
      *
      * @return whether it is suspect and may share a worker with such tasks
      */
@@ -138,14 +139,12 @@
 
     /**
      * Returns the history after a run that was sound for some time. It may still crash its worker
-     * later, so that earlier crashes go on to count as starts.
+     * later, so that earlier crashes and unknown outcomes go on to count as starts.
      *
      * @param forGood whether no crash counts against the task any more
-     * @return the history with the earlier crashes as those of a bystander, or without them
+     * @return the history with the earlier crashes as those of a bystander, or without any
      */
     public CrashHistory withSoundRun(boolean forGood) {
-        return forGood
-                ? NONE
-                : new CrashHistory(0, crashes + bystanderCrashes + unknownOutcomes, 0);
+        return forGood ? NONE : new CrashHistory(0, crashes + bystanderCrashes, unknownOutcomes);
     }
 }
