--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CrashTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CrashTracker.java
@@ -23,9 +23,6 @@
     /** How long workers get to answer a new owner, in milliseconds. */
     private static final long ANSWER_GRACE_MILLIS = 2_000;
 
-    /** How long starts are recorded after a crash that no owner has counted, in milliseconds. */
-    private static final long RECORDED_STARTS_MILLIS = 30_000;
-
     /** How long a worker whose crash has not shown is remembered, in milliseconds. */
     private static final long LOST_WORKER_MEMORY_MILLIS = 60_000;
 
@@ -44,8 +41,8 @@
     /** Fails the jobs of tasks that are given up. */
     private final Listener listener;
 
-    /** Until when each start is recorded, in milliseconds. */
-    private long recordsStartsUntilMillis = WorkerRecord.NEVER;
+    /** Tells whether each start is recorded. */
+    private final StartRecording startRecording;
 
     /** The workers whose runs are over without a sign of a crash. */
     private final List<LostWorker> lostWorkers = new ArrayList<>();
@@ -61,6 +58,7 @@
         this.context = context;
         this.commits = commits;
         this.listener = listener;
+        this.startRecording = new StartRecording(context);
         this.commonCauses = new CommonCauseDetector(context);
         this.evaluator = new CrashEvaluator(context, commonCauses, this::isOpen);
     }
@@ -210,7 +208,9 @@
             task.crashes = history;
             commits.enqueue(task);
         }
-        if (forGood || (history.equals(CrashHistory.NONE) && !recordsStarts())) {
+        if (forGood
+                || (history.equals(CrashHistory.NONE)
+                        && !startRecording.keeps(task.recordedStart))) {
             onOutcomeKnown(task);
         } else if (task.recordedStart != null && !task.recordedStart.active()) {
             recordStart(task, task.recordedStart.asActive());
@@ -306,26 +306,14 @@
     void onStartSent(TaskRecord task, WorkerRecord worker) {
         if (task.recordedStart != null) {
             recordStart(task, task.recordedStart.asSent());
-        } else if (recordsStarts()) {
+        } else if (startRecording.isActive()) {
             recordStart(task, RecordedStarts.of(worker, context.term.generation()).asSent());
         }
     }
 
-    /**
-     * Records that a worker has crashed of which nobody knows what ran there, since its owner ended
-     * before it had noticed. Starts are recorded for some time, so that the next such crash counts.
-     */
+    /** Records that a worker has crashed or left whose owner ended before it could count that. */
     void onUncountedCrash() {
-        recordsStartsUntilMillis = context.now() + RECORDED_STARTS_MILLIS;
-    }
-
-    /**
-     * Returns whether every start is recorded.
-     *
-     * @return whether a crash that nobody counted has shown a short time ago
-     */
-    private boolean recordsStarts() {
-        return context.now() < recordsStartsUntilMillis;
+        startRecording.begin();
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PreviousOwners.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PreviousOwners.java
@@ -152,10 +152,10 @@
      * the previous owners used them.
      *
      * @param replacements tells which workers were replaced
-     * @return whether one of them was open, so that any task may have run there
+     * @return whether one of them may have had a run
      */
     boolean excludeReplaced(ReplacementDetector replacements) {
-        boolean openReplaced = false;
+        boolean usedReplaced = false;
         for (Map.Entry<String, RosterEntry> entry : List.copyOf(unfencedEntries.entrySet())) {
             String workerId = entry.getKey();
             String address = entry.getValue().address();
@@ -177,10 +177,10 @@
                         "age",
                         context.now() - context.term.startedAtMillis());
                 exclude(workerId);
-                openReplaced |= entry.getValue().open();
+                usedReplaced |= entry.getValue().mayHaveRuns();
             }
         }
-        return openReplaced;
+        return usedReplaced;
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RosterEntry.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RosterEntry.java
@@ -75,6 +75,15 @@
         return open && allowsLeases();
     }
 
+    /**
+     * Returns whether a task may have had a run on the worker.
+     *
+     * @return whether the entry is open or names tasks
+     */
+    boolean mayHaveRuns() {
+        return open || !tasks.isEmpty();
+    }
+
     /**
      * Returns whether the owner may grant leases to the worker.
      *
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CrashingStepTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CrashingStepTest.java
@@ -29,6 +29,9 @@
     /** How long the cell is followed, in milliseconds. */
     private static final long TIME_LIMIT_MILLIS = 120_000;
 
+    /** How long an owner that leaves has to hand over, in milliseconds. */
+    private static final long HAND_OVER_MILLIS = 300;
+
     /** The cell. */
     private CellSimulation simulation = new CellSimulation(WORKERS);
 
@@ -82,6 +85,35 @@
         assertGivenUp(owner);
     }
 
+    /**
+     * Owners that leave close the roster, and an owner forgot the starts that the one before had to
+     * record.
+     *
+     * @param delayMillis how long after its start a task crashes its worker, in milliseconds
+     * @param termMillis how long each owner lives, in milliseconds
+     * @param leaves whether owners leave in order before they end
+     */
+    @ParameterizedTest
+    @CsvSource({"2000, 2300, true", "4000, 2000, true", "4000, 2300, false"})
+    void lastingTasksThatCrashTheirWorkersUnderOwnersInSeriesAreNotStartedWithoutEnd(
+            long delayMillis, long termMillis, boolean leaves) {
+        simulation.crashDelayMillis = delayMillis;
+        OwnerProcess owner = simulation.startOwner();
+        simulation.runtime.advance(3_000);
+        simulation.crashingSubmissions.add(CRASHING);
+        simulation.submit(CRASHING, CellSimulation.longRunningStep(WORKERS / 2));
+        for (long millis = 0; millis < TIME_LIMIT_MILLIS; millis += termMillis) {
+            simulation.runtime.advance(termMillis);
+            if (leaves) {
+                owner.leave();
+                simulation.runtime.advance(HAND_OVER_MILLIS);
+            }
+            owner.kill();
+            owner = simulation.startOwner();
+        }
+        assertGivenUp(owner);
+    }
+
     /**
      * Starts an owner and the step.
      *
