--- a/damasktiller-standins/src/main/java/org/damasktiller/standin/metadata/InMemoryStore.java
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/metadata/InMemoryStore.java
@@ -162,8 +162,12 @@
                     StoreStatus.COMPACTED, "the history since that revision was discarded");
         }
         List<StoreEvent> found = new ArrayList<>();
-        for (StoreEvent event : history) {
-            if (event.revision() > afterRevision && event.key().startsWith(prefix)) {
+        int first = history.size();
+        while (first > 0 && history.get(first - 1).revision() > afterRevision) {
+            first--;
+        }
+        for (StoreEvent event : history.subList(first, history.size())) {
+            if (event.key().startsWith(prefix)) {
                 found.add(event);
             }
         }
