--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -104,8 +104,11 @@
     /** The events whose next line the log fails to write, with an unchecked exception. */
     final Set<String> failingEvents = new HashSet<>();
 
+    /** Notified of the events of the workers, after the checker. */
+    final List<RunObserver> observers = new ArrayList<>();
+
     /** The submissions by identifier. */
-    private final Map<String, Submission> submissions = new LinkedHashMap<>();
+    final Map<String, Submission> submissions = new LinkedHashMap<>();
 
     /** The duration of a short task on a worker that is not slow, in milliseconds. */
     long taskDurationMillis = 400;
@@ -330,6 +333,12 @@
         if (cell != null) {
             cellsByWorker.put(successorId, cell);
         }
+        if (labels.containsKey(id)) {
+            labels.put(successorId, labels.get(id));
+        }
+        if (zones.containsKey(id)) {
+            zones.put(successorId, zones.get(id));
+        }
         addWorker(successorId, ports.get(id));
         return successorId;
     }
@@ -390,7 +399,7 @@
      *
      * @param submission the submission
      */
-    private void submit(Submission submission) {
+    void submit(Submission submission) {
         String id = submission.id();
         submissions.put(id, submission);
         SubmissionRecord record =
@@ -655,16 +664,19 @@
             repeatedRuns.add(task + " run " + run);
         }
         invariants.started(worker, task, run);
+        observers.forEach(observer -> observer.started(worker, task, run));
     }
 
     @Override
     public void ended(String worker, TaskId task, int run, @Nullable EndKind kind) {
         invariants.ended(worker, task, run, kind);
+        observers.forEach(observer -> observer.ended(worker, task, run, kind));
     }
 
     @Override
     public void acknowledged(String worker, TaskId task, int run, EndKind kind) {
         invariants.acknowledged(worker, task, run, kind);
+        observers.forEach(observer -> observer.acknowledged(worker, task, run, kind));
     }
 
     @Override
@@ -675,6 +687,7 @@
     @Override
     public void crashed(String worker, TaskId task) {
         invariants.crashed(worker, task);
+        observers.forEach(observer -> observer.crashed(worker, task));
         crashed(worker);
     }
 
