--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -98,6 +98,9 @@
     /** How long after its start a task of these crashes its worker, in milliseconds. */
     long crashDelayMillis = CRASH_DELAY_MILLIS;
 
+    /** Whether a worker that has crashed returns under its identifier. */
+    boolean restartsInPlace;
+
     /** The lines that owners have logged. */
     final List<String> logLines = new ArrayList<>();
 
@@ -317,6 +320,15 @@
      */
     private void crashed(String id) {
         unreachable.add(id);
+        if (restartsInPlace) {
+            runtime.schedule(
+                    DOWN_MILLIS,
+                    () -> {
+                        addWorker(id, ports.get(id));
+                        unreachable.remove(id);
+                    });
+            return;
+        }
         runtime.schedule(ENTRY_EXPIRY_MILLIS, () -> unregister(id));
         runtime.schedule(DOWN_MILLIS, () -> addSuccessor(id));
     }
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CrashWaveTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CrashWaveTest.java
@@ -5,7 +5,10 @@
 import static org.hamcrest.Matchers.equalTo;
 
 import java.util.List;
+import org.damasktiller.scheduler.model.Resources;
+import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.standin.fleet.SimulatedWorker;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Tests sound work on workers that crash in waves, all of them at a time. */
@@ -17,6 +20,9 @@
     /** The number of tasks, which together need half of the workers' CPU. */
     private static final int TASKS = 32;
 
+    /** The number of tasks that need 5 of 8 processors, less than half of the workers' CPU. */
+    private static final int LARGE_TASKS = 12;
+
     /** The number of waves. */
     private static final int WAVES = 3;
 
@@ -60,6 +66,21 @@
         assertThat(activeRuns(), equalTo(TASKS));
     }
 
+    /** Half of the workers were taken by tasks of which only one fits on each. */
+    @Tag("known-red")
+    @Test
+    void tasksThatNeedMostOfAWorkerRunSoonAfterWavesOfCrashes() {
+        simulation.taskDurationMillis = DURATION_MILLIS;
+        simulation.startOwner();
+        simulation.submit(
+                "00000000000000b4",
+                StepSpec.builder(LARGE_TASKS, new Resources(5_000, 1_000, 0))
+                        .estimateMillis(400)
+                        .build());
+        playWaves(5_000);
+        assertThat(activeRuns(), equalTo(LARGE_TASKS));
+    }
+
     /**
      * Crashes all workers several times, and waits until the tasks have to run again.
      *
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CrashingStepTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CrashingStepTest.java
@@ -7,6 +7,7 @@
 import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.scheduler.model.TaskId;
 import org.damasktiller.verification.owner.CellSimulation.OwnerProcess;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -114,6 +115,20 @@
         assertGivenUp(owner);
     }
 
+    /** The roster does not tell that a worker has started again under its identifier. */
+    @Tag("known-red")
+    @Test
+    void tasksWhoseWorkersRestartUnderTheirIdentifiersAreNotStartedWithoutEnd() {
+        simulation.restartsInPlace = true;
+        OwnerProcess owner = begin();
+        for (long millis = 0; millis < TIME_LIMIT_MILLIS; millis += 2_500) {
+            simulation.runtime.advance(2_500);
+            owner.kill();
+            owner = simulation.startOwner();
+        }
+        assertGivenUp(owner);
+    }
+
     /**
      * Starts an owner and the step.
      *
