--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SuspectPlacement.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SuspectPlacement.java
@@ -23,14 +23,18 @@
     /** One worker in this many may run a suspect task alone at the same time. */
     private static final int WORKERS_PER_SUSPECT = 8;
 
-    /** One worker in this many may be shared by suspect tasks at the same time. */
+    /**
+     * One worker in this many may be shared by suspect tasks at the same time, or run one alone
+     * that has waited long.
+     */
     private static final int WORKERS_PER_SHARED_WORKER = 2;
 
     /** The number of workers that may run suspect tasks at the same time in a small cell. */
     private static final int MIN_SUSPECT_WORKERS = 2;
 
     /**
-     * How long a suspect task waits before it may start beside long-running tasks, in milliseconds.
+     * How long a suspect task waits before it may start beside long-running tasks, and while other
+     * suspects have as many workers as they get at once, in milliseconds.
      */
     private static final long SUSPECT_PATIENCE_MILLIS = 5_000;
 
@@ -96,7 +100,7 @@
      */
     @Nullable WorkerRecord selectWorker(TaskRecord task) {
         Quarantine quarantine = Quarantine.of(task.crashes);
-        boolean mayQuarantine = mayQuarantineWorker(quarantine);
+        boolean mayQuarantine = mayQuarantineWorker(task, quarantine);
         List<WorkerRecord> candidates = candidates(task);
         WorkerRecord best = null;
         double leastHarm = Double.MAX_VALUE;
@@ -134,14 +138,20 @@
     }
 
     /**
-     * Returns whether one more worker may be quarantined.
+     * Returns whether one more worker may be quarantined for a task. The limit rises once the task
+     * has waited long, so that many suspects do not wait for each other without an end.
      *
-     * @param quarantine the quarantine
+     * @param task the task
+     * @param quarantine its quarantine
      * @return whether fewer workers than allowed have it
      */
-    private boolean mayQuarantineWorker(Quarantine quarantine) {
+    private boolean mayQuarantineWorker(TaskRecord task, Quarantine quarantine) {
+        long sinceMillis = Math.max(task.crashedAtMillis, context.term.startedAtMillis());
+        boolean waitedLong = context.now() - sinceMillis >= SUSPECT_PATIENCE_MILLIS;
         int workersPerQuarantined =
-                quarantine == Quarantine.SHARED ? WORKERS_PER_SHARED_WORKER : WORKERS_PER_SUSPECT;
+                quarantine == Quarantine.SHARED || waitedLong
+                        ? WORKERS_PER_SHARED_WORKER
+                        : WORKERS_PER_SUSPECT;
         int limit = Math.max(MIN_SUSPECT_WORKERS, context.workers.size() / workersPerQuarantined);
         long count =
                 context.allWorkers().stream()
