Show that crowds of hostile callers end the process of an entry VM; known red

What callers saw: after many unfinished bodies at once the process of an entry VM runs out of memory and serves nobody.

--- /dev/null
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/crowd/HostileKind.java
@@ -0,0 +1,167 @@
+package org.damasktiller.lab.crowd;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/** What a hostile caller sends. The size of its body is given with each request. */
+public enum HostileKind {
+    /** A body of legal size, sent at once. */
+    WHOLE_BODIES {
+        @Override
+        byte[] framed(byte[] body) {
+            return body;
+        }
+
+        @Override
+        String framing(int bodyBytes) {
+            return contentLength(bodyBytes);
+        }
+    },
+    /** A body of legal size, sent in small pieces in turn with those of the other callers. */
+    PIECES {
+        @Override
+        byte[] framed(byte[] body) {
+            return body;
+        }
+
+        @Override
+        String framing(int bodyBytes) {
+            return contentLength(bodyBytes);
+        }
+
+        @Override
+        int pieceBytes() {
+            return SMALL_PIECE_BYTES;
+        }
+    },
+    /** A chunked body of legal size, in chunks of 16 KB. */
+    LARGE_CHUNKS {
+        @Override
+        byte[] framed(byte[] body) {
+            return chunked(body, LARGE_CHUNK_BYTES);
+        }
+
+        @Override
+        String framing(int bodyBytes) {
+            return CHUNKED;
+        }
+    },
+    /** A chunked body of legal size, in chunks of one byte. */
+    SMALL_CHUNKS {
+        @Override
+        byte[] framed(byte[] body) {
+            return chunked(body, 1);
+        }
+
+        @Override
+        String framing(int bodyBytes) {
+            return CHUNKED;
+        }
+    },
+    /** A body that announces a gigabyte and sends less. */
+    ANNOUNCED_TOO_LARGE {
+        @Override
+        byte[] framed(byte[] body) {
+            return body;
+        }
+
+        @Override
+        String framing(int bodyBytes) {
+            return contentLength(TOO_LARGE_BYTES);
+        }
+    },
+    /** A chunked body of sixteen times the given size, which announces nothing. */
+    SENT_TOO_LARGE {
+        @Override
+        byte[] framed(byte[] body) {
+            byte[] repeated = new byte[body.length * OVERSIZE_FACTOR];
+            Arrays.fill(repeated, (byte) ' ');
+            System.arraycopy(body, 0, repeated, 0, body.length);
+            return chunked(repeated, LARGE_CHUNK_BYTES);
+        }
+
+        @Override
+        String framing(int bodyBytes) {
+            return CHUNKED;
+        }
+    };
+
+    /** The bytes that are sent at a time where nothing else is said. */
+    private static final int LARGE_PIECE_BYTES = 1 << 16;
+
+    /** The bytes that are sent at a time by callers that send small pieces. */
+    private static final int SMALL_PIECE_BYTES = 4 << 10;
+
+    /** The size of a large chunk, in bytes. */
+    private static final int LARGE_CHUNK_BYTES = 16 << 10;
+
+    /** The length of a body that announces more than any limit allows, in bytes. */
+    private static final int TOO_LARGE_BYTES = 1 << 30;
+
+    /** How often a body that is too large has the size of one within the limit. */
+    private static final int OVERSIZE_FACTOR = 16;
+
+    /** The header of a chunked body. */
+    private static final String CHUNKED = "Transfer-Encoding: chunked";
+
+    /** The end of a line of HTTP. */
+    private static final byte[] LINE_END = {'\r', '\n'};
+
+    /**
+     * Writes a body as this caller frames it.
+     *
+     * @param body the body
+     * @return what follows the head on the connection
+     */
+    abstract byte[] framed(byte[] body);
+
+    /**
+     * Returns the header that tells the end of the body.
+     *
+     * @param bodyBytes the size of the body, in bytes
+     * @return the header without its line end
+     */
+    abstract String framing(int bodyBytes);
+
+    /**
+     * Returns how much is sent at a time.
+     *
+     * @return the number of bytes
+     */
+    int pieceBytes() {
+        return LARGE_PIECE_BYTES;
+    }
+
+    /**
+     * Returns the header with the length of a body.
+     *
+     * @param bytes the length, in bytes
+     * @return the header without its line end
+     */
+    private static String contentLength(int bytes) {
+        return "Content-Length: " + bytes;
+    }
+
+    /**
+     * Splits a body into chunks.
+     *
+     * @param body the body
+     * @param chunkBytes the size of a chunk, in bytes
+     * @return the chunks with their sizes, and the chunk of size zero that ends the body
+     */
+    private static byte[] chunked(byte[] body, int chunkBytes) {
+        ByteArrayOutputStream output = new ByteArrayOutputStream();
+        for (int offset = 0; offset < body.length; offset += chunkBytes) {
+            int size = Math.min(chunkBytes, body.length - offset);
+            output.writeBytes(Integer.toHexString(size).getBytes(StandardCharsets.US_ASCII));
+            output.writeBytes(LINE_END);
+            output.write(body, offset, size);
+            output.writeBytes(LINE_END);
+        }
+        output.write('0');
+        output.writeBytes(LINE_END);
+        output.writeBytes(LINE_END);
+        return output.toByteArray();
+    }
+}
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/EntryVmProcess.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/EntryVmProcess.java
@@ -19,10 +19,10 @@
 
     /**
      * The JVM options, identical to those in the deployment file {@code deploy/system.toml} but for
-     * the class data archive.
+     * the class data archive and the heap.
      */
     private static final List<String> JAVA_OPTIONS =
-            List.of("-Xmx128m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+            List.of("-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
 
     /** The signals that terminate the process. */
     private static final Set<String> TERMINATING_SIGNALS = Set.of("KILL", "TERM");
@@ -36,6 +36,12 @@
     /** The policies that are in force. */
     private final PolicySet policies;
 
+    /** The memory and the descriptors of the process. */
+    private final ProcessLimits limits;
+
+    /** The address on which the program listens for readiness checks. */
+    private final InetSocketAddress readinessAddress;
+
     /** The file to which the standard output and error of the process are appended. */
     private final Path logFile;
 
@@ -56,6 +62,7 @@
      * @param zones the regions by availability zone
      * @param store the address at which the program connects to the store
      * @param policies the policies that are in force
+     * @param limits the memory and the descriptors of the process
      * @param directory the existing directory for the settings and the log
      */
     public EntryVmProcess(
@@ -64,21 +71,26 @@
             Map<String, String> zones,
             InetSocketAddress store,
             PolicySet policies,
+            ProcessLimits limits,
             Path directory) {
         this.name = name;
         this.policies = policies;
+        this.limits = limits;
         this.callerAddress = ProcessAddresses.next();
+        this.readinessAddress = ProcessAddresses.next();
         this.settingsFile = directory.resolve(name + ".conf");
         this.logFile = directory.resolve(name + ".log");
-        List<String> lines =
+        List<String> lines = new ArrayList<>();
+        lines.add(PlatformRecordEncoder.descriptorsLine(limits.maximumDescriptors()));
+        lines.addAll(
                 PlatformRecordEncoder.settingsLines(
                         name,
                         zone,
                         zones,
                         callerAddress,
+                        readinessAddress,
                         ProcessAddresses.next(),
-                        ProcessAddresses.next(),
-                        store);
+                        store));
         try {
             Files.write(settingsFile, lines);
         } catch (IOException exception) {
@@ -104,6 +116,29 @@
         return callerAddress;
     }
 
+    /**
+     * Returns the address on which the program listens for readiness checks.
+     *
+     * @return the loopback address
+     */
+    public InetSocketAddress readinessAddress() {
+        return readinessAddress;
+    }
+
+    /**
+     * Returns the identifier of the process that was started last.
+     *
+     * @return the identifier
+     * @throws IllegalStateException if no process was started
+     */
+    public long processId() {
+        Process current = process;
+        if (current == null) {
+            throw new IllegalStateException(name + " was not started");
+        }
+        return current.pid();
+    }
+
     /**
      * Returns the file to which the standard output and error of the process are appended.
      *
@@ -118,6 +153,7 @@
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(JAVA_OPTIONS);
+        command.add("-Xmx" + limits.heapMegabytes() + "m");
         command.addAll(
                 List.of(
                         "-cp",
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalDeployment.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalDeployment.java
@@ -132,6 +132,7 @@
                             settings.zones(),
                             link.address(),
                             settings.policies(),
+                            settings.limits(),
                             settings.directory()));
         }
         runtime.schedule(COMPACTION_INTERVAL_MILLIS, this::compactHistory);
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalDeploymentSettings.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LocalDeploymentSettings.java
@@ -15,6 +15,7 @@
  * @param workers the number of workers
  * @param capacity the resources of each worker
  * @param policies the policies that are in force
+ * @param limits the memory and the descriptors of each entry VM
  * @param directory the existing directory for the settings and logs of the entry VMs
  */
 public record LocalDeploymentSettings(
@@ -23,6 +24,7 @@
         int workers,
         Resources capacity,
         PolicySet policies,
+        ProcessLimits limits,
         Path directory) {
 
     /**
@@ -58,6 +60,9 @@
         /** The policies that are in force. */
         private PolicySet policies = PolicySet.ALL;
 
+        /** The memory and the descriptors of each entry VM. */
+        private ProcessLimits limits = ProcessLimits.DEPLOYED;
+
         /**
          * Creates a builder with the default values.
          *
@@ -122,6 +127,17 @@
             return this;
         }
 
+        /**
+         * Sets the memory and the descriptors of each entry VM.
+         *
+         * @param value the limits
+         * @return this builder
+         */
+        public Builder limits(ProcessLimits value) {
+            limits = value;
+            return this;
+        }
+
         /**
          * Builds the settings.
          *
@@ -129,7 +145,7 @@
          */
         public LocalDeploymentSettings build() {
             return new LocalDeploymentSettings(
-                    zones, entryVms, workers, capacity, policies, directory);
+                    zones, entryVms, workers, capacity, policies, limits, directory);
         }
     }
 }
--- a/damasktiller-lab/src/test/java/org/damasktiller/lab/rig/EntryVmProcessTest.java
+++ b/damasktiller-lab/src/test/java/org/damasktiller/lab/rig/EntryVmProcessTest.java
@@ -63,6 +63,7 @@
                 Map.of("zone-1", "region-1"),
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 1),
                 PolicySet.ALL,
+                ProcessLimits.DEPLOYED,
                 directory);
     }
 }
