--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/TestVm.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/TestVm.java
@@ -6,6 +6,7 @@
 import io.activej.promise.Promise;
 import java.io.IOException;
 import java.lang.reflect.Proxy;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -154,19 +155,29 @@
         return get("/" + queue + "/");
     }
 
+    /** Returns the answer to a submission. */
+    HttpResponse submit(String queue, String body) {
+        return answer(
+                HttpRequest.post("http://host/" + queue + "/0123456789abcdef")
+                        .withHeader(HttpHeaders.HOST, "host")
+                        .withBody(body.getBytes(StandardCharsets.UTF_8))
+                        .build());
+    }
+
     /** Returns the version that is in force here, 0 if there is none. */
     long version() {
         return watcher.current() == null ? 0 : watcher.current().version();
     }
 
     private HttpResponse get(String path) {
+        return answer(
+                HttpRequest.get("http://host" + path).withHeader(HttpHeaders.HOST, "host").build());
+    }
+
+    private HttpResponse answer(HttpRequest request) {
         Promise<HttpResponse> promise;
         try {
-            promise =
-                    servlet.serve(
-                            HttpRequest.get("http://host" + path)
-                                    .withHeader(HttpHeaders.HOST, "host")
-                                    .build());
+            promise = servlet.serve(request);
         } catch (Exception exception) {
             throw new IllegalStateException(exception);
         }
