--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/HttpRelayTransport.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/HttpRelayTransport.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.damasktiller.platform.call.CallResult;
+import org.damasktiller.platform.call.InvalidFieldException;
 import org.damasktiller.platform.call.JsonBodies;
+import org.damasktiller.platform.call.JsonFields;
 import org.damasktiller.platform.call.JsonHttpClient;
 import org.damasktiller.platform.settings.Addresses;
 
@@ -16,6 +18,15 @@
     /** The path at which peers take requests. */
     static final String PATH = "/relay";
 
+    /** The lowest status of an answer to a caller. */
+    private static final int MIN_STATUS = 200;
+
+    /** The highest status of an answer to a caller. */
+    private static final int MAX_STATUS = 599;
+
+    /** The longest time after which a caller is told to come back, in seconds: a day. */
+    private static final int MAX_RETRY_AFTER_SECONDS = 86_400;
+
     /** The HTTP client. */
     private final JsonHttpClient client;
 
@@ -61,22 +72,30 @@
 
     /**
      * Decodes the result of a call. A peer of an earlier release names no version of the manifest.
+     * A request that the peer has not understood was not carried out.
      *
      * @param result the result
      * @return the response of the peer, or none if it is not understood
      */
     static RelayResult decode(CallResult result) {
-        int status = result.body().path("status").asInt();
-        if (result.status() != CallResult.OK || status == 0) {
-            return new RelayResult(null, 0, result.possiblySent(), result.describe());
+        if (result.status() != CallResult.OK) {
+            boolean possiblyExecuted =
+                    result.possiblySent() && result.status() != CallResult.BAD_REQUEST;
+            return new RelayResult(null, 0, possiblyExecuted, result.describe());
+        }
+        try {
+            JsonFields fields = JsonFields.ofBody(result.body());
+            return new RelayResult(
+                    new CallerResponse(
+                            (int) fields.requiredInteger("status", MIN_STATUS, MAX_STATUS),
+                            JsonBodies.write(result.body().path("body")),
+                            (int) fields.integer("retryAfterSeconds", MAX_RETRY_AFTER_SECONDS)),
+                    fields.integer("manifestRevision", Long.MAX_VALUE),
+                    true,
+                    "");
+        } catch (InvalidFieldException exception) {
+            return new RelayResult(
+                    null, 0, result.possiblySent(), String.valueOf(exception.getMessage()));
         }
-        return new RelayResult(
-                new CallerResponse(
-                        status,
-                        JsonBodies.write(result.body().path("body")),
-                        result.body().path("retryAfterSeconds").asInt()),
-                result.body().path("manifestRevision").asLong(),
-                true,
-                "");
     }
 }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/RelayServlet.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/RelayServlet.java
@@ -7,6 +7,7 @@
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import java.io.IOException;
+import org.damasktiller.platform.call.InvalidFieldException;
 import org.damasktiller.platform.call.JsonBodies;
 import org.damasktiller.scheduler.port.DecisionLog;
 
@@ -56,14 +57,26 @@
     private Promise<HttpResponse> handle(byte[] bytes) {
         RelayedRequest relayed;
         try {
-            relayed = RelayedRequest.decode(JsonBodies.read(bytes));
+            relayed = RelayedRequest.decode(JsonBodies.readRelayed(bytes));
+        } catch (InvalidFieldException exception) {
+            return refuse(String.valueOf(exception.getMessage()));
         } catch (IOException exception) {
-            log.log("relay.malformed", "reason", String.valueOf(exception.getMessage()));
-            return HttpResponse.ofCode(BAD_REQUEST).toPromise();
+            return refuse(JsonBodies.describe(exception));
         }
         return callers.serveRelayed(relayed).map(RelayServlet::render);
     }
 
+    /**
+     * Refuses a request that is not understood.
+     *
+     * @param reason why it is not
+     * @return the response
+     */
+    private Promise<HttpResponse> refuse(String reason) {
+        log.log("relay.malformed", "reason", reason);
+        return HttpResponse.ofCode(BAD_REQUEST).toPromise();
+    }
+
     /**
      * Converts a response to its HTTP form.
      *
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/TestVm.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/TestVm.java
@@ -17,6 +17,7 @@
 import org.damasktiller.node.cluster.ManifestWatcher;
 import org.damasktiller.node.cluster.NodeIdentity;
 import org.damasktiller.node.cluster.TestManifests;
+import org.damasktiller.platform.call.InvalidFieldException;
 import org.damasktiller.platform.call.JsonBodies;
 import org.damasktiller.scheduler.cell.CellSettings;
 import org.damasktiller.scheduler.port.AdviceClient;
@@ -193,11 +194,12 @@
         vm.relayedCount++;
         try {
             RelayedRequest received =
-                    RelayedRequest.decode(JsonBodies.read(JsonBodies.write(request.encode())));
+                    RelayedRequest.decode(
+                            JsonBodies.readRelayed(JsonBodies.write(request.encode())));
             vm.servlet
                     .serveRelayed(received)
                     .whenResult(response -> callback.accept(vm.toResult(response)));
-        } catch (IOException exception) {
+        } catch (InvalidFieldException | IOException exception) {
             throw new IllegalStateException(exception);
         }
     }
