--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerServlet.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerServlet.java
@@ -215,7 +215,7 @@
                                     incoming.withBody(
                                             maxBytes -> Promise.of(ByteBuf.wrapForReading(body)));
                             try {
-                                return passOn(loaded, JsonBodies.readStrictly(body));
+                                return passOn(loaded, JsonBodies.readAsText(body));
                             } catch (IOException exception) {
                                 return handleIfCurrent(loaded);
                             }
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/RelayedRequestTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/RelayedRequestTest.java
@@ -1,6 +1,7 @@
 package org.damasktiller.node.caller;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
@@ -84,10 +85,25 @@
     @Test
     void bodyOfTheDeepestNestingIsUnderstood() throws Exception {
         String nested = "[".repeat(64) + "]".repeat(64);
-        JsonNode body = JsonBodies.readStrictly(nested.getBytes(StandardCharsets.UTF_8));
+        JsonNode body = JsonBodies.readAsText(nested.getBytes(StandardCharsets.UTF_8));
         RelayedRequest request = new RelayedRequest("POST", "host", "/q/id", 1_200, 7, body);
         byte[] message = JsonBodies.write(request.encode());
-        assertThat(RelayedRequest.decode(JsonBodies.readRelayed(message)).body(), equalTo(body));
+        assertThat(
+                RelayedRequest.decode(JsonBodies.readRelayed(message)).body(),
+                equalTo(read(nested)));
+    }
+
+    /** A body of characters that Jackson escapes became three times as long as it was. */
+    @Test
+    void bodyIsSentAsTheCallerWroteIt() throws Exception {
+        String text = " {\"spec\":\"" + "\ud83d\ude00".repeat(1_000) + "\", \"other\":[1e2,1.50]} ";
+        JsonNode body = JsonBodies.readAsText(text.getBytes(StandardCharsets.UTF_8));
+        RelayedRequest request = new RelayedRequest("POST", "host", "/q/id", 1_200, 7, body);
+        String message = new String(JsonBodies.write(request.encode()), StandardCharsets.UTF_8);
+        assertThat(message, containsString(text));
+        assertThat(
+                JsonBodies.readRelayed(message.getBytes(StandardCharsets.UTF_8)).path("body"),
+                equalTo(read(text)));
     }
 
     private static JsonNode read(String text) throws IOException {
