--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerServlet.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerServlet.java
@@ -224,7 +224,7 @@
                         body -> {
                             Incoming loaded = incoming.withBody(maxBytes -> Promise.of(body));
                             try {
-                                return passOn(loaded, JsonBodies.read(body));
+                                return passOn(loaded, JsonBodies.readAsText(body));
                             } catch (IOException exception) {
                                 return handleIfCurrent(loaded);
                             }
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/TestVm.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/TestVm.java
@@ -6,6 +6,7 @@
 import io.activej.promise.Promise;
 import java.io.IOException;
 import java.lang.reflect.Proxy;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +20,7 @@
 import org.damasktiller.node.intake.BodyReader;
 import org.damasktiller.node.intake.IntakeBudget;
 import org.damasktiller.node.intake.IntakeLimits;
+import org.damasktiller.platform.call.InvalidFieldException;
 import org.damasktiller.platform.call.JsonBodies;
 import org.damasktiller.scheduler.cell.CellSettings;
 import org.damasktiller.scheduler.port.AdviceClient;
@@ -161,19 +163,29 @@
         return get("/" + queue + "/");
     }
 
+    /** Returns the answer to a submission. */
+    HttpResponse submit(String queue, String body) {
+        return answer(
+                HttpRequest.post("http://host/" + queue + "/0123456789abcdef")
+                        .withHeader(HttpHeaders.HOST, "host")
+                        .withBody(body.getBytes(StandardCharsets.UTF_8))
+                        .build());
+    }
+
     /** Returns the version that is in force here, 0 if there is none. */
     long version() {
         return watcher.current() == null ? 0 : watcher.current().version();
     }
 
     private HttpResponse get(String path) {
+        return answer(
+                HttpRequest.get("http://host" + path).withHeader(HttpHeaders.HOST, "host").build());
+    }
+
+    private HttpResponse answer(HttpRequest request) {
         Promise<HttpResponse> promise;
         try {
-            promise =
-                    servlet.serve(
-                            HttpRequest.get("http://host" + path)
-                                    .withHeader(HttpHeaders.HOST, "host")
-                                    .build());
+            promise = servlet.serve(request);
         } catch (Exception exception) {
             throw new IllegalStateException(exception);
         }
@@ -189,11 +201,12 @@
         vm.relayedCount++;
         try {
             RelayedRequest received =
-                    RelayedRequest.decode(JsonBodies.read(JsonBodies.write(request.encode())));
+                    RelayedRequest.decode(
+                            JsonBodies.readRelayed(JsonBodies.write(request.encode())));
             vm.servlet
                     .serveRelayed(received)
                     .whenResult(response -> callback.accept(vm.toResult(response)));
-        } catch (IOException exception) {
+        } catch (InvalidFieldException | IOException exception) {
             throw new IllegalStateException(exception);
         }
     }
