--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/HttpBody.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/HttpBody.java
@@ -41,12 +41,18 @@
     @Override
     public Promise<byte[]> load(int maxBytes) {
         IncomingBody incoming =
-                reader.read(
-                        request.getPath(),
-                        request.takeBodyStream(),
-                        announcedBytes(),
-                        maxBytes,
-                        deadlineMillis);
+                request.hasBody()
+                        ? reader.readWhole(
+                                request.getPath(),
+                                request.takeBody().asArray(),
+                                maxBytes,
+                                deadlineMillis)
+                        : reader.read(
+                                request.getPath(),
+                                request.takeBodyStream(),
+                                announcedBytes(),
+                                maxBytes,
+                                deadlineMillis);
         body = incoming;
         return incoming.result();
     }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/intake/BodyReader.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/intake/BodyReader.java
@@ -56,4 +56,21 @@
         body.start(announcedBytes, pacer);
         return body;
     }
+
+    /**
+     * Takes a body that has arrived together with the head of its request.
+     *
+     * @param path the path of the request, for the log
+     * @param bytes the body
+     * @param maxBytes the largest size, in bytes
+     * @param deadlineMillis when the caller stops waiting for the response, on the monotonic clock,
+     *     in milliseconds
+     * @return the body, which the caller of this method has to release
+     */
+    public IncomingBody readWhole(String path, byte[] bytes, int maxBytes, long deadlineMillis) {
+        IncomingBody body =
+                new IncomingBody(path, null, maxBytes, deadlineMillis, budget, runtime, log);
+        body.startWhole(bytes);
+        return body;
+    }
 }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/intake/IncomingBody.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/intake/IncomingBody.java
@@ -1,5 +1,7 @@
 package org.damasktiller.node.intake;
 
+import static java.util.Objects.requireNonNull;
+
 import io.activej.bytebuf.ByteBuf;
 import io.activej.csp.consumer.ChannelConsumers;
 import io.activej.csp.supplier.ChannelSupplier;
@@ -29,8 +31,8 @@
     /** The path of the request. */
     private final String path;
 
-    /** What arrives on the connection. */
-    private final ChannelSupplier<ByteBuf> stream;
+    /** What arrives on the connection, null if all of the body has arrived. */
+    private final @Nullable ChannelSupplier<ByteBuf> stream;
 
     /** The largest size of the body, in bytes. */
     private final int maxBytes;
@@ -66,7 +68,7 @@
      * Creates a body of which nothing has been read.
      *
      * @param path the path of the request
-     * @param stream what arrives on the connection
+     * @param stream what arrives on the connection, null if all of the body has arrived
      * @param maxBytes the largest size, in bytes
      * @param deadlineMillis when the caller stops waiting for the response, on the monotonic clock,
      *     in milliseconds
@@ -76,7 +78,7 @@
      */
     IncomingBody(
             String path,
-            ChannelSupplier<ByteBuf> stream,
+            @Nullable ChannelSupplier<ByteBuf> stream,
             int maxBytes,
             long deadlineMillis,
             IntakeBudget budget,
@@ -143,7 +145,24 @@
 
     @Override
     void closeConnection() {
-        stream.closeEx(new BodyRejectedException(BodyRejection.CONNECTION_NEEDED));
+        ChannelSupplier<ByteBuf> open = stream;
+        if (open != null) {
+            open.closeEx(new BodyRejectedException(BodyRejection.CONNECTION_NEEDED));
+        }
+    }
+
+    /**
+     * Takes a body that has arrived.
+     *
+     * @param bytes the body
+     */
+    void startWhole(byte[] bytes) {
+        buffer = bytes;
+        length = bytes.length;
+        if (length > maxBytes) {
+            giveUp(BodyRejection.TOO_LARGE);
+        }
+        onEnd(null);
     }
 
     /**
@@ -159,7 +178,8 @@
         } else if (!budget.tryHold(this, CONNECTION_BYTES)) {
             giveUp(BodyRejection.NO_ROOM);
         }
-        stream.streamTo(
+        requireNonNull(stream)
+                .streamTo(
                         ChannelConsumers.ofAsyncConsumer(
                                 part -> {
                                     int bytes = part.readRemaining();
--- a/damasktiller-node/src/test/java/org/damasktiller/node/intake/IncomingBodyTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/intake/IncomingBodyTest.java
@@ -77,6 +77,17 @@
         assertThat(budget.usedBytes(), is(0L));
     }
 
+    @Test
+    void bodyThatArrivedWithItsHeadCountsAsWell() {
+        IncomingBody body = reader.readWhole("/path", new byte[1_000], 1_000, 3_000);
+        assertThat(body.result().getResult().length, is(1_000));
+        assertThat(budget.usedBytes(), is(4_000L));
+        IncomingBody large = reader.readWhole("/path", new byte[1_001], 1_000, 3_000);
+
+        assertThat(rejection(large), is(BodyRejection.TOO_LARGE));
+        assertThat(budget.usedBytes(), is(4_000L));
+    }
+
     @Test
     void bodyOfTheLargestSizeIsRead() {
         IncomingBody body = read("x".repeat(10_000), 1_000, 10_000, 10_000);
