--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/command/Main.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/command/Main.java
@@ -32,6 +32,7 @@
                 new ExplainCommand(),
                 new WhereCommand(),
                 new PoliciesCommand(),
-                new SoakCommand());
+                new SoakCommand(),
+                new CrowdCommand());
     }
 }
