Hold confirmed tasks of a lost worker for its leases only (LOST)

Cause: a start without an answer may arrive 13 s after it was sent, its task is held for as long, and the roster had one remaining time for all tasks of a closed worker, that of such a start. An owner that stays releases the other tasks with the leases, after 4.7 s; a successor held them for 7.2 s of its own term.

The roster now names the tasks apart whose starts the worker has all confirmed, with the time of its leases (ConfirmedTasks). Nothing of them can begin there later, and every lease, also one that a late call brings, is counted when it is sent, so that they are over with it; the former owner grants none once the entry is sent. The task of the start waits as before. Earlier releases ignore the new fields and wait for the longer time; a record without a valid time, or beside leases, holds all tasks as before.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PreviousOwners.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PreviousOwners.java
@@ -99,7 +99,9 @@
         if (entry == null || recent) {
             return entry;
         }
-        return entry.withRemainingMillis(remainingMillis(entry));
+        return entry.withRemainingMillis(remainingMillis(entry))
+                .withConfirmed(
+                        entry.confirmed().tasks(), confirmedExpireAtMillis(entry) - context.now());
     }
 
     /**
@@ -135,6 +137,21 @@
                 : Math.min(latestMillis, startedAtMillis + entry.remainingMillis());
     }
 
+    /**
+     * Returns when nothing of the confirmed tasks of an entry can be active any more.
+     *
+     * @param entry the entry of the worker in the roster that was read
+     * @return the time, in milliseconds; that of the whole entry if it has no such tasks
+     */
+    private long confirmedExpireAtMillis(RosterEntry entry) {
+        long expireAtMillis = expireAtMillis(entry);
+        return entry.confirmed().tasks().isEmpty()
+                ? expireAtMillis
+                : Math.min(
+                        expireAtMillis,
+                        context.term.startedAtMillis() + entry.confirmed().remainingMillis());
+    }
+
     /**
      * Records that a worker has answered with this owner's fencing token.
      *
@@ -250,9 +267,9 @@
     }
 
     /**
-     * Excludes the workers on which all leases are over, and checks whether previous owners can no
-     * longer start anything. Logs the outcome, and while they can, the workers that have not
-     * answered.
+     * Excludes the workers and tasks of which all leases are over, and checks whether previous
+     * owners can no longer start anything. Logs the outcome, and while they can, the workers that
+     * have not answered.
      *
      * @return whether this has become so with this call
      */
@@ -301,11 +318,13 @@
     }
 
     /**
-     * Removes the entries of the workers on which all leases are over.
+     * Removes the entries of the workers on which all leases are over, and the confirmed tasks of
+     * which they are.
      *
      * @return whether there were any
      */
     private boolean removeExpired() {
+        boolean released = releaseConfirmed();
         boolean removed =
                 unfencedEntries
                         .values()
@@ -318,14 +337,35 @@
                                     return over;
                                 });
         updateFirstExpiry();
-        return removed;
+        return removed || released;
+    }
+
+    /**
+     * Releases the confirmed tasks that can have no active run any more.
+     *
+     * @return whether there were any
+     */
+    private boolean releaseConfirmed() {
+        boolean released = false;
+        for (Map.Entry<String, RosterEntry> item : unfencedEntries.entrySet()) {
+            RosterEntry entry = item.getValue();
+            if (!entry.confirmed().tasks().isEmpty()
+                    && context.areLeasesOver(confirmedExpireAtMillis(entry))) {
+                RosterEntry left = entry.withoutConfirmed();
+                count(entry, -1);
+                count(left, 1);
+                item.setValue(left);
+                released = true;
+            }
+        }
+        return released;
     }
 
     /** Determines when the first of the entries expires. */
     private void updateFirstExpiry() {
         firstExpireAtMillis =
                 unfencedEntries.values().stream()
-                        .mapToLong(this::expireAtMillis)
+                        .mapToLong(this::confirmedExpireAtMillis)
                         .min()
                         .orElse(Long.MAX_VALUE);
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Roster.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Roster.java
@@ -223,8 +223,9 @@
 
     /**
      * Creates the entry of a worker that gets no starts. If the worker does not answer or the owner
-     * ends its term, it gets no leases either, and the remaining time is that of the present ones.
-     * The address tells a successor when the worker was replaced, and the boot when it restarted.
+     * ends its term, it gets no leases either, and the remaining time is that of the present ones,
+     * or of starts without an answer for the tasks that have one. The address tells a successor
+     * when the worker was replaced, and the boot when it restarted.
      *
      * @param worker the worker
      * @return the entry, or null if no task can have a run on the worker
@@ -249,6 +250,25 @@
         boolean leasesGoOn = worker.isAnswering(context.now()) && !handingOver;
         return leasesGoOn || !endsStored
                 ? entry
-                : entry.withRemainingMillis(worker.runsExpireAtMillis() - context.now());
+                : entry.withRemainingMillis(worker.runsExpireAtMillis() - context.now())
+                        .withConfirmed(
+                                confirmedTasks(worker),
+                                worker.leasesExpireAtMillis - context.now());
+    }
+
+    /**
+     * Lists the tasks of a worker that are over with its present leases, if some are not.
+     *
+     * @param worker the worker, of which all ends are stored
+     * @return the tasks without a start that may still arrive; empty if there is no such start
+     */
+    private static Set<TaskId> confirmedTasks(WorkerRecord worker) {
+        Set<TaskId> confirmed = new HashSet<>();
+        Set<TaskId> uncertain = new HashSet<>();
+        for (RunRecord run : worker.runs.values()) {
+            (run.mayArrive() ? uncertain : confirmed).add(run.taskId);
+        }
+        confirmed.removeAll(uncertain);
+        return uncertain.isEmpty() ? Set.of() : confirmed;
     }
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RosterEntry.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RosterEntry.java
@@ -1,5 +1,6 @@
 package org.damasktiller.scheduler.cell;
 
+import java.util.HashSet;
 import java.util.Set;
 import org.damasktiller.scheduler.model.TaskId;
 import org.jspecify.annotations.Nullable;
@@ -17,13 +18,16 @@
  *     are not known; nothing is active on the worker any more once another one answers there
  * @param bootUnixMillis when the boot of the worker that has answered an owner began, in
  *     milliseconds since 1970, or {@link #UNKNOWN_BOOT}
+ * @param confirmed those of the tasks that are over earlier than the entry; none if the worker may
+ *     get leases
  */
 record RosterEntry(
         boolean open,
         Set<TaskId> tasks,
         long remainingMillis,
         @Nullable String address,
-        long bootUnixMillis) {
+        long bootUnixMillis,
+        ConfirmedTasks confirmed) {
 
     /** The remaining time of a worker to which the owner may grant leases. */
     static final long LONGEST_LEASE = Long.MAX_VALUE;
@@ -33,7 +37,7 @@
 
     /** The entry of a worker that may get starts. */
     static final RosterEntry OPEN =
-            new RosterEntry(true, Set.of(), LONGEST_LEASE, null, UNKNOWN_BOOT);
+            new RosterEntry(true, Set.of(), LONGEST_LEASE, null, UNKNOWN_BOOT, ConfirmedTasks.NONE);
 
     /** The unit to which remaining times are rounded up, in milliseconds; bounds the writes. */
     private static final long REMAINING_UNIT_MILLIS = 200;
@@ -51,7 +55,8 @@
      * @return the entry
      */
     static RosterEntry closed(Set<TaskId> tasks) {
-        return new RosterEntry(false, tasks, LONGEST_LEASE, null, UNKNOWN_BOOT);
+        return new RosterEntry(
+                false, tasks, LONGEST_LEASE, null, UNKNOWN_BOOT, ConfirmedTasks.NONE);
     }
 
     /**
@@ -61,7 +66,7 @@
      * @return the entry
      */
     RosterEntry withAddress(@Nullable String newAddress) {
-        return new RosterEntry(open, tasks, remainingMillis, newAddress, bootUnixMillis);
+        return new RosterEntry(open, tasks, remainingMillis, newAddress, bootUnixMillis, confirmed);
     }
 
     /**
@@ -72,7 +77,7 @@
      * @return the entry
      */
     RosterEntry withBoot(long newBootUnixMillis) {
-        return new RosterEntry(open, tasks, remainingMillis, address, newBootUnixMillis);
+        return new RosterEntry(open, tasks, remainingMillis, address, newBootUnixMillis, confirmed);
     }
 
     /**
@@ -83,8 +88,46 @@
      * @return the entry, with the tasks, the address and the boot of this one
      */
     RosterEntry withRemainingMillis(long millis) {
+        return new RosterEntry(open, tasks, roundUp(millis), address, bootUnixMillis, confirmed);
+    }
+
+    /**
+     * Creates the same entry, of a worker that gets no leases, with tasks that are over earlier.
+     *
+     * @param confirmedTasks the tasks whose starts the worker has all confirmed
+     * @param millis the time after which nothing of them can be active there, in milliseconds;
+     *     rounded up
+     * @return the entry
+     */
+    RosterEntry withConfirmed(Set<TaskId> confirmedTasks, long millis) {
+        ConfirmedTasks newConfirmed =
+                confirmedTasks.isEmpty()
+                        ? ConfirmedTasks.NONE
+                        : new ConfirmedTasks(confirmedTasks, roundUp(millis));
+        return new RosterEntry(open, tasks, remainingMillis, address, bootUnixMillis, newConfirmed);
+    }
+
+    /**
+     * Creates the same entry without the tasks that are over earlier.
+     *
+     * @return the entry
+     */
+    RosterEntry withoutConfirmed() {
+        Set<TaskId> left = new HashSet<>(tasks);
+        left.removeAll(confirmed.tasks());
+        return new RosterEntry(
+                open, left, remainingMillis, address, bootUnixMillis, ConfirmedTasks.NONE);
+    }
+
+    /**
+     * Rounds a remaining time up.
+     *
+     * @param millis the time, in milliseconds; not positive if it has passed
+     * @return the time, in milliseconds
+     */
+    private static long roundUp(long millis) {
         long units = (Math.max(0, millis) + REMAINING_UNIT_MILLIS - 1) / REMAINING_UNIT_MILLIS;
-        return new RosterEntry(open, tasks, units * REMAINING_UNIT_MILLIS, address, bootUnixMillis);
+        return units * REMAINING_UNIT_MILLIS;
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RosterRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RosterRecord.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.damasktiller.scheduler.model.TaskId;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The stored roster of a cell: the workers that may run tasks for its current or previous owners. A
@@ -23,13 +24,20 @@
  * @param boots when the boot began that has answered an owner, for each of them that has, in
  *     milliseconds since 1970; a record of an earlier release has none, and an earlier release
  *     ignores them
+ * @param confirmed the names of the tasks of closed workers that are over before the remaining time
+ *     of the worker; a record of an earlier release has none, and an earlier release waits for the
+ *     remaining time
+ * @param confirmedMillis how long after a successor's term began something of these tasks may be
+ *     active there at most, in milliseconds
  */
 public record RosterRecord(
         List<String> workers,
         Map<String, List<String>> closed,
         Map<String, Long> remainingMillis,
         Map<String, String> addresses,
-        Map<String, Long> boots) {
+        Map<String, Long> boots,
+        Map<String, List<String>> confirmed,
+        Map<String, Long> confirmedMillis) {
 
     /** The longest remaining time that counts as such, in milliseconds; more than any lease. */
     private static final long MAX_REMAINING_MILLIS = 60_000;
@@ -37,13 +45,24 @@
     /** Copies the components; one that is missing in the store counts as empty. */
     public RosterRecord {
         workers = List.copyOf(Objects.requireNonNullElse(workers, List.of()));
-        Map<String, List<String>> tasks =
-                new TreeMap<>(Objects.requireNonNullElse(closed, Map.of()));
-        tasks.replaceAll((id, names) -> List.copyOf(names));
-        closed = Map.copyOf(tasks);
+        closed = copyOf(closed);
         remainingMillis = Map.copyOf(Objects.requireNonNullElse(remainingMillis, Map.of()));
         addresses = Map.copyOf(Objects.requireNonNullElse(addresses, Map.of()));
         boots = Map.copyOf(Objects.requireNonNullElse(boots, Map.of()));
+        confirmed = copyOf(confirmed);
+        confirmedMillis = Map.copyOf(Objects.requireNonNullElse(confirmedMillis, Map.of()));
+    }
+
+    /**
+     * Copies the names of tasks.
+     *
+     * @param names the names by worker, or null for none
+     * @return the copy
+     */
+    private static Map<String, List<String>> copyOf(@Nullable Map<String, List<String>> names) {
+        Map<String, List<String>> copy = new TreeMap<>(Objects.requireNonNullElse(names, Map.of()));
+        copy.replaceAll((id, tasks) -> List.copyOf(tasks));
+        return Map.copyOf(copy);
     }
 
     /**
@@ -57,10 +76,12 @@
         Map<String, Long> remainingMillis = new TreeMap<>();
         Map<String, String> addresses = new TreeMap<>();
         Map<String, Long> boots = new TreeMap<>();
+        Map<String, List<String>> confirmed = new TreeMap<>();
+        Map<String, Long> confirmedMillis = new TreeMap<>();
         entries.forEach(
                 (id, entry) -> {
                     if (!entry.open()) {
-                        closed.put(id, entry.tasks().stream().map(TaskId::toString).toList());
+                        closed.put(id, names(entry.tasks()));
                     }
                     if (!entry.allowsLeases()) {
                         remainingMillis.put(id, entry.remainingMillis());
@@ -71,13 +92,29 @@
                     if (entry.bootUnixMillis() != RosterEntry.UNKNOWN_BOOT) {
                         boots.put(id, entry.bootUnixMillis());
                     }
+                    if (!entry.confirmed().tasks().isEmpty()) {
+                        confirmed.put(id, names(entry.confirmed().tasks()));
+                        confirmedMillis.put(id, entry.confirmed().remainingMillis());
+                    }
                 });
         return new RosterRecord(
                 entries.keySet().stream().sorted().toList(),
                 closed,
                 remainingMillis,
                 addresses,
-                boots);
+                boots,
+                confirmed,
+                confirmedMillis);
+    }
+
+    /**
+     * Returns the names of tasks.
+     *
+     * @param tasks the tasks
+     * @return the names
+     */
+    private static List<String> names(Set<TaskId> tasks) {
+        return tasks.stream().map(TaskId::toString).toList();
     }
 
     /**
@@ -93,7 +130,7 @@
         closed.forEach((id, names) -> entries.put(id, toEntry(names)));
         remainingMillis.forEach(
                 (id, millis) -> {
-                    if (millis >= 0 && millis <= MAX_REMAINING_MILLIS) {
+                    if (isRemainingTime(millis)) {
                         entries.computeIfPresent(
                                 id, (key, entry) -> entry.withRemainingMillis(millis));
                     }
@@ -103,9 +140,40 @@
                         entries.computeIfPresent(id, (key, entry) -> entry.withAddress(address)));
         boots.forEach(
                 (id, boot) -> entries.computeIfPresent(id, (key, entry) -> entry.withBoot(boot)));
+        confirmed.forEach(
+                (id, names) -> entries.computeIfPresent(id, (key, entry) -> confirm(entry, id)));
         return entries;
     }
 
+    /**
+     * Adds the tasks that are over earlier to the entry of a worker. If that can't be read, all
+     * tasks are held for the remaining time of the worker.
+     *
+     * @param entry the entry without them
+     * @param id the identifier of the worker
+     * @return the entry
+     */
+    private RosterEntry confirm(RosterEntry entry, String id) {
+        long millis = confirmedMillis.getOrDefault(id, -1L);
+        if (entry.open() || entry.allowsLeases() || !isRemainingTime(millis)) {
+            return entry;
+        }
+        List<String> names = confirmed.getOrDefault(id, List.of());
+        Set<TaskId> tasks = new HashSet<>(entry.tasks());
+        tasks.removeIf(task -> !names.contains(task.toString()));
+        return entry.withConfirmed(tasks, millis);
+    }
+
+    /**
+     * Returns whether a remaining time is one that an owner writes.
+     *
+     * @param millis the time, in milliseconds
+     * @return whether it is neither negative nor too long
+     */
+    private static boolean isRemainingTime(long millis) {
+        return millis >= 0 && millis <= MAX_REMAINING_MILLIS;
+    }
+
     /**
      * Creates the entry of a closed worker.
      *
--- a/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/cell/RosterRecordTest.java
+++ b/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/cell/RosterRecordTest.java
@@ -16,6 +16,8 @@
 
     private static final TaskId TASK = new TaskId("00000000000000a1", 0, 0, 7);
 
+    private static final TaskId OTHER_TASK = new TaskId("00000000000000a2", 0, 0, 0);
+
     private static final String ADDRESS = "10.0.0.7:7720";
 
     private static final long BOOT = 1_790_000_000_000L;
@@ -30,10 +32,15 @@
                         "w1",
                         closed,
                         "w2",
-                        closed.withRemainingMillis(901).withAddress(ADDRESS).withBoot(BOOT));
+                        closed.withRemainingMillis(901).withAddress(ADDRESS).withBoot(BOOT),
+                        "w3",
+                        RosterEntry.closed(Set.of(TASK, OTHER_TASK))
+                                .withRemainingMillis(11_000)
+                                .withConfirmed(Set.of(TASK), 901));
         byte[] stored = StoredValueCodec.encode(RosterRecord.of(entries));
         assertThat(decode(new String(stored, StandardCharsets.UTF_8)).entries(), equalTo(entries));
         assertThat(entries.get("w2").remainingMillis(), equalTo(1_000L));
+        assertThat(entries.get("w3").confirmed().remainingMillis(), equalTo(1_000L));
     }
 
     @Test
@@ -68,6 +75,29 @@
                 equalTo(Map.of("w0", RosterEntry.closed(Set.of()))));
     }
 
+    /** A task is released early only if the record says when, and no lease may outlast that. */
+    @Test
+    void confirmedTasksWithoutATimeOrBesideLeasesAreHeldLikeTheOthers() {
+        String name = TASK.toString();
+        String closed = "{\"workers\":[\"w0\"],\"closed\":{\"w0\":[\"" + name + "\"]}";
+        String confirmed = ",\"confirmed\":{\"w0\":[\"" + name + "\"]}";
+        String remaining = ",\"remainingMillis\":{\"w0\":11000}";
+        String millis = ",\"confirmedMillis\":{\"w0\":1000}";
+        RosterEntry held = RosterEntry.closed(Set.of(TASK));
+        assertThat(
+                decode(closed + confirmed + remaining + "}").entries(),
+                equalTo(Map.of("w0", held.withRemainingMillis(11_000))));
+        assertThat(
+                decode(closed + confirmed + millis + "}").entries(), equalTo(Map.of("w0", held)));
+        assertThat(
+                decode(closed + confirmed + remaining + millis + "}").entries(),
+                equalTo(
+                        Map.of(
+                                "w0",
+                                held.withRemainingMillis(11_000)
+                                        .withConfirmed(Set.of(TASK), 1_000))));
+    }
+
     @Test
     void workerHasRestartedOnlySinceAKnownBoot() {
         assertThat(RosterEntry.OPEN.isBefore(BOOT), equalTo(false));
