--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SuspectPlacement.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SuspectPlacement.java
@@ -16,7 +16,8 @@
  *
  * <p>Load pattern: many workers crash at the same time for reasons of their own, several times, so
  * that most tasks become suspect. Those that are suspect for nothing else share workers with each
- * other, on up to half of the workers.
+ * other, on up to half of the workers. One that has waited long in a cell that is less than half
+ * full may use a further worker, as long as some are left without suspects.
  */
 final class SuspectPlacement {
 
@@ -34,7 +35,8 @@
 
     /**
      * How long a suspect task waits before it may start beside long-running tasks, and while other
-     * suspects have as many workers as they get at once, in milliseconds.
+     * suspects have as many workers as they get at once, in milliseconds. One that shares workers
+     * waits as long for a worker beyond those.
      */
     private static final long SUSPECT_PATIENCE_MILLIS = 5_000;
 
@@ -157,7 +159,32 @@
                 context.allWorkers().stream()
                         .filter(worker -> assignments.quarantineOf(worker) == quarantine)
                         .count();
-        return count < limit;
+        return count < limit || mayUseFurtherWorker(task, quarantine);
+    }
+
+    /**
+     * Returns whether a task may use a worker beyond those that suspects get at once. Tasks that
+     * need most of a worker don't fit beside each other, so that their number of workers is not
+     * bounded by the room that they use.
+     *
+     * @param task the task
+     * @param quarantine its quarantine
+     * @return whether it shares workers, has waited long although most of the room is free, and
+     *     enough workers are left for tasks that are not suspect
+     */
+    private boolean mayUseFurtherWorker(TaskRecord task, Quarantine quarantine) {
+        if (quarantine != Quarantine.SHARED
+                || !workerSelector.hasWaitedDespiteRoom(task, SUSPECT_PATIENCE_MILLIS)) {
+            return false;
+        }
+        long now = context.now();
+        long openCount =
+                context.allWorkers().stream()
+                        .filter(worker -> worker.isUsable(now))
+                        .filter(worker -> assignments.quarantineOf(worker) == Quarantine.NONE)
+                        .count();
+        return openCount
+                > Math.max(MIN_SUSPECT_WORKERS, context.workers.size() / WORKERS_PER_SUSPECT);
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -440,7 +440,18 @@
      * @return whether it has
      */
     private boolean hasWaitedDespiteRoom(TaskRecord task) {
-        return hasWaited(task, YIELD_MILLIS) && load.reservedFraction() < YIELD_FRACTION;
+        return hasWaitedDespiteRoom(task, YIELD_MILLIS);
+    }
+
+    /**
+     * Returns whether a task has been ready for some time and the cell is less than half full.
+     *
+     * @param task the task
+     * @param millis the time, in milliseconds
+     * @return whether both is so
+     */
+    boolean hasWaitedDespiteRoom(TaskRecord task, long millis) {
+        return hasWaited(task, millis) && load.reservedFraction() < YIELD_FRACTION;
     }
 
     /**
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CrashWaveTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CrashWaveTest.java
@@ -8,7 +8,6 @@
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.standin.fleet.SimulatedWorker;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Tests sound work on workers that crash in waves, all of them at a time. */
@@ -67,7 +66,6 @@
     }
 
     /** Half of the workers were taken by tasks of which only one fits on each. */
-    @Tag("known-red")
     @Test
     void tasksThatNeedMostOfAWorkerRunSoonAfterWavesOfCrashes() {
         simulation.taskDurationMillis = DURATION_MILLIS;
