Record a long-running task's run with the answer to its start (LOST)

Cause: a long-running task that has run goes first, and the reserve is open to it. That it has run was stored when an inventory listed the run, up to 0.5 s after the answer to the start had said so. If the owner and the worker ended in between, the task had never run for all successors, and went behind all short tasks.

The answer to the start now records it, with the same write, only earlier.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
@@ -60,6 +60,7 @@
         this.commits = commits;
         this.progressRemover = progressRemover;
         this.requestSender = requestSender;
+        requestSender.onStarted(this::recordConfirmedRun);
         this.runTimes = runTimes;
         this.crashTracker = new CrashTracker(context, commits, this::finishIfDoneOrFailed);
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRequestSender.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRequestSender.java
@@ -1,5 +1,6 @@
 package org.damasktiller.scheduler.cell;
 
+import java.util.function.Consumer;
 import org.damasktiller.scheduler.port.StartRequest;
 import org.damasktiller.scheduler.port.WorkerReply;
 import org.damasktiller.scheduler.port.WorkerStatus;
@@ -48,6 +49,9 @@
     /** Called when a worker has seen a higher fencing token, so that the cell has another owner. */
     private final Runnable onHigherToken;
 
+    /** Called with the task when a worker has confirmed the start of a run. */
+    private Consumer<TaskRecord> startListener = task -> {};
+
     /**
      * Creates a sender without requests in flight.
      *
@@ -61,6 +65,15 @@
         this.onHigherToken = onHigherToken;
     }
 
+    /**
+     * Sets what is called when a worker has confirmed the start of a run.
+     *
+     * @param listener called with the task
+     */
+    void onStarted(Consumer<TaskRecord> listener) {
+        startListener = listener;
+    }
+
     /**
      * Starts a run of a task, and reserves its resources on the worker.
      *
@@ -134,6 +147,9 @@
             if (record.phase == RunPhase.STARTING) {
                 record.phase = RunPhase.RUNNING;
                 record.firstConclusivePoll = worker.lastPollNumber + 1;
+                if (record.task != null) {
+                    startListener.accept(record.task);
+                }
             }
             return;
         }
