--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/crowd/HostileKind.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/crowd/HostileKind.java
@@ -85,8 +85,28 @@
         String framing(int bodyBytes) {
             return CHUNKED;
         }
+    },
+    /** A head of many lines and of the given size, without a body. */
+    LARGE_HEADS {
+        @Override
+        byte[] framed(byte[] body) {
+            return new byte[0];
+        }
+
+        @Override
+        String framing(int bodyBytes) {
+            StringBuilder lines = new StringBuilder("Content-Length: 0");
+            for (int number = 0; number < HEAD_LINES; number++) {
+                lines.append("\r\nX-Note-").append(number).append(": ");
+                lines.append("x".repeat(bodyBytes / HEAD_LINES));
+            }
+            return lines.toString();
+        }
     };
 
+    /** The number of lines of a large head, below the limit of the HTTP library. */
+    private static final int HEAD_LINES = 80;
+
     /** The bytes that are sent at a time where nothing else is said. */
     private static final int LARGE_PIECE_BYTES = 1 << 16;
 
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/crowd/HostileRequest.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/crowd/HostileRequest.java
@@ -8,7 +8,7 @@
  *
  * @param head the request line and the headers
  * @param body what follows them
- * @param bytesLeftOut how many bytes at the end of the body are never sent
+ * @param bytesLeftOut how many bytes at the end are never sent
  * @param pieceBytes how many bytes are sent at a time
  */
 @SuppressWarnings("ArrayRecordComponent")
@@ -53,8 +53,10 @@
      * @return the head and the part of the body that is sent
      */
     ByteBuffer[] toBuffers() {
+        int sentBodyBytes = Math.max(0, body.length - bytesLeftOut);
+        int sentHeadBytes = body.length == 0 ? head.length - bytesLeftOut : head.length;
         return new ByteBuffer[] {
-            ByteBuffer.wrap(head), ByteBuffer.wrap(body, 0, body.length - bytesLeftOut)
+            ByteBuffer.wrap(head, 0, sentHeadBytes), ByteBuffer.wrap(body, 0, sentBodyBytes)
         };
     }
 }
--- a/damasktiller-lab/src/test/java/org/damasktiller/lab/crowd/HostileCallersTest.java
+++ b/damasktiller-lab/src/test/java/org/damasktiller/lab/crowd/HostileCallersTest.java
@@ -122,6 +122,11 @@
         assertOutlasts(HostileKind.SENT_TOO_LARGE, LARGE_BODY_BYTES, MANY_DESCRIPTORS);
     }
 
+    @Test
+    void largeHeadsDoNotEndTheProcess() throws IOException {
+        assertOutlasts(HostileKind.LARGE_HEADS, LARGE_BODY_BYTES, MANY_DESCRIPTORS);
+    }
+
     @Test
     void connectionsThatStayOpenDoNotUseUpTheDescriptors() throws IOException {
         assertOutlasts(HostileKind.WHOLE_BODIES, SMALL_BODY_BYTES, FEW_DESCRIPTORS);
--- a/damasktiller-node/src/main/java/org/damasktiller/node/intake/Intake.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/intake/Intake.java
@@ -7,9 +7,10 @@
  * What bounds the requests of a process.
  *
  * @param bodies reads the bodies of requests
+ * @param heads counts the incomplete heads of the requests of callers
  * @param connections decides which connections of callers are accepted
  */
-public record Intake(BodyReader bodies, ConnectionLimiter connections) {
+public record Intake(BodyReader bodies, RequestHeads heads, ConnectionLimiter connections) {
 
     /**
      * Creates the bounds of this process by the size of its heap and the number of descriptors.
@@ -32,6 +33,8 @@
                 "connections",
                 limits.connections());
         return new Intake(
-                new BodyReader(budget, runtime, log), new ConnectionLimiter(limits, budget, log));
+                new BodyReader(budget, runtime, log),
+                new RequestHeads(budget, runtime, log),
+                new ConnectionLimiter(limits, budget, log));
     }
 }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/HttpServers.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/HttpServers.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import org.damasktiller.node.intake.ConnectionLimiter;
+import org.damasktiller.node.intake.Intake;
 
 /** Creates the HTTP servers of a process, which do not listen yet. */
 final class HttpServers {
@@ -40,17 +41,18 @@
     }
 
     /**
-     * Creates a server with a bounded number of connections.
+     * Creates a server for callers, whose connections and requests are bounded.
      *
      * @param handler handles the requests
      * @param address the address to listen on
-     * @param connections decides which connections are accepted
+     * @param intake bounds what callers make the process hold
      * @return the server
      */
-    HttpServer create(
-            AsyncServlet handler, InetSocketAddress address, ConnectionLimiter connections) {
+    HttpServer createForCallers(AsyncServlet handler, InetSocketAddress address, Intake intake) {
+        ConnectionLimiter connections = intake.connections();
         HttpServer server =
-                newBuilder(handler, address)
+                intake.heads()
+                        .observe(newBuilder(handler, address))
                         .withAcceptFilter(
                                 (channel, local, remote, encrypted) -> connections.refusesNext())
                         .build();
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -183,8 +183,7 @@
                         ? null
                         : servers.create(
                                 new RelayServlet(callerServlet, bodies, runtime, log), peerAddress);
-        callerServer =
-                servers.create(callerServlet, settings.callerAddress(), intake.connections());
+        callerServer = servers.createForCallers(callerServlet, settings.callerAddress(), intake);
         readinessServer =
                 servers.create(
                         request -> serveStatus(request).toPromise(), settings.readinessAddress());
