--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/command/EntryCommand.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/command/EntryCommand.java
@@ -9,6 +9,7 @@
 import org.damasktiller.node.process.NodeProcess;
 import org.damasktiller.node.process.Options;
 import org.damasktiller.node.process.PolicyConverter;
+import org.damasktiller.platform.exit.FatalExit;
 import org.damasktiller.platform.settings.SettingsReader;
 import org.damasktiller.scheduler.policy.Policy;
 
@@ -42,6 +43,7 @@
 
     @Override
     public ExitCode run(PrintStream output) {
+        Thread.setDefaultUncaughtExceptionHandler(FatalExit.halting());
         Path path = Path.of(settingsPath);
         new NodeProcess(path, SettingsReader.read(path), new Options().without(disabledPolicies))
                 .run();
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/EntryVmProcess.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/EntryVmProcess.java
@@ -22,7 +22,12 @@
      * the class data archive.
      */
     private static final List<String> JAVA_OPTIONS =
-            List.of("-Xmx128m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+            List.of(
+                    "-Xmx128m",
+                    "-Xss256k",
+                    "-XX:+UseSerialGC",
+                    "-XX:TieredStopAtLevel=1",
+                    "-XX:+ExitOnOutOfMemoryError");
 
     /** The signals that terminate the process. */
     private static final Set<String> TERMINATING_SIGNALS = Set.of("KILL", "TERM");
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LabEventLoop.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/LabEventLoop.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.damasktiller.node.process.EventLoopRuntime;
+import org.damasktiller.platform.exit.FatalExit;
 import org.damasktiller.platform.http.EventLoops;
 import org.damasktiller.scheduler.port.ProcessRuntime;
 import org.jspecify.annotations.Nullable;
@@ -35,7 +36,7 @@
      * @param exceptionHandler receives a line for each unchecked exception of a scheduled action
      */
     public LabEventLoop(String name, Consumer<String> exceptionHandler) {
-        eventloop = EventLoops.create();
+        eventloop = EventLoops.create(FatalExit.withShutdownHooks());
         thread = new Thread(eventloop, name);
         thread.setDaemon(true);
         runtime =
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/EventLoopRuntime.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/EventLoopRuntime.java
@@ -3,6 +3,7 @@
 import io.activej.reactor.Reactor;
 import java.time.Clock;
 import org.damasktiller.platform.http.MonotonicClock;
+import org.damasktiller.scheduler.fatal.FatalErrors;
 import org.damasktiller.scheduler.port.DecisionLog;
 import org.damasktiller.scheduler.port.ProcessRuntime;
 
@@ -62,6 +63,7 @@
         try {
             action.run();
         } catch (RuntimeException exception) {
+            FatalErrors.rethrowFatalCause(exception);
             log.log("program.fault", "error", exception, "at", innermostFrames(exception));
         }
     }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProgram.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProgram.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.ParameterException;
 import java.nio.file.Path;
 import org.damasktiller.error.DamasktillerException;
+import org.damasktiller.platform.exit.FatalExit;
 import org.damasktiller.platform.settings.SettingsReader;
 
 /** Parses the command line of an entry VM, reads the settings and runs the process. */
@@ -25,6 +26,7 @@
      * @param hangup SIGHUP, which may have arrived before
      */
     static void run(String[] arguments, PendingSignal hangup) {
+        Thread.setDefaultUncaughtExceptionHandler(FatalExit.halting());
         Options options = new Options();
         JCommander parser =
                 JCommander.newBuilder().programName("damasktiller-node").addObject(options).build();
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.damasktiller.scheduler.evacuation.ZoneGuard;
+import org.damasktiller.scheduler.fatal.FatalErrors;
 import org.damasktiller.scheduler.model.Manifest;
 import org.damasktiller.scheduler.model.Route;
 import org.damasktiller.scheduler.model.SubmissionState;
@@ -221,6 +222,7 @@
         try {
             action.run();
         } catch (RuntimeException exception) {
+            FatalErrors.rethrowFatalCause(exception);
             log.log(
                     "work.failed",
                     "cell",
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ItemGuard.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ItemGuard.java
@@ -1,5 +1,6 @@
 package org.damasktiller.scheduler.cell;
 
+import org.damasktiller.scheduler.fatal.FatalErrors;
 import org.damasktiller.scheduler.port.DecisionLog;
 
 /**
@@ -66,6 +67,7 @@
         try {
             action.run();
         } catch (RuntimeException exception) {
+            FatalErrors.rethrowFatalCause(exception);
             log.log(
                     event,
                     "key",
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StoredValueCodec.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StoredValueCodec.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
+import org.damasktiller.scheduler.fatal.FatalErrors;
 import org.jspecify.annotations.Nullable;
 
 /** Encodes the scheduler's records as JSON for the store, and decodes them. */
@@ -44,6 +45,7 @@
         try {
             return MAPPER.readValue(bytes, type);
         } catch (IOException exception) {
+            FatalErrors.rethrowFatalCause(exception);
             return null;
         }
     }
