--- /dev/null
+++ b/damasktiller-standins/src/main/java/org/damasktiller/standin/fuzz/package-info.java
@@ -0,0 +1,5 @@
+/** Generates odd inputs for decoders, and calls decoders with the stack of a deployed process. */
+@NullMarked
+package org.damasktiller.standin.fuzz;
+
+import org.jspecify.annotations.NullMarked;
