--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/EntryVmProcess.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/rig/EntryVmProcess.java
@@ -22,7 +22,11 @@
      * the class data archive and the heap.
      */
     private static final List<String> JAVA_OPTIONS =
-            List.of("-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+            List.of(
+                    "-Xss256k",
+                    "-XX:+UseSerialGC",
+                    "-XX:TieredStopAtLevel=1",
+                    "-XX:+ExitOnOutOfMemoryError");
 
     /** The signals that terminate the process. */
     private static final Set<String> TERMINATING_SIGNALS = Set.of("KILL", "TERM");
