Let the pacer of small parts have one timer

What operators would see: a caller that sends a body in very small chunks without a pause adds one timer in each interval of 10 ms, and each of them runs in each interval from then on. Cause: a body that is let read on by a timer and has to wait again finds the queue empty and starts a timer, and the timer that let it read on starts another one, as the queue is not empty any more. Change: the pacer knows whether a timer runs. Evidence: ChunkPacerTest.bodyThatUsesUpEachIntervalDoesNotAddTimers failed with 51 timers after 50 intervals and passes with 1.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/intake/ChunkPacer.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/intake/ChunkPacer.java
@@ -31,6 +31,9 @@
     /** When the current interval began, on the monotonic clock, in milliseconds. */
     private long intervalBeginMillis;
 
+    /** Whether a timer runs at whose end waiting bodies read on. */
+    private boolean resumeScheduled;
+
     /** How many small parts may still be read in the current interval. */
     private int remainingParts = PARTS_PER_INTERVAL;
 
@@ -61,14 +64,20 @@
             remainingParts--;
             return Promise.complete();
         }
-        if (waiting.isEmpty()) {
-            runtime.schedule(INTERVAL_MILLIS, this::resume);
-        }
         SettablePromise<Void> promise = new SettablePromise<>();
         waiting.add(promise);
+        scheduleResume();
         return promise;
     }
 
+    /** Schedules that waiting bodies read on, unless that is scheduled. */
+    private void scheduleResume() {
+        if (!resumeScheduled) {
+            resumeScheduled = true;
+            runtime.schedule(INTERVAL_MILLIS, this::resume);
+        }
+    }
+
     /** Begins an interval if the last one is over. */
     private void beginIntervalIfDue() {
         long nowMillis = runtime.nowMillis();
@@ -80,12 +89,13 @@
 
     /** Lets bodies that wait read on, in their order, until the interval has no part left. */
     private void resume() {
+        resumeScheduled = false;
         beginIntervalIfDue();
         for (int count = waiting.size(); count > 0 && remainingParts > 0; count--) {
             waiting.remove().set(null);
         }
         if (!waiting.isEmpty()) {
-            runtime.schedule(INTERVAL_MILLIS, this::resume);
+            scheduleResume();
         }
     }
 }
