Read small bodies of one part without waiting for bodies of many

What callers saw: while bodies in chunks of one byte arrive, an ordinary submission of less than 64 bytes waits behind all of them, as its body counts as a small part; with many of them it is given up at its deadline. Cause: the pacer counts each part under 64 bytes, also the only one of a body. Change: the first 16 parts of each body are read at once. Evidence: IncomingBodyTest.smallBodyInOnePartDoesNotWaitForBodiesInManyParts failed with no such parts and passes.

--- a/damasktiller-node/src/main/java/org/damasktiller/node/intake/IncomingBody.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/intake/IncomingBody.java
@@ -23,6 +23,9 @@
     /** How many times its size a body takes while it is decoded and stored. */
     private static final int HANDLING_FACTOR = 4;
 
+    /** How many parts of a body are read at once, whatever their sizes. */
+    private static final int UNPACED_PARTS = 16;
+
     /** The first size of the array, in bytes. */
     private static final int FIRST_CAPACITY_BYTES = 1 << 10;
 
@@ -59,6 +62,9 @@
     /** The number of bytes that have been read. */
     private int length;
 
+    /** The number of parts that were read at once. */
+    private int unpacedParts;
+
     /** When the last part arrived, on the monotonic clock, in milliseconds. */
     private long lastProgressMillis;
 
@@ -164,11 +170,27 @@
                                 part -> {
                                     int bytes = part.readRemaining();
                                     append(part);
-                                    return pacer.onPart(bytes);
+                                    return beforeNextPart(bytes, pacer);
                                 }))
                 .subscribe((ignored, error) -> onEnd(error));
     }
 
+    /**
+     * Returns when the next part may be read. The first ones are not limited, so that the body of
+     * an ordinary request, which may be a single small part, does not wait for bodies of many.
+     *
+     * @param bytes the size of the part that was read, in bytes
+     * @param pacer limits how many very small parts are read
+     * @return completes when the next part may be read
+     */
+    private Promise<Void> beforeNextPart(int bytes, ChunkPacer pacer) {
+        if (unpacedParts < UNPACED_PARTS) {
+            unpacedParts++;
+            return Promise.complete();
+        }
+        return pacer.onPart(bytes);
+    }
+
     /**
      * Adds a part, unless the body has been given up.
      *
--- a/damasktiller-node/src/test/java/org/damasktiller/node/intake/IncomingBodyTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/intake/IncomingBodyTest.java
@@ -51,6 +51,17 @@
         assertThat(new String(body.result().getResult(), StandardCharsets.US_ASCII), equalTo(text));
     }
 
+    @Test
+    void smallBodyInOnePartDoesNotWaitForBodiesInManyParts() {
+        for (int number = 0; number < 5; number++) {
+            read("x".repeat(5_000), 1, 0, 10_000);
+        }
+        IncomingBody body = read("x".repeat(40), 40, 40, 10_000);
+
+        assertThat("whole body is there", body.result().isComplete(), is(true));
+        runtime.advance(1_000);
+    }
+
     @Test
     void memoryIsHeldUntilTheRequestHasResponse() {
         IncomingBody body = read("x".repeat(1_000), 500, 1_000, 10_000);
