Give a task a record only when it begins

What was stored was loaded by each owner in turn.

Cause: a step made a TaskRecord for each task that the submission asks for, and kept it until the submission was over.

Change: a step keeps a TaskTable: records of tasks that differ from what the submission declares, in pages, and a bit for each task that has ended without a record. Passes, the look-ahead, the reporter, gangs and moves count the others and look at one of them. Progress in blocks is written and read without records. TaskRecordKeeper drops records of ended tasks of large submissions, and logs owner.tasks.

Evidence: OwnerMemoryTest.

Conclusion: the memory of an owner follows the tasks that run.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
@@ -11,6 +11,7 @@
 import org.damasktiller.scheduler.model.Manifest;
 import org.damasktiller.scheduler.model.Route;
 import org.damasktiller.scheduler.model.SubmissionState;
+import org.damasktiller.scheduler.model.TaskId;
 import org.damasktiller.scheduler.port.DecisionLog;
 import org.damasktiller.scheduler.port.MetadataStore;
 import org.damasktiller.scheduler.port.ProcessRuntime;
@@ -155,6 +156,21 @@
     void addJob(Job job) {
         job.updateTerms(manifest.findRouteByName(job.accepted.route()), manifest.version());
         jobs.put(job.id(), job);
+        for (TaskId task : previousOwners.heldTasks()) {
+            if (task.submission().equals(job.id())) {
+                job.findTask(task);
+            }
+        }
+    }
+
+    /** Gives the tasks that previous owners may still run records, in which they can be held. */
+    void keepHeldTasks() {
+        for (TaskId task : previousOwners.heldTasks()) {
+            Job job = jobs.get(task.submission());
+            if (job != null) {
+                job.findTask(task);
+            }
+        }
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -339,6 +339,7 @@
         context.repeat(context.settings.halfTickMillis() * 2, "tick", this::tick);
         counts.start();
         waitingReporter.start();
+        new TaskRecordKeeper(context).start();
     }
 
     /** Does the work that is due at each interval, and schedules a pass. */
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/DividedSteps.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/DividedSteps.java
@@ -62,10 +62,10 @@
      * @return the sum
      */
     private static DividedStep sumUp(StepRecord step, Map<WorkerRecord, WorkerRoom> rooms) {
-        int tasks = 0;
-        int slots = 0;
+        int tasks = step.freshWaitingCount();
+        int slots = tasks;
         Map<WorkerRecord, Integer> present = new HashMap<>();
-        for (TaskRecord task : step.tasks) {
+        for (TaskRecord task : step.records) {
             tasks += task.away ? 0 : 1;
             slots += task.isOwed() && task.runs.isEmpty() ? 1 : 0;
             task.runs.forEach(run -> present.merge(run.worker, 1, Integer::sum));
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/GangPlacement.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/GangPlacement.java
@@ -78,7 +78,8 @@
                         .thenComparingLong(worker -> -worker.freeResources().cpuMillicores()));
         Resources need = step.spec.reserved();
         boolean ticketRequired = advice.isRequired(step);
-        for (TaskRecord task : step.tasks) {
+        for (int index = 0; index < step.count() && selected.size() == index; index++) {
+            TaskRecord task = step.view(index);
             for (WorkerRecord worker : byFreeCpu) {
                 int assignedHere = assignedCounts.getOrDefault(worker, 0);
                 boolean belowLimit =
@@ -95,7 +96,7 @@
                 }
             }
         }
-        return selected.size() == step.tasks.size() ? selected : List.of();
+        return selected.size() == step.count() ? selected : List.of();
     }
 
     /**
@@ -107,7 +108,7 @@
     private Set<String> avoidedWorkerIds(StepRecord step) {
         Set<String> avoidedIds = new HashSet<>();
         if (context.settings.policies().isEnabled(Policy.RETRY_SPREADING)) {
-            step.tasks.forEach(task -> avoidedIds.addAll(task.avoidedWorkerIds));
+            step.records.forEach(task -> avoidedIds.addAll(task.avoidedWorkerIds));
         }
         return avoidedIds;
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.damasktiller.scheduler.model.AcceptedSubmission;
+import org.damasktiller.scheduler.model.MovedTask;
 import org.damasktiller.scheduler.model.PartsRecord;
 import org.damasktiller.scheduler.model.QueueTerms;
 import org.damasktiller.scheduler.model.Route;
@@ -170,8 +171,11 @@
     void onChanged(TaskRecord task) {
         version++;
         if (blocks != null) {
-            List<TaskRecord> changed = task.step.spec.gang() ? task.step.tasks : List.of(task);
-            storedBlocks.onChanged(blocks.blocksOf(changed), version);
+            Set<Integer> changed =
+                    task.step.spec.gang()
+                            ? blocks.blocksOf(task.step)
+                            : Set.of(blocks.blockOf(task.id));
+            storedBlocks.onChanged(changed, version);
         }
     }
 
@@ -202,9 +206,22 @@
         part = newPart;
         for (OccurrenceRecord occurrence : occurrences.values()) {
             for (StepRecord step : occurrence.steps) {
-                step.tasks.forEach(task -> task.applyPart(newPart));
+                step.records.forEach(task -> task.applyPart(newPart));
             }
         }
+        newPart.departed().forEach(this::keepRecord);
+        newPart.arrived().forEach(this::keepRecord);
+    }
+
+    /**
+     * Gives a task that has moved a record, unless it has one or the submission has no such task.
+     *
+     * @param moved what is known of the task
+     */
+    private void keepRecord(MovedTask moved) {
+        if (moved.step() >= 0 && moved.index() >= 0) {
+            findTask(new TaskId(id(), 0, moved.step(), moved.index()));
+        }
     }
 
     /**
@@ -285,7 +302,7 @@
 
     /**
      * Finds a task by its identifier. Begins the occurrence of the task if a worker reports the
-     * task before this owner has begun the occurrence.
+     * task before this owner has begun the occurrence. The task has a record from now on.
      *
      * @param id the identifier of the task
      * @return the task, or null if the submission has no such task
@@ -297,7 +314,16 @@
             return null;
         }
         StepRecord step = beginOccurrence(id.occurrence()).steps.get(id.step());
-        return id.index() < step.tasks.size() ? step.tasks.get(id.index()) : null;
+        return id.index() < step.count() ? step.task(id.index()) : null;
+    }
+
+    /** Removes the records of the tasks of a large submission that are done and have no runs. */
+    void releaseEnded() {
+        if (blocks != null && part == null) {
+            for (OccurrenceRecord occurrence : occurrences.values()) {
+                occurrence.steps.forEach(step -> step.records.releaseEnded());
+            }
+        }
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
@@ -297,7 +297,7 @@
      * @param task the task
      */
     private void markDone(TaskRecord task) {
-        List<TaskRecord> tasks = task.step.spec.gang() ? task.step.tasks : List.of(task);
+        List<TaskRecord> tasks = task.step.spec.gang() ? task.step.allTasks() : List.of(task);
         for (TaskRecord member : tasks) {
             task.step.markDone(member);
             if (!task.step.spec.gang()) {
@@ -316,7 +316,7 @@
         if (!task.step.spec.gang()) {
             return;
         }
-        for (TaskRecord member : task.step.tasks) {
+        for (TaskRecord member : task.step.records) {
             stopRuns(member);
         }
     }
@@ -343,7 +343,7 @@
             return;
         }
         if (task.step.spec.gang()) {
-            task.step.tasks.forEach(member -> member.checkpoint = checkpoint);
+            task.step.allTasks().forEach(member -> member.checkpoint = checkpoint);
         } else {
             task.checkpoint = checkpoint;
         }
@@ -432,7 +432,7 @@
         for (OccurrenceRecord occurrence : job.occurrences.values()) {
             for (StepRecord step : occurrence.steps) {
                 boolean givenUp =
-                        step.tasks.stream()
+                        step.records.stream()
                                 .anyMatch(task -> task.isOwed() && task.crashes.isGivenUp());
                 if (givenUp || (!step.spec.lasting() && hasExhaustedAttempts(step, maxAttempts))) {
                     return true;
@@ -454,13 +454,13 @@
     private static boolean hasExhaustedAttempts(StepRecord step, int maxAttempts) {
         if (step.spec.gang()) {
             long failedRuns =
-                    step.tasks.stream()
+                    step.records.stream()
                             .flatMap(task -> task.failedRunNumbers.stream())
                             .distinct()
                             .count();
             return !step.isDone() && failedRuns >= maxAttempts;
         }
-        return step.tasks.stream()
+        return step.records.stream()
                 .anyMatch(task -> !task.done && task.failedRunNumbers.size() >= maxAttempts);
     }
 
@@ -472,7 +472,7 @@
     private void stopAllRuns(Job job) {
         for (OccurrenceRecord occurrence : job.occurrences.values()) {
             for (StepRecord step : occurrence.steps) {
-                for (TaskRecord task : step.tasks) {
+                for (TaskRecord task : step.records) {
                     stopRuns(task);
                 }
             }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/LookAheadPlacement.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/LookAheadPlacement.java
@@ -125,14 +125,8 @@
      * @return the need, or null if the step has not waited for long, is a gang, or has room
      */
     private @Nullable WaitingNeed toNeed(StepRecord step, WorkerSelector workerSelector, long now) {
-        TaskRecord first = null;
-        int count = 0;
-        for (TaskRecord task : step.tasks) {
-            if (task.isWaiting(now)) {
-                first = first == null ? task : first;
-                count++;
-            }
-        }
+        TaskRecord first = step.firstWaiting(now);
+        int count = step.waitingCount(now);
         if (first == null
                 || step.spec.gang()
                 || first.readySinceMillis == 0
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PlacementExplainer.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PlacementExplainer.java
@@ -52,7 +52,7 @@
                                 QueueTerms.of(route, context.manifest().version())),
                         0,
                         context.now());
-        TaskRecord task = job.beginOccurrence(0).steps.get(0).tasks.get(0);
+        TaskRecord task = job.beginOccurrence(0).steps.get(0).view(0);
         List<String> lines = new ArrayList<>();
         lines.add(
                 "cell %s, generation %d: %d workers, entries confirmed %d ms ago, %d steps waiting"
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PreviousOwners.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PreviousOwners.java
@@ -202,6 +202,15 @@
         return heldTasks.containsKey(task);
     }
 
+    /**
+     * Returns the tasks of earlier submissions that may still have a run on a closed worker.
+     *
+     * @return a live view of the identifiers of the tasks
+     */
+    Set<TaskId> heldTasks() {
+        return Collections.unmodifiableSet(heldTasks.keySet());
+    }
+
     /**
      * Lists the closed workers on which a task of an earlier submission may still have a run.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressBlockRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressBlockRecord.java
@@ -6,6 +6,7 @@
 import java.util.BitSet;
 import java.util.List;
 import org.damasktiller.scheduler.model.SubmissionPart;
+import org.damasktiller.scheduler.model.TaskId;
 
 /**
  * The stored progress of a block of tasks of a large submission.
@@ -36,13 +37,15 @@
     static ProgressBlockRecord of(Job job, TaskBlocks blocks, int block, SubmissionPart part) {
         BitSet done = new BitSet();
         List<ProgressRecord.Entry> entries = new ArrayList<>();
-        for (TaskRecord task : blocks.tasksOf(job, block)) {
-            if (!part.holds(task.id)) {
+        for (TaskPlace place : blocks.placesOf(job, block)) {
+            TaskId id = place.id();
+            if (!part.holds(id)) {
                 continue;
             }
-            if (task.done) {
-                done.set(blocks.positionOf(task.id));
-            } else if (ProgressRecord.hasProgress(task)) {
+            TaskRecord task = place.find();
+            if (place.isDone()) {
+                done.set(blocks.positionOf(id));
+            } else if (task != null && ProgressRecord.hasProgress(task)) {
                 entries.add(ProgressRecord.Entry.of(task));
             }
         }
@@ -71,15 +74,20 @@
      */
     void restore(Job job, TaskBlocks blocks, int block) {
         BitSet bits = BitSet.valueOf(Base64.getDecoder().decode(done));
-        blocks.tasksOf(job, block).forEach(task -> task.recordedStart = null);
+        for (TaskPlace place : blocks.placesOf(job, block)) {
+            TaskRecord task = place.find();
+            if (task != null) {
+                task.recordedStart = null;
+            }
+        }
         tasks.forEach(entry -> entry.restore(job));
         bits.stream()
                 .forEach(
                         position -> {
-                            TaskRecord task = blocks.taskAt(job, block, position);
-                            if (task != null) {
+                            TaskPlace place = blocks.placeOf(job, block, position);
+                            if (place != null) {
                                 job.onRunFound();
-                                task.step.markDone(task);
+                                place.step().markDone(place.index());
                             }
                         });
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressReader.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressReader.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 import org.damasktiller.scheduler.port.StoreEvent;
 import org.damasktiller.scheduler.port.StoreItem;
@@ -189,14 +190,18 @@
         if (job.blocks == null || job.progressUnreadable || !job.progressStored) {
             return;
         }
-        List<TaskRecord> tasks = new ArrayList<>();
+        Set<Integer> blocks = new TreeSet<>();
         for (OccurrenceRecord occurrence : job.occurrences.values()) {
             for (StepRecord step : occurrence.steps) {
-                step.tasks.stream().filter(ProgressRecord::hasProgress).forEach(tasks::add);
+                step.records.stream()
+                        .filter(ProgressRecord::hasProgress)
+                        .forEach(task -> blocks.add(job.blocks.blockOf(task.id)));
+                step.records.endedIndexes().stream()
+                        .forEach(index -> blocks.add(job.blocks.blockOf(step.idOf(index))));
             }
         }
         if (!job.storedBlocks.hasHeader()) {
-            job.storedBlocks.onChanged(job.blocks.blocksOf(tasks), job.version + 1);
+            job.storedBlocks.onChanged(blocks, job.version + 1);
         }
     }
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressRecord.java
@@ -33,7 +33,7 @@
         List<Entry> entries = new ArrayList<>();
         for (OccurrenceRecord occurrence : job.occurrences.values()) {
             for (StepRecord step : occurrence.steps) {
-                for (TaskRecord task : step.tasks) {
+                for (TaskRecord task : step.records) {
                     if (hasProgress(task) && part.holds(task.id)) {
                         entries.add(Entry.of(task));
                     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RefusedTasks.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RefusedTasks.java
@@ -38,6 +38,18 @@
         return ordered;
     }
 
+    /**
+     * Counts the tasks that are tried before or like another one.
+     *
+     * @param ordered tasks in the order in which they are tried
+     * @param task another task of their step
+     * @return the number of tasks that do not come after it
+     */
+    static int countBefore(List<TaskRecord> ordered, TaskRecord task) {
+        return (int)
+                ordered.stream().takeWhile(other -> START_ORDER.compare(other, task) <= 0).count();
+    }
+
     /**
      * Adds a task for which no worker was found.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Roster.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Roster.java
@@ -67,6 +67,7 @@
         }
         storedEntries = entries;
         context.previousOwners.load(entries);
+        context.keepHeldTasks();
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StepRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StepRecord.java
@@ -7,8 +7,10 @@
 import java.util.Map;
 import java.util.Set;
 import org.damasktiller.scheduler.model.StepSpec;
+import org.damasktiller.scheduler.model.SubmissionPart;
 import org.damasktiller.scheduler.model.TaskId;
 import org.damasktiller.scheduler.order.Lateness;
+import org.jspecify.annotations.Nullable;
 
 /** The tasks and the progress of one step of an occurrence. */
 public final class StepRecord {
@@ -22,8 +24,8 @@
     /** The occurrence that the step belongs to. */
     final OccurrenceRecord occurrence;
 
-    /** The tasks, by index. */
-    final List<TaskRecord> tasks = new ArrayList<>();
+    /** The records of the tasks that differ from what the submission declares. */
+    final TaskTable records;
 
     /** The tickets of the advice service, by the identifier of the worker. */
     final Map<String, AdviceTicket> ticketsByWorkerId = new HashMap<>();
@@ -45,6 +47,12 @@
     /** The number of tasks that are done. */
     int doneCount;
 
+    /**
+     * When the tasks without a record were first found ready to start, in milliseconds, or 0 if
+     * they were not yet.
+     */
+    long freshReadySinceMillis;
+
     /**
      * Creates a step in which no task has run.
      *
@@ -56,10 +64,124 @@
         this.spec = spec;
         this.number = number;
         this.occurrence = occurrence;
-        String id = occurrence.job.id();
-        for (int index = 0; index < spec.count(); index++) {
-            tasks.add(new TaskRecord(new TaskId(id, occurrence.number, number, index), this));
+        this.records = new TaskTable(Math.max(0, spec.count()));
+    }
+
+    /**
+     * Returns the number of tasks.
+     *
+     * @return the number, with and without records
+     */
+    int count() {
+        return records.count();
+    }
+
+    /**
+     * Returns the identifier of a task.
+     *
+     * @param index the number of the task in the step, from 0
+     * @return the identifier
+     */
+    TaskId idOf(int index) {
+        return new TaskId(occurrence.job.id(), occurrence.number, number, index);
+    }
+
+    /**
+     * Returns a task, which has a record from now on.
+     *
+     * @param index the number of the task in the step, from 0
+     * @return the record of the task
+     */
+    TaskRecord task(int index) {
+        TaskRecord present = records.find(index);
+        return present == null ? keep(view(index)) : present;
+    }
+
+    /**
+     * Returns a task to look at. A task without a record has none afterwards either, so that what
+     * is changed in the returned one is lost.
+     *
+     * @param index the number of the task in the step, from 0
+     * @return the record of the task, or one that says the same
+     */
+    TaskRecord view(int index) {
+        TaskRecord present = records.find(index);
+        if (present != null) {
+            return present;
+        }
+        TaskRecord view = new TaskRecord(idOf(index), this);
+        view.done = records.hasEnded(index);
+        view.readySinceMillis = freshReadySinceMillis;
+        SubmissionPart part = occurrence.job.part;
+        if (part != null) {
+            view.applyPart(part);
+        }
+        return view;
+    }
+
+    /**
+     * Keeps a view of a task as its record.
+     *
+     * @param view a view of a task that has no record
+     * @return the view
+     */
+    TaskRecord keep(TaskRecord view) {
+        records.add(view);
+        return view;
+    }
+
+    /**
+     * Returns all tasks, which have records from now on.
+     *
+     * @return the records by index
+     */
+    List<TaskRecord> allTasks() {
+        List<TaskRecord> tasks = new ArrayList<>(count());
+        for (int index = 0; index < count(); index++) {
+            tasks.add(task(index));
+        }
+        return tasks;
+    }
+
+    /**
+     * Returns the number of tasks without a record that wait. A task that has left the cell or came
+     * to it has a record, as has one that previous owners may still run.
+     *
+     * @return the number of those that have not begun and have their home in the cell
+     */
+    int freshWaitingCount() {
+        SubmissionPart part = occurrence.job.part;
+        return part == null || part.first() ? records.freshCount() : 0;
+    }
+
+    /**
+     * Returns the number of tasks that wait for a worker.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @return the number, with and without records
+     */
+    int waitingCount(long nowMillis) {
+        long recorded = records.stream().filter(task -> task.isWaiting(nowMillis)).count();
+        return (int) recorded + freshWaitingCount();
+    }
+
+    /**
+     * Returns the first task that waits for a worker, to look at.
+     *
+     * @param nowMillis the current time, in milliseconds
+     * @return a view of the task, or null if none waits
+     */
+    @Nullable TaskRecord firstWaiting(long nowMillis) {
+        int fresh = freshWaitingCount() == 0 ? count() : records.nextFresh(0);
+        for (TaskRecord task : records) {
+            if (task.id.index() > fresh) {
+                break;
+            }
+            if (task.isWaiting(nowMillis)) {
+                return task;
+            }
         }
+        return fresh == count() ? null : view(fresh);
     }
 
     /**
@@ -77,7 +199,7 @@
      * @return whether all tasks are done
      */
     boolean isDone() {
-        return doneCount == tasks.size();
+        return doneCount == count();
     }
 
     /**
@@ -108,4 +230,19 @@
             doneCount++;
         }
     }
+
+    /**
+     * Marks a task as done, which gets no record for that. Does nothing if it is done already.
+     *
+     * @param index the number of the task in the step, from 0
+     */
+    void markDone(int index) {
+        TaskRecord present = records.find(index);
+        if (present != null) {
+            markDone(present);
+        } else if (!records.hasEnded(index)) {
+            records.end(index);
+            doneCount++;
+        }
+    }
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionMove.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionMove.java
@@ -103,7 +103,7 @@
             return true;
         }
         return !step.spec.gang()
-                && step.tasks.stream()
+                && step.records.stream()
                         .allMatch(
                                 task ->
                                         task.done
@@ -152,7 +152,7 @@
         for (OccurrenceRecord occurrence : job.occurrences.values()) {
             for (StepRecord step : occurrence.steps) {
                 if (step.areDependenciesDone()) {
-                    step.tasks.forEach(task -> arriving.add(task.toMovedTask(context.term)));
+                    step.allTasks().forEach(task -> arriving.add(task.toMovedTask(context.term)));
                 }
             }
         }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionMover.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionMover.java
@@ -164,8 +164,7 @@
         }
         for (OccurrenceRecord occurrence : job.occurrences.values()) {
             for (StepRecord step : occurrence.steps) {
-                if (step.areDependenciesDone()
-                        && step.tasks.stream().anyMatch(task -> task.isWaiting(now))) {
+                if (step.areDependenciesDone() && step.firstWaiting(now) != null) {
                     return step;
                 }
             }
@@ -234,7 +233,7 @@
      * @return the CPU, in millicores
      */
     private static long waitingMillicores(StepRecord step) {
-        return (step.tasks.size() - step.doneCount) * step.spec.need().cpuMillicores();
+        return (step.count() - step.doneCount) * step.spec.need().cpuMillicores();
     }
 
     /**
@@ -246,7 +245,7 @@
     private static void hold(Job job, boolean held) {
         job.departing = held;
         for (OccurrenceRecord occurrence : job.occurrences.values()) {
-            occurrence.steps.forEach(step -> step.tasks.forEach(task -> task.moving = held));
+            occurrence.steps.forEach(step -> step.allTasks().forEach(task -> task.moving = held));
         }
     }
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskBlocks.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskBlocks.java
@@ -84,56 +84,74 @@
         return (int) (numberOf(id) % TASKS_PER_BLOCK);
     }
 
+    /**
+     * Returns the blocks of all tasks of a step.
+     *
+     * @param step the step
+     * @return the numbers of the blocks, from 0, in rising order
+     */
+    Set<Integer> blocksOf(StepRecord step) {
+        Set<Integer> blocks = new TreeSet<>();
+        if (step.count() > 0) {
+            int last = blockOf(step.idOf(step.count() - 1));
+            for (int block = blockOf(step.idOf(0)); block <= last; block++) {
+                blocks.add(block);
+            }
+        }
+        return blocks;
+    }
+
     /**
      * Returns the tasks of a block.
      *
      * @param job the job of the submission
      * @param block the number of the block, from 0
-     * @return its tasks in order, without those of occurrences that have not begun
+     * @return the places of its tasks in order, without those of occurrences that have not begun
      */
-    List<TaskRecord> tasksOf(Job job, int block) {
-        List<TaskRecord> tasks = new ArrayList<>(TASKS_PER_BLOCK);
+    List<TaskPlace> placesOf(Job job, int block) {
+        List<TaskPlace> places = new ArrayList<>(TASKS_PER_BLOCK);
         long first = (long) block * TASKS_PER_BLOCK;
         for (long number = first; number < first + TASKS_PER_BLOCK; number++) {
             OccurrenceRecord occurrence = job.occurrences.get((int) (number / tasksPerOccurrence));
             if (occurrence != null) {
-                tasks.add(taskAt(occurrence, number % tasksPerOccurrence));
+                places.add(placeOf(occurrence, number % tasksPerOccurrence));
             }
         }
-        return tasks;
+        return places;
     }
 
     /**
-     * Returns the identifier of a task by its place.
+     * Returns the place of a task by its position in a block.
      *
      * @param job the job of the submission
      * @param block the number of the block, from 0
      * @param position the position in the block, from 0
-     * @return the task, whose occurrence has begun from now on, or null if there is none
+     * @return the place of the task, whose occurrence has begun from now on, or null if there is
+     *     none
      */
-    @Nullable TaskRecord taskAt(Job job, int block, int position) {
+    @Nullable TaskPlace placeOf(Job job, int block, int position) {
         long number = (long) block * TASKS_PER_BLOCK + position;
         Submission submission = job.accepted.submission();
         long occurrences = submission.scheduled() ? submission.occurrences() : 1;
         long occurrence = number / tasksPerOccurrence;
         return occurrence < occurrences
-                ? taskAt(job.beginOccurrence((int) occurrence), number % tasksPerOccurrence)
+                ? placeOf(job.beginOccurrence((int) occurrence), number % tasksPerOccurrence)
                 : null;
     }
 
     /**
-     * Returns a task of an occurrence.
+     * Returns the place of a task of an occurrence.
      *
      * @param occurrence the occurrence
      * @param number the number of the task in the occurrence, from 0
-     * @return the task
+     * @return the place of the task
      */
-    private TaskRecord taskAt(OccurrenceRecord occurrence, long number) {
+    private TaskPlace placeOf(OccurrenceRecord occurrence, long number) {
         int step = firstNumbers.length - 1;
         while (firstNumbers[step] > number) {
             step--;
         }
-        return occurrence.steps.get(step).tasks.get((int) (number - firstNumbers[step]));
+        return new TaskPlace(occurrence.steps.get(step), (int) (number - firstNumbers[step]));
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskMover.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskMover.java
@@ -65,6 +65,9 @@
     /** Since when tasks have waited, in milliseconds. */
     private Map<TaskId, Long> waitingSince = new HashMap<>();
 
+    /** Since when the tasks without a record have waited, in milliseconds, by their step. */
+    private Map<StepRecord, Long> freshWaitingSince = new HashMap<>();
+
     /** Until when cells are left out, in milliseconds, by the name of the cell. */
     private final Map<String, Long> pausedUntilMillis = new HashMap<>();
 
@@ -105,13 +108,15 @@
             return;
         }
         Map<TaskId, Long> stillWaiting = new HashMap<>();
+        Map<StepRecord, Long> freshStillWaiting = new HashMap<>();
         List<TaskRecord> due = new ArrayList<>();
         for (Job job : context.jobs.values()) {
             if (mayMove(job)) {
-                collect(job, now, stillWaiting, due);
+                collect(job, now, stillWaiting, freshStillWaiting, due);
             }
         }
         waitingSince = stillWaiting;
+        freshWaitingSince = freshStillWaiting;
         if (!due.isEmpty()
                 && now >= nextAttemptMillis
                 && ownership.covers(due.get(0).step.occurrence.job.openRevision)) {
@@ -137,29 +142,68 @@
      *
      * @param job the job
      * @param now the current time, in milliseconds
-     * @param stillWaiting receives the tasks that wait, with the time since when
+     * @param stillWaiting receives the tasks with a record that wait, with the time since when
+     * @param freshStillWaiting receives the steps of which tasks without a record wait, with the
+     *     time since when
      * @param due receives the tasks that should move, all of one step
      */
-    private void collect(Job job, long now, Map<TaskId, Long> stillWaiting, List<TaskRecord> due) {
+    private void collect(
+            Job job,
+            long now,
+            Map<TaskId, Long> stillWaiting,
+            Map<StepRecord, Long> freshStillWaiting,
+            List<TaskRecord> due) {
         for (OccurrenceRecord occurrence : job.occurrences.values()) {
             for (StepRecord step : occurrence.steps) {
                 boolean divisible = step.spec.lasting() && !step.spec.gang();
                 if (!divisible || !step.areDependenciesDone()) {
                     continue;
                 }
-                for (TaskRecord task : step.tasks) {
+                long freshSince = freshWaitingSince.getOrDefault(step, now);
+                for (TaskRecord task : step.records) {
                     if (waitsSafely(task, now)) {
-                        long since = waitingSince.getOrDefault(task.id, now);
+                        long since =
+                                waitingSince.getOrDefault(
+                                        task.id, task.hasBegun() ? now : freshSince);
                         stillWaiting.put(task.id, since);
                         if (joins(due, step) && now - since >= neededMillis(task)) {
                             due.add(task);
                         }
                     }
                 }
+                if (step.freshWaitingCount() > 0) {
+                    freshStillWaiting.put(step, freshSince);
+                    collectFresh(step, now - freshSince, stillWaiting, due);
+                }
             }
         }
     }
 
+    /**
+     * Collects the tasks of a step that wait and have no record. Those that should move get one.
+     *
+     * @param step the step
+     * @param waitedMillis for how long they have waited, in milliseconds
+     * @param stillWaiting receives those that should move, with the time since when they wait
+     * @param due receives the tasks that should move, all of one step
+     */
+    private void collectFresh(
+            StepRecord step,
+            long waitedMillis,
+            Map<TaskId, Long> stillWaiting,
+            List<TaskRecord> due) {
+        if (waitedMillis < WAIT_MILLIS) {
+            return;
+        }
+        int index = step.records.nextFresh(0);
+        while (index < step.count() && joins(due, step)) {
+            TaskRecord task = step.task(index);
+            stillWaiting.put(task.id, context.now() - waitedMillis);
+            due.add(task);
+            index = step.records.nextFresh(index + 1);
+        }
+    }
+
     /**
      * Returns whether a task of a step may join the tasks of a move.
      *
@@ -286,7 +330,7 @@
                                         .slotsTaken(
                                                 step.name(),
                                                 parts.countTasks(
-                                                        cell, step.number, step.tasks.size()))));
+                                                        cell, step.number, step.count()))));
             }
         }
         MoveTarget target = MoveTarget.choose(step.spec, candidates);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecord.java
@@ -12,7 +12,10 @@
 import org.damasktiller.scheduler.model.TaskId;
 import org.jspecify.annotations.Nullable;
 
-/** A task of a step, its progress and its runs. */
+/**
+ * A task of a step, its progress and its runs. Only a task that differs from what the submission
+ * declares has a record that is kept ({@link TaskTable}).
+ */
 public final class TaskRecord {
 
     /** The identifier of the task. */
@@ -95,6 +98,15 @@
         this.step = step;
     }
 
+    /**
+     * Returns whether the task differs from a fresh one by more than that it waits.
+     *
+     * @return whether a run of it was started, reported or stored, or it came from another cell
+     */
+    boolean hasBegun() {
+        return highestRunNumber > 0 || arrived || ProgressRecord.hasProgress(this);
+    }
+
     /**
      * Returns whether the owner of the cell has to see to the task.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
@@ -165,7 +165,10 @@
         for (WaitingStep waiting : waitingSteps) {
             if (waiting.key.rank() == WorkRank.URGENT) {
                 long count =
-                        waiting.step.tasks.stream().filter(task -> mayStart(task, now)).count();
+                        waiting.step.freshWaitingCount()
+                                + waiting.step.records.stream()
+                                        .filter(task -> mayStart(task, now))
+                                        .count();
                 sum += count * waiting.step.spec.need().cpuMillicores();
             }
         }
@@ -214,9 +217,12 @@
             if (step.isDone() || !step.areDependenciesDone()) {
                 continue;
             }
-            boolean hasWaitingTask = false;
+            boolean hasWaitingTask = step.freshWaitingCount() > 0;
             boolean hasRunBefore = false;
-            for (TaskRecord task : step.tasks) {
+            if (hasWaitingTask && step.freshReadySinceMillis == 0) {
+                step.freshReadySinceMillis = now;
+            }
+            for (TaskRecord task : step.records) {
                 if (mayStart(task, now)) {
                     hasWaitingTask = true;
                     hasRunBefore |= task.everRan;
@@ -277,7 +283,7 @@
         for (StepRecord later : step.occurrence.steps) {
             if (later.number >= step.number) {
                 double cpu = later.spec.need().cpuMillicores();
-                int openTasks = later.tasks.size() - later.doneCount;
+                int openTasks = later.count() - later.doneCount;
                 work += openTasks * cpu * runTimes.expectedMillis(later.spec);
             }
         }
@@ -292,7 +298,55 @@
      */
     private void startTasks(StepRecord step) {
         RefusedTasks refused = new RefusedTasks();
-        for (TaskRecord task : RefusedTasks.inStartOrder(waitingTasks(step))) {
+        List<TaskRecord> recorded = RefusedTasks.inStartOrder(waitingTasks(step));
+        int fresh = step.freshWaitingCount() == 0 ? step.count() : step.records.nextFresh(0);
+        if (fresh == step.count()) {
+            startRecorded(step, recorded, refused);
+            return;
+        }
+        int first = RefusedTasks.countBefore(recorded, step.view(fresh));
+        startRecorded(step, recorded.subList(0, first), refused);
+        startFresh(step, fresh, refused);
+        startRecorded(step, recorded.subList(first, recorded.size()), refused);
+    }
+
+    /**
+     * Starts the waiting tasks of a step that have no record. They are alike, so that the first one
+     * that is refused is the last one that is tried.
+     *
+     * @param step the step
+     * @param first the index of the first of them
+     * @param refused the tasks of the step that were refused in this pass
+     */
+    private void startFresh(StepRecord step, int first, RefusedTasks refused) {
+        for (int index = first; index < step.count(); index = step.records.nextFresh(index + 1)) {
+            TaskRecord task = step.view(index);
+            if (step.occurrence.job.state.isFinal() || refused.covers(task)) {
+                return;
+            }
+            if (context.previousOwners.holds(task.id)) {
+                step.keep(task);
+                continue;
+            }
+            WorkerRecord worker = workerSelector.selectWorker(task);
+            if (worker == null) {
+                requestTickets(task);
+                refused.add(task);
+                return;
+            }
+            start(step.keep(task), worker);
+        }
+    }
+
+    /**
+     * Starts tasks of a step that have records.
+     *
+     * @param step the step
+     * @param tasks the tasks, in the order in which they are tried
+     * @param refused the tasks of the step that were refused in this pass
+     */
+    private void startRecorded(StepRecord step, List<TaskRecord> tasks, RefusedTasks refused) {
+        for (TaskRecord task : tasks) {
             boolean suspect = crashTracker.isSuspect(task);
             if (step.occurrence.job.state.isFinal()) {
                 return;
@@ -314,27 +368,38 @@
             if (suspect && !crashTracker.isStartRecorded(task, worker)) {
                 continue;
             }
-            requestSender.start(
-                    task,
-                    worker,
-                    nextRunNumber(task, task.highestRunNumber),
-                    advice.usableTicket(step, worker));
-            crashTracker.onStartSent(task, worker);
-            lookAhead.onStarted(task, worker);
-            startCount++;
+            start(task, worker);
         }
     }
 
     /**
-     * Lists the tasks of a step that may start.
+     * Starts a task that is in no gang.
+     *
+     * @param task the task
+     * @param worker the worker
+     */
+    private void start(TaskRecord task, WorkerRecord worker) {
+        requestSender.start(
+                task,
+                worker,
+                nextRunNumber(task, task.highestRunNumber),
+                advice.usableTicket(task.step, worker));
+        crashTracker.onStartSent(task, worker);
+        lookAhead.onStarted(task, worker);
+        startCount++;
+    }
+
+    /**
+     * Lists the tasks of a step that have records and may start.
      *
      * @param step the step
-     * @return its waiting tasks without those of which an earlier start may still show
+     * @return its waiting tasks with records, without those of which an earlier start may still
+     *     show
      */
     private List<TaskRecord> waitingTasks(StepRecord step) {
         long now = context.now();
         List<TaskRecord> waiting = new ArrayList<>();
-        for (TaskRecord task : step.tasks) {
+        for (TaskRecord task : step.records) {
             if (mayStart(task, now) && !crashTracker.isOutcomePending(task)) {
                 waiting.add(task);
             }
@@ -350,7 +415,10 @@
     private void startGang(StepRecord step) {
         long now = context.now();
         int highestRunNumber = 0;
-        for (TaskRecord task : step.tasks) {
+        if (step.freshWaitingCount() + step.records.recordCount() < step.count()) {
+            return;
+        }
+        for (TaskRecord task : step.records) {
             if (!mayStart(task, now)) {
                 return;
             }
@@ -358,18 +426,19 @@
         }
         List<WorkerRecord> workers = gangPlacement.selectWorkers(step);
         if (workers.isEmpty()) {
-            requestTickets(step.tasks.get(0));
+            requestTickets(step.view(0));
             return;
         }
-        if (!areStartsRecorded(step.tasks, workers)) {
+        List<TaskRecord> members = step.allTasks();
+        if (!areStartsRecorded(members, workers)) {
             return;
         }
-        int runNumber = nextRunNumber(step.tasks.get(0), highestRunNumber);
+        int runNumber = nextRunNumber(members.get(0), highestRunNumber);
         for (int index = 0; index < workers.size(); index++) {
             WorkerRecord worker = workers.get(index);
             requestSender.start(
-                    step.tasks.get(index), worker, runNumber, advice.usableTicket(step, worker));
-            crashTracker.onStartSent(step.tasks.get(index), worker);
+                    members.get(index), worker, runNumber, advice.usableTicket(step, worker));
+            crashTracker.onStartSent(members.get(index), worker);
             startCount++;
         }
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WaitingReporter.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WaitingReporter.java
@@ -152,15 +152,32 @@
         if (before != null && isWaiting(before.task)) {
             return before;
         }
-        for (TaskRecord task : step.tasks) {
+        TaskRecord task = firstWaiting(step);
+        if (task == null) {
+            return null;
+        }
+        WaitingSample sample = new WaitingSample(task, context.now());
+        sample.reportedAtMillis = before == null ? WorkerRecord.NEVER : before.reportedAtMillis;
+        return sample;
+    }
+
+    /**
+     * Returns the first waiting task of a step, which has a record from now on.
+     *
+     * @param step the step
+     * @return the task, or null if none waits
+     */
+    private static @Nullable TaskRecord firstWaiting(StepRecord step) {
+        int fresh = step.freshWaitingCount() == 0 ? step.count() : step.records.nextFresh(0);
+        for (TaskRecord task : step.records) {
+            if (task.id.index() > fresh) {
+                break;
+            }
             if (isWaiting(task)) {
-                WaitingSample sample = new WaitingSample(task, context.now());
-                sample.reportedAtMillis =
-                        before == null ? WorkerRecord.NEVER : before.reportedAtMillis;
-                return sample;
+                return task;
             }
         }
-        return null;
+        return fresh == step.count() ? null : step.task(fresh);
     }
 
     /**
@@ -194,7 +211,12 @@
         List<Object> fields = new ArrayList<>();
         fields.addAll(List.of("cell", context.cell, "step", step.name(), "task", task.id));
         fields.addAll(
-                List.of("waiting", step.tasks.stream().filter(WaitingReporter::isWaiting).count()));
+                List.of(
+                        "waiting",
+                        step.freshWaitingCount()
+                                + step.records.stream()
+                                        .filter(WaitingReporter::isWaiting)
+                                        .count()));
         fields.addAll(List.of("forMillis", now - sample.sinceMillis, "cause", cause));
         fields.addAll(List.of("need", step.spec.reserved()));
         fields.addAll(List.of("maximumPerWorker", step.spec.maximumPerWorker()));
@@ -219,7 +241,8 @@
      * @return the first cause that applies
      */
     private WaitingCause causeOf(TaskRecord task) {
-        WaitingCause cause = causeOfJob(task.step.occurrence.job);
+        StepRecord step = task.step;
+        WaitingCause cause = causeOfJob(step.occurrence.job);
         if (cause != null) {
             return cause;
         }
@@ -237,7 +260,9 @@
         if (crashTracker.isOutcomePending(task)) {
             return WaitingCause.OUTCOME_PENDING;
         }
-        if (task.step.spec.gang() && !task.step.tasks.stream().allMatch(this::mayStart)) {
+        if (step.spec.gang()
+                && (step.freshWaitingCount() + step.records.recordCount() < step.count()
+                        || !step.records.stream().allMatch(this::mayStart))) {
             return WaitingCause.GANG_NOT_READY;
         }
         return task.crashes.isSuspect() ? WaitingCause.SUSPECT : WaitingCause.NO_WORKER;
--- a/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/cell/FillerCpuSharesTest.java
+++ b/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/cell/FillerCpuSharesTest.java
@@ -81,7 +81,7 @@
                                 submission, "route", "dispatch", 0, QueueTerms.UNKNOWN),
                         1,
                         0);
-        TaskRecord task = job.beginOccurrence(0).steps.get(0).tasks.get(0);
+        TaskRecord task = job.beginOccurrence(0).steps.get(0).task(0);
         RunRecord run =
                 new RunRecord(task.id, 1, worker, task, spec.reserved(), RunPhase.RUNNING, 0);
         worker.addRun(run);
--- a/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/cell/ProgressBlocksTest.java
+++ b/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/cell/ProgressBlocksTest.java
@@ -52,7 +52,7 @@
         Job job = createJob(4, 10_000);
         TaskBlocks blocks = job.blocks;
         for (OccurrenceRecord occurrence : job.occurrences.values()) {
-            for (TaskRecord task : occurrence.steps.get(3).tasks) {
+            for (TaskRecord task : occurrence.steps.get(3).allTasks()) {
                 task.failedRunNumbers.addAll(Set.of(RUN, RUN + 1, RUN + 2));
                 task.highestEndedRunNumber = RUN;
                 task.everRan = true;
@@ -132,7 +132,9 @@
     private long bytesPerEnd(int steps, int count, boolean failing) {
         Job job = createJob(steps, count);
         List<TaskRecord> tasks =
-                job.occurrences.get(0).steps.stream().flatMap(step -> step.tasks.stream()).toList();
+                job.occurrences.get(0).steps.stream()
+                        .flatMap(step -> step.allTasks().stream())
+                        .toList();
         long bytes = 0;
         int ends = 0;
         if (failing) {
