Accept nothing for a cell whose owner has no memory left

Change: the owner estimates the memory of its open submissions from above (OpenWork) and publishes the part of its bound (openWorkBytes of CellSettings, half of the heap) with the pending counts, in tens of percent. From 100% on entry VMs answer submissions for the cell with 503, CELL_FULL and Retry-After 5 s, before they are stored; a VM reads the record of the submission first, then only, and treats one that is stored as before.

Conclusion: an owner that is full gets no more. What remains: a stored submission that an owner can't hold is loaded all the same; no share for a team or a queue; a VM that owns several cells has the bound for each.

--- a/damasktiller-library/src/main/java/org/damasktiller/error/ErrorCode.java
+++ b/damasktiller-library/src/main/java/org/damasktiller/error/ErrorCode.java
@@ -22,6 +22,8 @@
     CANCELLED_BEFORE,
     /** No worker is large enough for a task of the submission. */
     UNSERVABLE,
+    /** The owner of the cell has no memory for further submissions. */
+    CELL_FULL,
     /** The key-value service did not answer. */
     STORE_UNAVAILABLE,
     /** The peer sent a message, or the store holds a record, that violates the format. */
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerResponse.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/CallerResponse.java
@@ -46,6 +46,12 @@
      */
     private static final int UNSERVABLE_RETRY_AFTER_SECONDS = 180;
 
+    /**
+     * The Retry-After value of a submission to a full cell, in seconds: its owner publishes twice a
+     * second whether it has room, which work that ends leaves.
+     */
+    private static final int FULL_RETRY_AFTER_SECONDS = 5;
+
     /**
      * Creates the response to an accepted submission.
      *
@@ -154,6 +160,20 @@
                 UNSERVABLE_RETRY_AFTER_SECONDS);
     }
 
+    /**
+     * Creates the response to a submission for which the owner of its cell has no memory. The
+     * request has no effect.
+     *
+     * @return status 503 with the error code CELL_FULL and a Retry-After header
+     */
+    static CallerResponse cellFull() {
+        return new CallerResponse(
+                SERVICE_UNAVAILABLE,
+                CallerCodec.encodeError(
+                        ErrorCode.CELL_FULL, "too much accepted work has not ended yet"),
+                FULL_RETRY_AFTER_SECONDS);
+    }
+
     /**
      * Creates the response to a submission that has a tombstone. It never runs.
      *
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
@@ -4,6 +4,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.damasktiller.scheduler.cell.CellKeys;
 import org.damasktiller.scheduler.cell.CellLayout;
@@ -66,6 +67,9 @@
     /** Returns the largest workers of a service by its name, empty if they are not known. */
     private final Function<String, List<Resources>> largestWorkers;
 
+    /** Refuses submissions to full cells. */
+    private final FullCellCheck fullCells;
+
     /** The longest value of the store, in bytes. */
     private final int valueBytes;
 
@@ -87,6 +91,8 @@
      * @param zone the availability zone of this process; submissions go to its cell
      * @param largestWorkers returns the largest workers of a service by its name, empty if they are
      *     not known
+     * @param fullCells tells of a cell by its name whether its owner has no memory for further
+     *     submissions
      * @param valueBytes the longest value of the store, in bytes
      * @param runtime the clock and the timers
      * @param log the log
@@ -96,6 +102,7 @@
             Supplier<@Nullable CellLayout> layout,
             String zone,
             Function<String, List<Resources>> largestWorkers,
+            Predicate<String> fullCells,
             int valueBytes,
             ProcessRuntime runtime,
             DecisionLog log) {
@@ -103,6 +110,7 @@
         this.layout = layout;
         this.zone = zone;
         this.largestWorkers = largestWorkers;
+        this.fullCells = new FullCellCheck(store, fullCells, log);
         this.valueBytes = valueBytes;
         this.tombstones = new TombstoneWriter(store, runtime, log);
         this.runtime = runtime;
@@ -112,7 +120,8 @@
     /**
      * Stores a submission and responds, at the latest shortly before the caller's deadline. A
      * submission with a task that no worker can hold is rejected, unless it is already stored. So
-     * is one whose record the store can't hold, which therefore never was.
+     * is one for a cell whose owner has no memory for it, and one whose record the store can't
+     * hold, which therefore never was.
      *
      * @param request the request
      * @param submission the submission to store
@@ -140,7 +149,11 @@
             if (accepted.length > valueBytes) {
                 rejectTooLong(request, accepted.length, callback);
             } else {
-                new RetryingWrite(request, accepted, cell, callback).start();
+                fullCells.check(
+                        request,
+                        cell,
+                        () -> new RetryingWrite(request, accepted, cell, callback).start(),
+                        callback);
             }
         } else {
             rejectUnlessStored(request, tooLarge, submission, callback);
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
@@ -260,6 +260,16 @@
         pendingCounts.count(route, callback);
     }
 
+    /**
+     * Returns whether the owner of a cell has no memory for further submissions.
+     *
+     * @param cell the name of the cell
+     * @return whether its last owner has published that
+     */
+    public boolean isFull(String cell) {
+        return context.view().isFull(cell);
+    }
+
     /**
      * Returns the largest workers of a service.
      *
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterView.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterView.java
@@ -227,6 +227,17 @@
         return pendingByCell.values();
     }
 
+    /**
+     * Returns whether the owner of a cell has no memory for further submissions.
+     *
+     * @param cell the name of the cell
+     * @return whether its last owner has published that
+     */
+    public boolean isFull(String cell) {
+        PendingRecord record = pendingByCell.get(cell);
+        return record != null && record.isFull();
+    }
+
     /**
      * Returns the largest workers of some cells.
      *
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -272,6 +272,7 @@
                         clusterMember::layout,
                         settings.zone(),
                         clusterMember::largestWorkers,
+                        clusterMember::isFull,
                         settings.bounds().storeValueBytes(),
                         runtime,
                         log),
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/SubmissionAcceptorTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/SubmissionAcceptorTest.java
@@ -48,6 +48,9 @@
     /** The largest workers of the service, empty while they are not known. */
     private List<Resources> largestWorkers = List.of();
 
+    /** Whether the cell is full. */
+    private boolean full;
+
     /** What each task of the submission needs. */
     private Resources need = Resources.NONE;
 
@@ -198,6 +201,40 @@
         assertThat(store.value(CellKeys.submission(ID)), nullValue());
     }
 
+    /** What an owner had no memory for was stored, and ended each owner in turn. */
+    @Test
+    void submissionToAFullCellIsRefusedAndNotStored() {
+        full = true;
+        submit(List.of());
+        assertThat(status(), equalTo(503));
+        assertThat(responses.get(0).retryAfterSeconds(), equalTo(5));
+        assertThat(
+                new String(responses.get(0).body(), StandardCharsets.UTF_8).contains("cell_full"),
+                equalTo(true));
+        assertThat(store.list("", "").items().size(), equalTo(0));
+        full = false;
+        submit(List.of());
+        assertThat(status(), equalTo(200));
+    }
+
+    /** What is stored runs, so that a refusal would be untrue. */
+    @Test
+    void storedSubmissionIsNotRefusedOnceItsCellIsFull() {
+        submit(List.of());
+        full = true;
+        submit(List.of());
+        assertThat(status(), equalTo(200));
+    }
+
+    /** The store may have the submission, which only a write tells then. */
+    @Test
+    void submissionToAFullCellIsNotRefusedWhileTheStoreDoesNotTellWhetherItIsKnown() {
+        submit(List.of());
+        full = true;
+        submit(List.of(CallFault.LOST));
+        assertThat(status(), equalTo(200));
+    }
+
     /**
      * Submits the submission and advances the clock by 4 s, 1 s beyond the caller's deadline.
      *
@@ -219,6 +256,7 @@
                         () -> layout,
                         "a",
                         service -> largestWorkers,
+                        cell -> full,
                         valueBytes,
                         runtime,
                         (event, fields) -> {});
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/TestVm.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/TestVm.java
@@ -119,6 +119,7 @@
                                 member::layout,
                                 ZONE,
                                 member::largestWorkers,
+                                member::isFull,
                                 1 << 20,
                                 runtime,
                                 (event, fields) -> {}),
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/UnknownSubmissionCancelTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/UnknownSubmissionCancelTest.java
@@ -414,6 +414,7 @@
                         () -> layout,
                         "a",
                         service -> largestWorkers,
+                        cell -> false,
                         1 << 20,
                         runtime,
                         (event, fields) -> {})
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellSettings.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellSettings.java
@@ -27,6 +27,12 @@
     /** The longest value of the store, in bytes. */
     private final int valueBytes;
 
+    /**
+     * The memory that the open submissions of a cell may take before entry VMs accept no more for
+     * it, in bytes.
+     */
+    private final long openWorkBytes;
+
     /** The shortest time between two commits, in milliseconds. */
     private final long commitIntervalMillis;
 
@@ -81,6 +87,7 @@
         pollWaitMillis = builder.pollWaitMillis;
         pollRetryMillis = builder.pollRetryMillis;
         valueBytes = builder.valueBytes;
+        openWorkBytes = builder.openWorkBytes;
         commitIntervalMillis = builder.commitIntervalMillis;
         ownershipCheckIntervalMillis = builder.ownershipCheckIntervalMillis;
         halfTickMillis = builder.halfTickMillis;
@@ -156,6 +163,16 @@
         return valueBytes;
     }
 
+    /**
+     * Returns the memory that the open submissions of a cell may take before entry VMs accept no
+     * more for it.
+     *
+     * @return the memory, in bytes
+     */
+    public long openWorkBytes() {
+        return openWorkBytes;
+    }
+
     /**
      * Returns the shortest time between two commits.
      *
@@ -269,6 +286,9 @@
         /** The default length of the longest value, given by the platform's documentation. */
         private int valueBytes = 1_048_576;
 
+        /** The default memory of open submissions: half of the heap. */
+        private long openWorkBytes = Runtime.getRuntime().maxMemory() / 2;
+
         /** The default time between commits: they use 1/14 of the smallest store's write rate. */
         private long commitIntervalMillis = 35;
 
@@ -310,6 +330,18 @@
             return this;
         }
 
+        /**
+         * Sets the memory that the open submissions of a cell may take before entry VMs accept no
+         * more for it.
+         *
+         * @param bytes the memory, in bytes, greater than 0
+         * @return this builder
+         */
+        public Builder openWorkBytes(long bytes) {
+            openWorkBytes = bytes;
+            return this;
+        }
+
         /**
          * Sets how long a worker may run tasks without a new lease from the owner.
          *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CountPublisher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CountPublisher.java
@@ -26,6 +26,12 @@
      */
     private static final long FIRST_ANSWER_MILLIS = 10_000;
 
+    /**
+     * The step in which the use of the memory for open submissions is published, in percent, which
+     * bounds how often it changes.
+     */
+    private static final int MEMORY_STEP_PERCENT = 10;
+
     /** The shortest time between two changes of the published room, in milliseconds. */
     private static final long ROOMS_INTERVAL_MILLIS = 1_000;
 
@@ -38,6 +44,9 @@
     /** Sums up the free room of the workers. */
     private final FreeRooms freeRooms;
 
+    /** Estimates the memory that the open submissions take. */
+    private final OpenWork openWork;
+
     /** The free room that is published, or about to be. */
     private CellRoom room = CellRoom.NONE;
 
@@ -70,6 +79,7 @@
         this.context = context;
         this.jobTracker = jobTracker;
         this.freeRooms = freeRooms;
+        this.openWork = new OpenWork(context);
         this.storedRecord =
                 new RewrittenRecord(
                         context,
@@ -113,14 +123,47 @@
                         room.dividedSteps(),
                         context.settings.policies().isEnabled(Policy.TASK_MOVES)
                                 ? room.idleWorkers()
-                                : null);
+                                : null,
+                        memoryPercent());
         if (!record.equals(published)) {
+            logIfFullChanges(record);
             published = record;
             storedRecord.write(StoredValueCodec.encode(record));
         }
         context.schedule(PUBLISH_INTERVAL_MILLIS, this::start);
     }
 
+    /**
+     * Returns how much of the memory for open submissions is in use.
+     *
+     * @return the use in percent, rounded down to the published steps
+     */
+    private int memoryPercent() {
+        int percent = openWork.percent();
+        return percent - percent % MEMORY_STEP_PERCENT;
+    }
+
+    /**
+     * Logs that the memory for open submissions is used up, or that there is room again.
+     *
+     * @param record what is about to be published
+     */
+    private void logIfFullChanges(PendingRecord record) {
+        boolean wasFull = published != null && published.isFull();
+        if (record.isFull() != wasFull) {
+            context.log.log(
+                    record.isFull() ? "cell.full" : "cell.has-room",
+                    "cell",
+                    context.cell,
+                    "submissions",
+                    context.jobs.size(),
+                    "percent",
+                    record.memoryPercent(),
+                    "bytes",
+                    context.settings.openWorkBytes());
+        }
+    }
+
     /**
      * Returns the capacities of the largest workers that count now.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
@@ -34,6 +34,9 @@
     /** The store revision of the submission's entry in the cell, as of the last reading. */
     long openRevision;
 
+    /** The length of the submission's entry in the cell when it was read first, in bytes. */
+    int entryBytes;
+
     /** The tasks that have their home in the cell, or null if no task has ever moved. */
     @Nullable SubmissionPart part;
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PendingRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PendingRecord.java
@@ -20,6 +20,8 @@
  *     without an entry has an unknown share
  * @param idleRooms the room of workers of which less than half is in use, or null if the owner
  *     takes no submissions from other cells, as those of earlier releases
+ * @param memoryPercent how much of the memory for open submissions is in use, in percent rounded
+ *     down to tens; 0 from an owner of an earlier release
  */
 public record PendingRecord(
         Map<String, Integer> byRoute,
@@ -27,7 +29,11 @@
         long generation,
         List<WorkerRoom> rooms,
         List<DividedStep> dividedSteps,
-        @Nullable List<WorkerRoom> idleRooms) {
+        @Nullable List<WorkerRoom> idleRooms,
+        int memoryPercent) {
+
+    /** The use of the memory for open submissions from which on the cell is full, in percent. */
+    private static final int FULL_PERCENT = 100;
 
     /** Copies the counts, sorted by route name, and the lists, which older records lack. */
     @SuppressWarnings("ConstantConditions")
@@ -39,6 +45,15 @@
         idleRooms = idleRooms == null ? null : List.copyOf(idleRooms);
     }
 
+    /**
+     * Returns whether the owner has no memory for further submissions.
+     *
+     * @return whether entry VMs should accept none for the cell
+     */
+    public boolean isFull() {
+        return memoryPercent >= FULL_PERCENT;
+    }
+
     /**
      * Returns how many slots of the room tasks of a step take or may still take.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionWatcher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionWatcher.java
@@ -177,6 +177,7 @@
                 SubmissionAge.estimateMillis(
                         accepted.acceptedUnixMillis(), context.runtime.unixMillis());
         Job job = new Job(accepted, item.revision(), context.now() - ageMillis);
+        job.entryBytes = item.value().length;
         logPart(job);
         listener.onSubmission(job);
     }
--- a/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/cell/PendingRecordTest.java
+++ b/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/cell/PendingRecordTest.java
@@ -49,6 +49,7 @@
                                 older.getBytes(StandardCharsets.UTF_8), PendingRecord.class));
 
         assertThat(record.slotsTaken("step", 3), equalTo(3));
+        assertThat(record.isFull(), equalTo(false));
     }
 
     @Test
@@ -77,6 +78,6 @@
      * @return the record
      */
     private static PendingRecord record(List<DividedStep> dividedSteps) {
-        return new PendingRecord(Map.of(), List.of(), 1, List.of(), dividedSteps, null);
+        return new PendingRecord(Map.of(), List.of(), 1, List.of(), dividedSteps, null, 0);
     }
 }
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/CellSimulation.java
@@ -164,6 +164,9 @@
     /** The policies that are in force. */
     PolicySet policies = PolicySet.ALL;
 
+    /** The memory that the open submissions of a cell may take, in bytes. */
+    long openWorkBytes = CellSettings.builder().build().openWorkBytes();
+
     /** How soon an evacuation must be in effect, in milliseconds, or 0 if zones never are. */
     long evacuationBoundMillis;
 
@@ -542,6 +545,7 @@
                         CellSettings.builder()
                                 .evacuationBoundMillis(evacuationBoundMillis)
                                 .policies(policies)
+                                .openWorkBytes(openWorkBytes)
                                 .build(),
                         storeClient,
                         workerClient,
