--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -286,6 +286,7 @@
                         clusterMember::layout,
                         settings.zone(),
                         clusterMember::largestWorkers,
+                        clusterMember::isFull,
                         settings.bounds().storeValueBytes(),
                         runtime,
                         log),
