--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/model/Submission.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/model/Submission.java
@@ -20,7 +20,7 @@
 public record Submission(
         String id,
         String payload,
-        List<StepSpec> steps,
+        @JsonInclude(JsonInclude.Include.ALWAYS) List<StepSpec> steps,
         long firstDueUnixMillis,
         int occurrences,
         long intervalMillis) {
