--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -35,9 +35,7 @@
     /** The time between two checks of the whole roster, in milliseconds. */
     private static final long ROSTER_CHECK_INTERVAL_MILLIS = 200;
 
-    /**
-     * The longest time for which an owner that ends its term waits for the store, in milliseconds.
-     */
+    /** How long an owner that ends its term waits for the store at most, in milliseconds. */
     private static final long HAND_OVER_TIMEOUT_MILLIS = 300;
 
     /** How long a worker gets no new tasks after a failed poll, in milliseconds. */
