--- a/damasktiller-lab/src/test/java/org/damasktiller/lab/crowd/HostileCallersTest.java
+++ b/damasktiller-lab/src/test/java/org/damasktiller/lab/crowd/HostileCallersTest.java
@@ -127,6 +127,16 @@
         assertOutlasts(HostileKind.LARGE_HEADS, LARGE_BODY_BYTES, MANY_DESCRIPTORS);
     }
 
+    @Test
+    void largeHeadsBeforeBodiesDoNotEndTheProcess() throws IOException {
+        assertOutlasts(HostileKind.HEADS_BEFORE_BODIES, SMALL_BODY_BYTES, MANY_DESCRIPTORS);
+    }
+
+    @Test
+    void compressedBodiesDoNotEndTheProcess() throws IOException {
+        assertOutlasts(HostileKind.COMPRESSED, LARGE_BODY_BYTES, MANY_DESCRIPTORS);
+    }
+
     @Test
     void connectionsThatStayOpenDoNotUseUpTheDescriptors() throws IOException {
         assertOutlasts(HostileKind.WHOLE_BODIES, SMALL_BODY_BYTES, FEW_DESCRIPTORS);
