--- a/damasktiller-node/src/main/java/org/damasktiller/node/intake/RequestHead.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/intake/RequestHead.java
@@ -10,6 +10,12 @@
     /** The size of the buffer that holds the first bytes of a head, in bytes. */
     private static final long FIRST_BUFFER_BYTES = 16 << 10;
 
+    /**
+     * The largest head, in bytes: twice the buffer into which a connection is read, which may hold
+     * the begin of the body as well.
+     */
+    private static final long MAX_BYTES = 32 << 10;
+
     /** The connection. */
     private final TcpSocket socket;
 
@@ -64,7 +70,9 @@
             budget.begin(this);
         }
         arrivedBytes += count;
-        if (!budget.tryHold(this, Math.max(FIRST_BUFFER_BYTES, arrivedBytes))) {
+        if (arrivedBytes > MAX_BYTES) {
+            giveUp(BodyRejection.TOO_LARGE);
+        } else if (!budget.tryHold(this, Math.max(FIRST_BUFFER_BYTES, arrivedBytes))) {
             giveUp(BodyRejection.NO_ROOM);
         }
     }
