--- a/damasktiller-node/src/main/java/org/damasktiller/node/intake/Intake.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/intake/Intake.java
@@ -6,11 +6,16 @@
 /**
  * What bounds the requests of a process.
  *
- * @param bodies reads the bodies of requests
+ * @param bodies reads the bodies of callers' requests
+ * @param peerBodies reads the bodies of peers' requests, which callers can't displace
  * @param heads counts the incomplete heads of the requests of callers
  * @param connections decides which connections of callers are accepted
  */
-public record Intake(BodyReader bodies, RequestHeads heads, ConnectionLimiter connections) {
+public record Intake(
+        BodyReader bodies,
+        BodyReader peerBodies,
+        RequestHeads heads,
+        ConnectionLimiter connections) {
 
     /**
      * Creates the bounds of this process by the size of its heap and the number of descriptors.
@@ -34,6 +39,7 @@
                 limits.connections());
         return new Intake(
                 new BodyReader(budget, runtime, log),
+                new BodyReader(new IntakeBudget(limits, runtime), runtime, log),
                 new RequestHeads(budget, runtime, log),
                 new ConnectionLimiter(limits, budget, log));
     }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -182,7 +182,8 @@
                 peerAddress == null
                         ? null
                         : servers.create(
-                                new RelayServlet(callerServlet, bodies, runtime, log), peerAddress);
+                                new RelayServlet(callerServlet, intake.peerBodies(), runtime, log),
+                                peerAddress);
         callerServer = servers.createForCallers(callerServlet, settings.callerAddress(), intake);
         readinessServer =
                 servers.create(
