Hold confirmed tasks beside a start to a former boot (TWICE)

Callers saw a task run twice: its worker had restarted under its identifier with a start on its way, the task ran on the new boot, the worker was cut off, and the owner handed over in order.

Cause: the roster releases tasks whose starts are all confirmed with the leases of the worker, since every lease is counted when it is sent. That holds at one boot. A start that was sent to a former boot carries a time on that boot's clock; at the next boot the clock starts anew, the time lies ahead, and the start extends the leases of all runs there, up to the longest lease of the platform.

While such a start may arrive, no task of the worker is released before the remaining time of the entry, as before.

LostWorkerStartTest, RosterRecordTest, TakeoverMatrixTest, TakeoverSeriesTest, UnstoredRosterTest, ReplacedWorkerTest and LateStartAfterRestartTest pass; other tests were not run.

--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Roster.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Roster.java
@@ -257,15 +257,21 @@
     }
 
     /**
-     * Lists the tasks of a worker that are over with its present leases, if some are not.
+     * Lists the tasks of a worker that are over with its present leases, if some are not. A start
+     * that was sent to a former boot may extend the leases of all runs: it carries a time on the
+     * clock of that boot, which lies ahead on the present one.
      *
      * @param worker the worker, of which all ends are stored
-     * @return the tasks without a start that may still arrive; empty if there is no such start
+     * @return the tasks without a start that may still arrive; empty if there is no such start, or
+     *     one to a former boot
      */
     private static Set<TaskId> confirmedTasks(WorkerRecord worker) {
         Set<TaskId> confirmed = new HashSet<>();
         Set<TaskId> uncertain = new HashSet<>();
         for (RunRecord run : worker.runs.values()) {
+            if (run.mayArrive() && run.sentToFormerBoot) {
+                return Set.of();
+            }
             (run.mayArrive() ? uncertain : confirmed).add(run.taskId);
         }
         confirmed.removeAll(uncertain);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/RunRecord.java
@@ -40,6 +40,12 @@
     /** Whether the worker has confirmed the run, so that its start request has arrived. */
     boolean confirmed;
 
+    /**
+     * Whether the start request was sent to a former boot of the worker and may still arrive at a
+     * later one.
+     */
+    boolean sentToFormerBoot;
+
     /** The state of the run as known to this owner. */
     RunPhase phase;
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerPoller.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerPoller.java
@@ -206,6 +206,7 @@
             if (record.mayArrive()) {
                 record.phase = RunPhase.UNCERTAIN;
                 record.stopAcknowledged = false;
+                record.sentToFormerBoot = true;
                 record.firstConclusivePoll = worker.lastPollNumber + 1;
             } else {
                 jobTracker.applyLoss(record, "the worker restarted");
