Add known-red tests of a start that extends leases on a later boot (TWICE)

A start that was sent to a former boot and arrives at the next one under the identifier extends the leases of all runs there, since its time is one of the former clock. An owner that stays counts only the lease that it meant to grant. If the worker is cut off before the start arrives, its confirmed tasks are started elsewhere while they still run. If the new boot has acknowledged a stop of the late run, the owner does not keep the start at all, but a start that is refused as old extends the leases as well.

--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/LateStartExtendsLeasesTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/LateStartExtendsLeasesTest.java
@@ -9,6 +9,7 @@
 import org.damasktiller.standin.metadata.CallFault;
 import org.damasktiller.standin.metadata.FaultPlan;
 import org.damasktiller.verification.owner.CellSimulation.OwnerProcess;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -39,6 +40,9 @@
     /** Whether starts are late. */
     private final AtomicBoolean late = new AtomicBoolean();
 
+    /** Whether the requests to stop runs are lost. */
+    private final AtomicBoolean stopsLost = new AtomicBoolean(true);
+
     /** The confirmed task ran elsewhere while the late start kept it active on its worker. */
     @Test
     void confirmedTaskDoesNotRunTwiceAfterAHandOver() {
@@ -54,6 +58,29 @@
                 simulation.invariants.activeRunCount(new TaskId(CONFIRMED, 0, 0, 0)), equalTo(1));
     }
 
+    /** The same with an owner that stays. */
+    @Test
+    @Tag("known-red")
+    void confirmedTaskDoesNotRunTwiceWithOneOwner() {
+        cutOffWithConfirmedTask();
+        simulation.runtime.advance(15_000);
+        assertThat(simulation.invariants.violations(), empty());
+        assertThat(
+                simulation.invariants.activeRunCount(new TaskId(CONFIRMED, 0, 0, 0)), equalTo(1));
+    }
+
+    /** The same with an owner that stays, and a new boot that has acknowledged the stop. */
+    @Test
+    @Tag("known-red")
+    void confirmedTaskDoesNotRunTwiceAfterAnAcknowledgedStop() {
+        stopsLost.set(false);
+        cutOffWithConfirmedTask();
+        simulation.runtime.advance(15_000);
+        assertThat(simulation.invariants.violations(), empty());
+        assertThat(
+                simulation.invariants.activeRunCount(new TaskId(CONFIRMED, 0, 0, 0)), equalTo(1));
+    }
+
     /**
      * Restarts a worker with a start on its way, runs a task on the new boot, and cuts the worker
      * off before the start arrives.
@@ -68,7 +95,9 @@
                             if (call.equals("start") && late.getAndSet(false)) {
                                 return CallFault.LATE;
                             }
-                            return call.equals("stop") ? CallFault.LOST : CallFault.ANSWERED;
+                            return call.equals("stop") && stopsLost.get()
+                                    ? CallFault.LOST
+                                    : CallFault.ANSWERED;
                         });
         simulation.runtime.advance(FORMER_BOOT_MILLIS);
         late.set(true);
