--- a/damasktiller-node/src/main/java/org/damasktiller/node/intake/BodyRejection.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/intake/BodyRejection.java
@@ -1,6 +1,6 @@
 package org.damasktiller.node.intake;
 
-/** Why the body of a request is not read to its end. */
+/** Why the body or the head of a request is not read to its end. */
 public enum BodyRejection {
     /** It exceeds its limit, by what it announces or by what was sent. */
     TOO_LARGE,
--- a/damasktiller-node/src/main/java/org/damasktiller/node/intake/IncomingBody.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/intake/IncomingBody.java
@@ -17,7 +17,7 @@
  * that it takes the memory and the time of its bytes, however they are split. After it has been
  * given up, the rest of it is read and dropped, so that the caller can receive the refusal.
  */
-public final class IncomingBody extends BodyHolding {
+public final class IncomingBody extends IntakeHolding {
 
     /** What the connection of an incomplete body holds beside it, in bytes. */
     private static final int CONNECTION_BYTES = 16 << 10;
--- a/damasktiller-node/src/main/java/org/damasktiller/node/intake/IntakeBudget.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/intake/IntakeBudget.java
@@ -8,9 +8,9 @@
 import org.damasktiller.scheduler.port.ProcessRuntime;
 
 /**
- * Divides the memory for the bodies of requests among them. When it is used up, the incomplete body
- * that holds most and has made no progress for longest is given up first. Runs on the thread of the
- * event loop.
+ * Divides the memory for requests among their bodies and incomplete heads, called holdings here.
+ * When it is used up, the incomplete one that holds most and has made no progress for longest is
+ * given up first. Runs on the thread of the event loop.
  */
 public final class IntakeBudget {
 
@@ -18,7 +18,7 @@
     private static final long CHECK_MILLIS = 500;
 
     /** Puts the body first that holds most without progress; the product of size and time. */
-    private final Comparator<BodyHolding> mostWithoutProgress;
+    private final Comparator<IntakeHolding> mostWithoutProgress;
 
     /** The limits. */
     private final IntakeLimits limits;
@@ -27,10 +27,10 @@
     private final ProcessRuntime runtime;
 
     /** The bodies that have not been read to their ends, in the order of their begin. */
-    private final Set<BodyHolding> incomplete = new LinkedHashSet<>();
+    private final Set<IntakeHolding> incomplete = new LinkedHashSet<>();
 
     /** The bodies that were given up and whose connections are open, in the order of that. */
-    private final Set<BodyHolding> givenUp = new LinkedHashSet<>();
+    private final Set<IntakeHolding> givenUp = new LinkedHashSet<>();
 
     /** The memory that all bodies hold, in bytes. */
     private long usedBytes;
@@ -51,12 +51,12 @@
         this.limits = limits;
         this.runtime = runtime;
         mostWithoutProgress =
-                Comparator.<BodyHolding>comparingLong(
+                Comparator.<IntakeHolding>comparingLong(
                                 holding ->
                                         holding.bytes()
                                                 * (runtime.nowMillis()
                                                         - holding.lastProgressMillis()))
-                        .thenComparingLong(BodyHolding::bytes);
+                        .thenComparingLong(IntakeHolding::bytes);
     }
 
     /**
@@ -82,7 +82,7 @@
      *
      * @param holding the body
      */
-    void begin(BodyHolding holding) {
+    void begin(IntakeHolding holding) {
         incomplete.add(holding);
         scheduleCheck();
     }
@@ -92,7 +92,7 @@
      *
      * @param holding the body
      */
-    void complete(BodyHolding holding) {
+    void complete(IntakeHolding holding) {
         incomplete.remove(holding);
     }
 
@@ -101,7 +101,7 @@
      *
      * @param holding the body, whose connection is still open
      */
-    void abandon(BodyHolding holding) {
+    void abandon(IntakeHolding holding) {
         incomplete.remove(holding);
         release(holding);
         givenUp.add(holding);
@@ -112,7 +112,7 @@
      *
      * @param holding the body
      */
-    void end(BodyHolding holding) {
+    void end(IntakeHolding holding) {
         givenUp.remove(holding);
     }
 
@@ -124,9 +124,9 @@
      * @param bytes the memory that it needs, in bytes
      * @return whether it has that; if not, it holds as much as before
      */
-    boolean tryHold(BodyHolding holding, long bytes) {
+    boolean tryHold(IntakeHolding holding, long bytes) {
         while (!fits(holding, bytes)) {
-            Optional<BodyHolding> victim = victimFor(holding, bytes);
+            Optional<IntakeHolding> victim = victimFor(holding, bytes);
             if (victim.isEmpty()) {
                 return false;
             }
@@ -141,7 +141,7 @@
      *
      * @param holding the body
      */
-    void release(BodyHolding holding) {
+    void release(IntakeHolding holding) {
         set(holding, 0);
     }
 
@@ -152,7 +152,7 @@
      * @return whether there was one
      */
     public boolean closeConnection() {
-        Optional<BodyHolding> victim =
+        Optional<IntakeHolding> victim =
                 givenUp.isEmpty()
                         ? incomplete.stream().max(mostWithoutProgress)
                         : Optional.of(givenUp.iterator().next());
@@ -174,7 +174,7 @@
      * @param bytes the size, in bytes
      * @return whether there is room
      */
-    private boolean fits(BodyHolding holding, long bytes) {
+    private boolean fits(IntakeHolding holding, long bytes) {
         return usedBytes - holding.bytes() + bytes <= limits.bodyBytes()
                 && !exceedsLargeShare(holding, bytes);
     }
@@ -186,8 +186,8 @@
      * @param bytes the size that it needs, in bytes
      * @return whether there is no room among the large bodies
      */
-    private boolean exceedsLargeShare(BodyHolding holding, long bytes) {
-        long large = BodyHolding.largePart(bytes);
+    private boolean exceedsLargeShare(IntakeHolding holding, long bytes) {
+        long large = IntakeHolding.largePart(bytes);
         return large > 0 && usedLargeBytes - holding.largeBytes() + large > limits.largeBodyBytes();
     }
 
@@ -198,7 +198,7 @@
      * @param bytes the size that it needs, in bytes
      * @return the body to give up, empty if none helps
      */
-    private Optional<BodyHolding> victimFor(BodyHolding holding, long bytes) {
+    private Optional<IntakeHolding> victimFor(IntakeHolding holding, long bytes) {
         boolean onlyLarge = exceedsLargeShare(holding, bytes);
         return incomplete.stream()
                 .filter(other -> other != holding && other.bytes() > 0)
@@ -212,7 +212,7 @@
      * @param holding the body
      * @param bytes the size, in bytes
      */
-    private void set(BodyHolding holding, long bytes) {
+    private void set(IntakeHolding holding, long bytes) {
         usedBytes -= holding.bytes();
         usedLargeBytes -= holding.largeBytes();
         holding.setBytes(bytes);
@@ -232,7 +232,7 @@
     private void check() {
         checkScheduled = false;
         long nowMillis = runtime.nowMillis();
-        for (BodyHolding holding : new ArrayList<>(incomplete)) {
+        for (IntakeHolding holding : new ArrayList<>(incomplete)) {
             if (nowMillis >= holding.dueMillis()) {
                 holding.giveUp(BodyRejection.TOO_SLOW);
             } else if (nowMillis - holding.lastProgressMillis() >= limits.idleMillis()) {
--- a/damasktiller-node/src/main/java/org/damasktiller/node/intake/BodyHolding.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/intake/IntakeHolding.java
@@ -1,7 +1,7 @@
 package org.damasktiller.node.intake;
 
-/** What one request holds of the memory for bodies. */
-abstract class BodyHolding {
+/** What the body or the incomplete head of one request holds of the memory for requests. */
+abstract class IntakeHolding {
 
     /** The memory that is held, in bytes. */
     private long bytes;
@@ -44,26 +44,26 @@
     }
 
     /**
-     * Returns when the last part of the body arrived.
+     * Returns when the last part arrived.
      *
      * @return the time on the monotonic clock, in milliseconds
      */
     abstract long lastProgressMillis();
 
     /**
-     * Returns when the body has to have ended.
+     * Returns when the end has to have arrived.
      *
      * @return the time on the monotonic clock, in milliseconds
      */
     abstract long dueMillis();
 
     /**
-     * Stops reading the body. The request is refused.
+     * Stops reading. The request is refused, or its connection is closed.
      *
      * @param rejection the reason
      */
     abstract void giveUp(BodyRejection rejection);
 
-    /** Closes the connection on which the rest of the body arrives. */
+    /** Closes the connection on which the rest arrives. */
     abstract void closeConnection();
 }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/intake/RequestHead.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/intake/RequestHead.java
@@ -5,7 +5,7 @@
 import org.damasktiller.scheduler.port.ProcessRuntime;
 
 /** What a connection holds of the heads of its requests before they are complete, one at a time. */
-final class RequestHead extends BodyHolding {
+final class RequestHead extends IntakeHolding {
 
     /** The size of the buffer that holds the first bytes of a head, in bytes. */
     private static final long FIRST_BUFFER_BYTES = 16 << 10;
--- a/damasktiller-node/src/test/java/org/damasktiller/node/intake/IntakeBudgetTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/intake/IntakeBudgetTest.java
@@ -117,7 +117,7 @@
     }
 
     /** A body that records what happens to it. */
-    private final class Body extends BodyHolding {
+    private final class Body extends IntakeHolding {
 
         private final String name;
 
