Give the kinds of hostile callers defaults, and keep a platform name out of a test

Cause: four kinds of callers repeated the framing of a plain body, and two the headers that nobody reads; a test of damasktiller-node named a field of the platform's pages, which are decoded in platform/. Change: HostileKind has the plain body as its default and one method for the headers; the test's field is called number. What the kinds send, their crowd and their bounds are the same. Measured: HostileCallersTest (10 cases), CrowdCommandTest and RelayedRequestTest pass.

--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/crowd/HostileKind.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/crowd/HostileKind.java
@@ -10,29 +10,9 @@
 /** What a hostile caller sends. The size of its body is given with each request. */
 public enum HostileKind {
     /** A body of legal size, sent at once. */
-    WHOLE_BODIES {
-        @Override
-        byte[] framed(byte[] body) {
-            return body;
-        }
-
-        @Override
-        String framing(int bodyBytes) {
-            return contentLength(bodyBytes);
-        }
-    },
+    WHOLE_BODIES,
     /** A body of legal size, sent in small pieces in turn with those of the other callers. */
     PIECES {
-        @Override
-        byte[] framed(byte[] body) {
-            return body;
-        }
-
-        @Override
-        String framing(int bodyBytes) {
-            return contentLength(bodyBytes);
-        }
-
         @Override
         int pieceBytes() {
             return SMALL_PIECE_BYTES;
@@ -64,11 +44,6 @@
     },
     /** A body that announces a gigabyte and sends less. */
     ANNOUNCED_TOO_LARGE {
-        @Override
-        byte[] framed(byte[] body) {
-            return body;
-        }
-
         @Override
         String framing(int bodyBytes) {
             return contentLength(TOO_LARGE_BYTES);
@@ -98,29 +73,14 @@
 
         @Override
         String framing(int bodyBytes) {
-            StringBuilder lines = new StringBuilder("Content-Length: 0");
-            for (int number = 0; number < HEAD_LINES; number++) {
-                lines.append("\r\nX-Note-").append(number).append(": ");
-                lines.append("x".repeat(bodyBytes / HEAD_LINES));
-            }
-            return lines.toString();
+            return contentLength(0) + fields(HEAD_LINES, bodyBytes / HEAD_LINES);
         }
     },
     /** A body of legal size after a large head: twenty fields of 15 KB that nobody reads. */
     HEADS_BEFORE_BODIES {
-        @Override
-        byte[] framed(byte[] body) {
-            return body;
-        }
-
         @Override
         String framing(int bodyBytes) {
-            StringBuilder fields = new StringBuilder(contentLength(bodyBytes));
-            for (int number = 0; number < HEAD_FIELDS; number++) {
-                fields.append("\r\nX-Note-").append(number).append(": ");
-                fields.append("x".repeat(HEAD_FIELD_BYTES));
-            }
-            return fields.toString();
+            return contentLength(bodyBytes) + fields(HEAD_FIELDS, HEAD_FIELD_BYTES);
         }
     },
     /** A compressed body whose size within the limit stands for a thousand times as much. */
@@ -182,15 +142,19 @@
      * @param body the body
      * @return what follows the head on the connection
      */
-    abstract byte[] framed(byte[] body);
+    byte[] framed(byte[] body) {
+        return body;
+    }
 
     /**
-     * Returns the header that tells the end of the body.
+     * Returns the header that tells the end of the body, and others if this caller sends some.
      *
      * @param bodyBytes the size of the body, in bytes
-     * @return the header without its line end
+     * @return the headers without the last line end
      */
-    abstract String framing(int bodyBytes);
+    String framing(int bodyBytes) {
+        return contentLength(bodyBytes);
+    }
 
     /**
      * Returns how much is sent at a time.
@@ -211,6 +175,21 @@
         return "Content-Length: " + bytes;
     }
 
+    /**
+     * Returns headers that nobody reads.
+     *
+     * @param count the number of headers
+     * @param bytes the size of the value of each, in bytes
+     * @return the headers, each after a line end
+     */
+    private static String fields(int count, int bytes) {
+        StringBuilder lines = new StringBuilder();
+        for (int number = 0; number < count; number++) {
+            lines.append("\r\nX-Note-").append(number).append(": ").append("x".repeat(bytes));
+        }
+        return lines.toString();
+    }
+
     /**
      * Splits a body into chunks.
      *
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/RelayedRequestTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/RelayedRequestTest.java
@@ -109,12 +109,12 @@
     // The number became infinite and was sent as text, which the peer's decoder took for 0.
     @Test
     void numberTooLargeForTheDecoderIsNotPassedOnAsText() throws Exception {
-        byte[] bytes = "{\"estimate_ms\":1e400}".getBytes(StandardCharsets.UTF_8);
+        byte[] bytes = "{\"number\":1e400}".getBytes(StandardCharsets.UTF_8);
         RelayedRequest request =
                 new RelayedRequest("POST", "host", "/q/id", 1_200, 7, JsonBodies.readAsText(bytes));
         byte[] message = JsonBodies.write(request.encode());
         JsonNode number =
-                RelayedRequest.decode(JsonBodies.readRelayed(message)).body().path("estimate_ms");
+                RelayedRequest.decode(JsonBodies.readRelayed(message)).body().path("number");
         assertThat(number.isNumber(), equalTo(true));
     }
 
