--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -46,6 +46,7 @@
     private long leaseEnd;
     private long beats;
     private volatile boolean alive = true;
+    private volatile boolean dark;
     private volatile boolean draining;
     private final Net.Server server;
 
@@ -108,8 +109,18 @@
 
     /** Ends this life without a word; the entry goes after three intervals of silence. */
     void crash() {
-        alive = false;
         server.close();
+        end();
+    }
+
+    /** Ends this life; nothing at its address answers or refuses any more. */
+    void goDark() {
+        dark = true;
+        end();
+    }
+
+    private void end() {
+        alive = false;
         synchronized (this) {
             for (Run run : running.values()) {
                 run.over = true;
@@ -134,20 +145,38 @@
         return alive;
     }
 
+    /** Lets everything that runs here fail through its own fault. */
+    synchronized void failRuns() {
+        for (Run run : new ArrayList<>(running.values())) {
+            finish(run, "failed", saved(run));
+        }
+    }
+
     synchronized int runCount() {
         return running.size();
     }
 
+    synchronized boolean runs(String task) {
+        return running.containsKey(task);
+    }
+
     private long usedCpu() {
         return running.values().stream().mapToLong(run -> run.kind.cpu()).sum();
     }
 
     private Net.Response handle(Net.Request request) throws InterruptedException {
+        while (dark) {
+            Thread.sleep(1_000);
+        }
         Net.Response replaced = fault.apply(request);
         if (replaced != null) {
             return replaced == Store.DROP ? null : replaced;
         }
-        return carryOut(request);
+        Net.Response response = carryOut(request);
+        while (dark) {
+            Thread.sleep(1_000);
+        }
+        return response;
     }
 
     /** Carries a call out. */
