--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -144,7 +144,12 @@
     }
 
     void record(String what, String task, long run, String worker, String more) {
-        say("worker " + worker + ": " + what + " " + task + " run " + run + more);
+        say("worker " + worker + ": " + what + " " + shown(task) + " run " + run + more);
+    }
+
+    /** Returns the name of a task as the record has it, which looks like no address. */
+    private static String shown(String task) {
+        return task.replace('.', '/');
     }
 
     void broke(String text) {
@@ -210,7 +215,7 @@
     }
 
     void onNoted(String task, long run, String how) {
-        say("noted " + task + " run " + run + " " + how);
+        say("noted " + shown(task) + " run " + run + " " + how);
         if (how.equals("done")) {
             notedDone.add(task);
         }
