--- a/review/standins-3/src/Nodes.java
+++ b/review/standins-3/src/Nodes.java
@@ -72,6 +72,10 @@
     private final Path folder;
     private final List<String> command;
     private final String[] zones;
+
+    /** The processor time of a machine, in thousandths of a core. */
+    int cpuMillis = 750;
+
     private volatile boolean stopped;
 
     Nodes(Record record, Store store, int count, String... zones) throws IOException {
@@ -135,7 +139,7 @@
                 "listen_addresses.frontend=127.0.0.1:" + node.callers,
                 "listen_addresses.readiness=127.0.0.1:" + node.readiness,
                 "internal_ports=" + node.peer + "," + node.peer, "seeds=", "bootstrap=" + (node.boots <= 1),
-                "failure_counted=false", "limits.cpu_share=0.75", "limits.cores=1", "limits.memory_mb=430",
+                "failure_counted=false", "limits.cpu_share=" + cpuMillis / 1000.0, "limits.cores=1", "limits.memory_mb=430",
                 "limits.max_fds=4100", "limits.link_mbps=1000.0", "limits.disk_mb=0", "discovery=platform", "entry=vip",
                 "heartbeat_ms=1100", "contracts=base,drain,config,cost,recover,sched,platform,advice,upkeep,sharing",
                 "fault_tolerance.machines=2", "fault_tolerance.zones=0", "fault_tolerance.regions=0",
