--- a/review/standins-3/src/Nodes.java
+++ b/review/standins-3/src/Nodes.java
@@ -14,6 +14,9 @@
 /** The system's own processes, started with the command of the deploy file. */
 final class Nodes {
 
+    /** After how long a process that has ended is started again. */
+    private static final long RESTART_MILLIS = 300;
+
     private static final int LOWEST_PORT = 12_000;
     private static final int HIGHEST_PORT = 32_000;
 
@@ -40,6 +43,9 @@
         }
 
         synchronized void start() {
+            if (stopped) {
+                return;
+            }
             try {
                 boots++;
                 Files.writeString(settings, settings(this));
@@ -54,11 +60,7 @@
                     record.add("machine %s: process %d ended with %d", name, over.pid(), over.exitValue());
                     if (!stopped && process == over) {
                         ownEnds++;
-                        Timer.after(300, () -> {
-                            if (!stopped) {
-                                start();
-                            }
-                        });
+                        Timer.after(RESTART_MILLIS, this::start);
                     }
                 });
             } catch (IOException exception) {
@@ -102,13 +104,15 @@
     void stop() {
         stopped = true;
         for (Node node : all) {
-            Process process = node.process;
-            if (process != null) {
-                process.destroyForcibly();
-                try {
-                    process.waitFor();
-                } catch (InterruptedException exception) {
-                    Thread.currentThread().interrupt();
+            synchronized (node) {
+                Process process = node.process;
+                if (process != null) {
+                    process.destroyForcibly();
+                    try {
+                        process.waitFor();
+                    } catch (InterruptedException exception) {
+                        Thread.currentThread().interrupt();
+                    }
                 }
             }
         }
