Review: keep the store's page bound, and count finish_s from the last attempt

The store stand-in gave pages of up to 500 items whatever their size, though the pages bound them by 1 MB; that could have added to case 12. It keeps the bound now, also in answers to watches. In 11 and 12 finish_s counts from the last attempt of a client.

--- a/review/standins-3/src/Case11.java
+++ b/review/standins-3/src/Case11.java
@@ -5,6 +5,7 @@
 final class Case11 {
 
     private static final int STEPS = 15_000;
+    private static final int ATTEMPTS = 5;
 
     private Case11() {}
 
@@ -22,7 +23,7 @@
             }
             ObjectNode body = wide.body();
             scene.record.add("a submission of %d steps, %d bytes", STEPS, body.toString().length());
-            scene.clients.submit(wide, Scene.QUEUE, 1);
+            scene.clients.submit(wide, Scene.QUEUE, ATTEMPTS);
         });
     }
 }
--- a/review/standins-3/src/OrdinaryWork.java
+++ b/review/standins-3/src/OrdinaryWork.java
@@ -63,7 +63,9 @@
         }
     }
 
+    /** Hands submissions in for some time, and returns after the last attempt of their clients. */
     private static void submit(Scene scene, List<Submission> all, long millis) {
+        List<Thread> clients = new ArrayList<>();
         long end = scene.record.now() + millis;
         while (scene.record.now() < end) {
             Submission submission = scene.submission();
@@ -72,8 +74,16 @@
             Thread client = new Thread(() -> scene.clients.submit(submission, Scene.QUEUE, ATTEMPTS));
             client.setDaemon(true);
             client.start();
+            clients.add(client);
             Clients.pause(INTERVAL_MILLIS);
         }
+        for (Thread client : clients) {
+            try {
+                client.join();
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+            }
+        }
         Clients.pause(2 * TASK_MILLIS);
     }
 
--- a/review/standins-3/src/Store.java
+++ b/review/standins-3/src/Store.java
@@ -18,6 +18,9 @@
 
     private static final int PAGE_ITEMS = 500;
 
+    /** The most bytes of the items of an answer, unless a single one is larger. */
+    private static final long PAGE_BYTES = 1_000_000;
+
     /** An item. */
     private record Item(String key, byte[] value, long revision, long created, long lease) {}
 
@@ -82,6 +85,7 @@
         String after = call.query().getOrDefault("after", "");
         ObjectNode body = Http.object().put("has_more", false).put("store_revision", revision);
         ArrayNode out = body.putArray("items");
+        long bytes = 0;
         for (Item item : items.tailMap(after.compareTo(prefix) > 0 ? after : prefix, true).values()) {
             if (!item.key.startsWith(prefix)) {
                 break;
@@ -89,7 +93,8 @@
             if (item.key.equals(after)) {
                 continue;
             }
-            if (out.size() == PAGE_ITEMS) {
+            bytes += encodedBytes(item);
+            if (out.size() == PAGE_ITEMS || (!out.isEmpty() && bytes > PAGE_BYTES)) {
                 body.put("has_more", true);
                 break;
             }
@@ -105,17 +110,30 @@
         synchronized (this) {
             while (true) {
                 ArrayNode events = Http.JSON.createArrayNode();
-                for (int index = history.size() - 1; index >= 0 && history.get(index).revision > after; index--) {
+                int first = history.size();
+                while (first > 0 && history.get(first - 1).revision > after) {
+                    first--;
+                }
+                long reached = revision;
+                long bytes = 0;
+                for (int index = first; index < history.size(); index++) {
                     Event event = history.get(index);
-                    if (event.key.startsWith(prefix)) {
-                        events.insert(0, event.item == null
-                                ? Http.object().put("key", event.key).put("revision", event.revision).put("deleted", true)
-                                : encode(event.item));
+                    if (!event.key.startsWith(prefix)) {
+                        continue;
+                    }
+                    boolean newRevision = history.get(index - (index > 0 ? 1 : 0)).revision != event.revision;
+                    if (bytes > PAGE_BYTES && newRevision) {
+                        reached = event.revision - 1;
+                        break;
                     }
+                    bytes += event.item == null ? 0 : encodedBytes(event.item);
+                    events.add(event.item == null
+                            ? Http.object().put("key", event.key).put("revision", event.revision).put("deleted", true)
+                            : encode(event.item));
                 }
                 long left = (end - System.nanoTime()) / 1_000_000;
                 if (!events.isEmpty() || left <= 0) {
-                    ObjectNode body = Http.object().put("store_revision", revision);
+                    ObjectNode body = Http.object().put("store_revision", reached);
                     body.set("events", events);
                     return new Http.Answer(200, body);
                 }
@@ -218,6 +236,11 @@
         notifyAll();
     }
 
+    /** Returns about how many bytes an item takes in an answer. */
+    private static long encodedBytes(Item item) {
+        return item.value.length * 4L / 3 + item.key.length();
+    }
+
     private static ObjectNode encode(Item item) {
         return Http.object().put("key", item.key).put("value", Base64.getEncoder().encodeToString(item.value))
                 .put("revision", item.revision).put("created", item.created).put("lease", item.lease);
