--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
@@ -91,6 +91,12 @@
     /** The submissions that have moved to another cell. */
     final DepartedSubmissions departed = new DepartedSubmissions();
 
+    /** Counts what the passes over the waiting tasks do. */
+    final PassCounters passCounters = new PassCounters();
+
+    /** Logs the work that holds the event loop for long. */
+    final LoopUsage loopUsage = new LoopUsage(this);
+
     /** The manifest in effect. */
     private Manifest manifest;
 
@@ -265,7 +271,7 @@
     void repeat(long intervalMillis, String name, Runnable action) {
         schedule(intervalMillis, () -> repeat(intervalMillis, name, action));
         try {
-            action.run();
+            loopUsage.run(name, action);
         } catch (RuntimeException exception) {
             FatalErrors.rethrowFatalCause(exception);
             log.log(
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -13,7 +13,6 @@
 import org.damasktiller.scheduler.model.SubmissionState;
 import org.damasktiller.scheduler.model.WorkerEntry;
 import org.damasktiller.scheduler.policy.Policy;
-import org.damasktiller.scheduler.policy.PolicySet;
 import org.damasktiller.scheduler.port.StoreItem;
 import org.damasktiller.scheduler.port.StoreReading;
 import org.damasktiller.scheduler.port.StoreResult;
@@ -123,7 +122,7 @@
             Predicate<WorkerEntry> belongsToCell,
             Consumer<String> onEnd) {
         context = new CellContext(environment, cell, term, reason -> onTermEnded(reason, onEnd));
-        RunTimeEstimator runTimes = createRunTimes(context.settings.policies());
+        RunTimeEstimator runTimes = createRunTimes(context);
         ownership = new OwnershipVerifier(context, this::schedulePass);
         RunRequestSender requestSender =
                 new RunRequestSender(context, this::schedulePass, this::onFenced);
@@ -175,13 +174,13 @@
     /**
      * Creates the estimator of run times.
      *
-     * @param policies the policies in force
-     * @return an estimator that learns, unless that policy is off
+     * @param context the shared state of the cell's owner
+     * @return an estimator that learns, unless that policy is off, and counts
      */
-    private static RunTimeEstimator createRunTimes(PolicySet policies) {
-        return policies.isEnabled(Policy.LEARNED_RUN_TIMES)
-                ? new LearnedRunTimes()
-                : new DeclaredRunTimes();
+    private static RunTimeEstimator createRunTimes(CellContext context) {
+        boolean learns = context.settings.policies().isEnabled(Policy.LEARNED_RUN_TIMES);
+        return new CountedRunTimes(
+                learns ? new LearnedRunTimes() : new DeclaredRunTimes(), context.passCounters);
     }
 
     /** Starts to load the cell; tasks are scheduled once all records have been read. */
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitQueue.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CommitQueue.java
@@ -152,7 +152,7 @@
         }
         sendScheduled = true;
         long wait = sentAtMillis + context.settings.commitIntervalMillis() - context.now();
-        context.schedule(Math.max(1, wait), this::sendNext);
+        context.schedule(Math.max(1, wait), () -> context.loopUsage.run("commit", this::sendNext));
     }
 
     /** Builds the next batch from the queued changes and sends it. */
--- /dev/null
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PassCounters.java
@@ -0,0 +1,64 @@
+package org.damasktiller.scheduler.cell;
+
+/**
+ * Counts what the passes over the waiting tasks do, in elementary steps that do not depend on the
+ * speed of the machine.
+ */
+final class PassCounters {
+
+    /** The number of passes since the last report. */
+    private long passes;
+
+    /** The number of steps of open submissions at which these passes have looked. */
+    private long visitedSteps;
+
+    /** The number of run times that were estimated since the last report. */
+    private long estimates;
+
+    /** Creates counters at zero. */
+    PassCounters() {}
+
+    /** Counts a pass. */
+    void onPass() {
+        passes++;
+    }
+
+    /**
+     * Counts steps at which a pass looks.
+     *
+     * @param count the number of steps
+     */
+    void onStepsVisited(int count) {
+        visitedSteps += count;
+    }
+
+    /** Counts an estimate of a run time. */
+    void onEstimate() {
+        estimates++;
+    }
+
+    /**
+     * Logs the counts since the last report, unless there was no pass, and sets them to zero.
+     *
+     * @param context the shared state of the cell's owner
+     */
+    void report(CellContext context) {
+        if (passes > 0) {
+            context.log.log(
+                    "owner.passes",
+                    "cell",
+                    context.cell,
+                    "passes",
+                    passes,
+                    "visitedSteps",
+                    visitedSteps,
+                    "estimates",
+                    estimates,
+                    "waitingSteps",
+                    context.waitingSteps);
+        }
+        passes = 0;
+        visitedSteps = 0;
+        estimates = 0;
+    }
+}
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PassSchedule.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PassSchedule.java
@@ -48,7 +48,8 @@
                 () -> {
                     scheduled = false;
                     lastPassMillis = context.now();
-                    pass.run();
+                    context.passCounters.onPass();
+                    context.loopUsage.run("pass", pass);
                 });
     }
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressReader.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressReader.java
@@ -72,13 +72,22 @@
     @Override
     public void onSnapshot(Snapshot snapshot) {
         watcher.close();
+        context.loopUsage.run("progress", () -> restore(snapshot));
+        onRestored.run();
+        remover.removeIfOver(withoutJob);
+    }
+
+    /**
+     * Restores all items.
+     *
+     * @param snapshot the stored progress
+     */
+    private void restore(Snapshot snapshot) {
         snapshot.forEach(item -> restore(item, false));
         snapshot.forEach(item -> restore(item, true));
         snapshot.forEach(this::removeIfOrphan);
         context.jobs.values().forEach(Job::alignGangs);
         context.jobs.values().forEach(ProgressReader::divide);
-        onRestored.run();
-        remover.removeIfOver(withoutJob);
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionWatcher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionWatcher.java
@@ -70,6 +70,16 @@
 
     @Override
     public void onSnapshot(Snapshot snapshot) {
+        context.loopUsage.run("submissions", () -> applySnapshot(snapshot));
+        listener.onSnapshot();
+    }
+
+    /**
+     * Reports the submissions of a listing, and looks for open ones that are not in it.
+     *
+     * @param snapshot the listing
+     */
+    private void applySnapshot(Snapshot snapshot) {
         snapshotRevision = snapshot.highestRevision();
         Set<String> present = new HashSet<>();
         snapshot.forEach(
@@ -83,7 +93,6 @@
                 reread(prefix + job.id());
             }
         }
-        listener.onSnapshot();
     }
 
     @Override
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecordKeeper.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecordKeeper.java
@@ -2,7 +2,7 @@
 
 /**
  * Drops the records of tasks that have ended, and logs how many occurrences and tasks the
- * submissions of a cell have, and how many of the tasks have records.
+ * submissions of a cell have, how many of the tasks have records, and what the passes have done.
  */
 final class TaskRecordKeeper {
 
@@ -35,8 +35,9 @@
         context.jobs.values().forEach(Job::releaseEnded);
     }
 
-    /** Logs the counts, unless no submission is open. */
+    /** Logs the counts, those of tasks only if a submission is open. */
     private void report() {
+        context.passCounters.report(context);
         if (context.jobs.isEmpty()) {
             return;
         }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
@@ -221,6 +221,7 @@
      */
     private void collectWaitingSteps(OccurrenceRecord occurrence, List<WaitingStep> waitingSteps) {
         long now = context.now();
+        context.passCounters.onStepsVisited(occurrence.steps.size());
         for (StepRecord step : occurrence.steps) {
             if (step.isDone() || !step.areDependenciesDone()) {
                 continue;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerPoller.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerPoller.java
@@ -95,7 +95,7 @@
                         context.onLeaseAnswered(worker, lease, reply);
                     }
                     updateAcknowledgement(worker, acknowledged, now, reply);
-                    onReply(worker, pollNumber, reply);
+                    context.loopUsage.run("poll", () -> onReply(worker, pollNumber, reply));
                 });
     }
 
