--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -151,12 +151,10 @@
                         context,
                         workerSelector,
                         requestSender,
-                        runTimes,
                         advice,
-                        ownership,
                         jobTracker.crashTracker(),
                         lookAhead,
-                        new JobObjectives(context, runTimes));
+                        new WaitingStepCollector(context, runTimes, ownership));
         passSchedule = new PassSchedule(context, taskScheduler::runPass);
         taskMover = new TaskMover(context, commits, ownership);
         submissionMover = new SubmissionMover(context, commits, ownership, jobTracker::cancel);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
@@ -3,11 +3,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import org.damasktiller.scheduler.estimate.RunTimeEstimator;
-import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.order.ArrivalOrder;
 import org.damasktiller.scheduler.order.Lateness;
-import org.damasktiller.scheduler.order.OrderKey;
 import org.damasktiller.scheduler.order.UrgencyOrder;
 import org.damasktiller.scheduler.order.WaitingOrder;
 import org.damasktiller.scheduler.order.WorkRank;
@@ -24,12 +21,6 @@
     /** The maximum number of starts in a pass, which bounds its duration. A gang is never split. */
     static final int MAX_STARTS_PER_PASS = 64;
 
-    /**
-     * The multiple of its objective after which work is of no use, from the platform's
-     * documentation.
-     */
-    private static final int TOO_LATE_FACTOR = 3;
-
     /** The shared state of the cell's owner. */
     private final CellContext context;
 
@@ -39,33 +30,24 @@
     /** Selects workers for tasks that may crash them. */
     private final SuspectPlacement suspectPlacement;
 
-    /** Begins the occurrences that are due. */
-    private final DueOccurrences dueOccurrences;
-
     /** Selects workers for gangs. */
     private final GangPlacement gangPlacement;
 
     /** Sends the start requests. */
     private final RunRequestSender requestSender;
 
-    /** Estimates run times. */
-    private final RunTimeEstimator runTimes;
+    /** Collects the steps that have waiting tasks. */
+    private final WaitingStepCollector collector;
 
     /** Holds the tickets for routes that need advice. */
     private final AdviceTicketProvider advice;
 
-    /** Tells up to which store revision this owner is verified to own the cell. */
-    private final OwnershipVerifier ownership;
-
     /** Tells which tasks may crash their workers. */
     private final CrashTracker crashTracker;
 
     /** Keeps room for large tasks. */
     private final LookAheadPlacement lookAhead;
 
-    /** Computes by when jobs have to be done. */
-    private final JobObjectives objectives;
-
     /** Decides which waiting step gets a worker first. */
     private final Comparator<WaitingStep> order;
 
@@ -78,39 +60,32 @@
      * @param context the shared state of the cell's owner
      * @param workerSelector selects workers
      * @param requestSender sends the start requests
-     * @param runTimes estimates run times
      * @param advice holds the tickets for routes that need advice
-     * @param ownership tells up to which store revision this owner is verified to own the cell
      * @param crashTracker tells which tasks may crash their workers
      * @param lookAhead keeps room for large tasks
-     * @param objectives computes by when jobs have to be done
+     * @param collector collects the steps that have waiting tasks
      */
     TaskScheduler(
             CellContext context,
             WorkerSelector workerSelector,
             RunRequestSender requestSender,
-            RunTimeEstimator runTimes,
             AdviceTicketProvider advice,
-            OwnershipVerifier ownership,
             CrashTracker crashTracker,
             LookAheadPlacement lookAhead,
-            JobObjectives objectives) {
+            WaitingStepCollector collector) {
         this.context = context;
         this.workerSelector = workerSelector;
         this.requestSender = requestSender;
-        this.runTimes = runTimes;
         this.advice = advice;
-        this.ownership = ownership;
         this.crashTracker = crashTracker;
         this.lookAhead = lookAhead;
-        this.objectives = objectives;
+        this.collector = collector;
         WaitingOrder waitingOrder =
                 context.settings.policies().isEnabled(Policy.URGENCY_ORDER)
                         ? new UrgencyOrder()
                         : new ArrivalOrder();
         this.order = Comparator.comparing(WaitingStep::key, waitingOrder);
         this.suspectPlacement = new SuspectPlacement(context, workerSelector, advice);
-        this.dueOccurrences = new DueOccurrences(context);
         this.gangPlacement = new GangPlacement(context, workerSelector, advice);
     }
 
@@ -118,31 +93,14 @@
     void runPass() {
         startCount = 0;
         suspectPlacement.beginPass();
-        dueOccurrences.beginPass();
-        List<WaitingStep> waitingSteps = new ArrayList<>();
-        long dueLimitUnixMillis =
-                context.runtime.unixMillis() + context.settings.earlyStartMillis();
-        for (Job job : context.jobs.values()) {
-            if (!mayStart(job)) {
-                continue;
-            }
-            if (job.runCount > 0) {
-                job.idleSinceMillis = 0;
-            } else if (job.idleSinceMillis == 0) {
-                job.idleSinceMillis = context.now();
-            }
-            dueOccurrences.begin(job, dueLimitUnixMillis);
-            for (OccurrenceRecord occurrence : job.occurrences.values()) {
-                collectWaitingSteps(occurrence, waitingSteps);
-            }
-        }
+        List<WaitingStep> waitingSteps = collector.collect();
         context.waitingSteps = waitingSteps.size();
-        workerSelector.updateUrgentReserve(urgentMillicores(waitingSteps));
+        workerSelector.updateUrgentReserve(collector.urgentMillicores(waitingSteps));
         waitingSteps.sort(order);
         lookAhead.update(
                 waitingSteps.stream()
-                        .filter(waiting -> waiting.key.rank() == WorkRank.URGENT)
-                        .filter(waiting -> waiting.key.lateness() != Lateness.TOO_LATE)
+                        .filter(waiting -> waiting.key().rank() == WorkRank.URGENT)
+                        .filter(waiting -> waiting.key().lateness() != Lateness.TOO_LATE)
                         .map(WaitingStep::step)
                         .toList(),
                 workerSelector);
@@ -150,153 +108,12 @@
             if (startCount >= MAX_STARTS_PER_PASS) {
                 return;
             }
-            if (waiting.step.spec.gang()) {
-                startGang(waiting.step);
+            if (waiting.step().spec.gang()) {
+                startGang(waiting.step());
             } else {
-                startTasks(waiting.step);
-            }
-        }
-    }
-
-    /**
-     * Returns the CPU that the waiting urgent tasks need.
-     *
-     * @param waitingSteps the steps with waiting tasks
-     * @return the CPU, in millicores
-     */
-    private long urgentMillicores(List<WaitingStep> waitingSteps) {
-        long now = context.now();
-        long sum = 0;
-        for (WaitingStep waiting : waitingSteps) {
-            if (waiting.key.rank() == WorkRank.URGENT) {
-                long count =
-                        waiting.step.freshWaitingCount()
-                                + waiting.step.records.stream()
-                                        .filter(task -> mayStart(task, now))
-                                        .count();
-                sum += count * waiting.step.spec.need().cpuMillicores();
-            }
-        }
-        return sum;
-    }
-
-    /**
-     * Returns whether tasks of a job may start. The job must be open and covered by a check of
-     * ownership, and no previous owner may have left a run of it that this owner does not know. The
-     * entry of a job of which tasks have moved may be newer than the term although tasks ran
-     * before.
-     *
-     * @param job the job
-     * @return whether its tasks may start
-     */
-    private boolean mayStart(Job job) {
-        if (job.state.isFinal()
-                || job.isHeldBack()
-                || job.departing
-                || !ownership.covers(job.openRevision)) {
-            return false;
-        }
-        return context.previousOwners.areFenced()
-                || (job.part == null && job.createdRevision > context.term.headRevision());
-    }
-
-    /**
-     * Returns whether a task waits for a worker and no run that a previous owner has started may be
-     * active on a closed worker.
-     *
-     * @param task the task, of a job whose tasks may start
-     * @param nowMillis the current time, in milliseconds
-     * @return whether it may start
-     */
-    private boolean mayStart(TaskRecord task, long nowMillis) {
-        return task.isWaiting(nowMillis) && !context.previousOwners.holds(task.id);
-    }
-
-    /**
-     * Collects the steps of an occurrence that have waiting tasks, and records since when they
-     * wait.
-     *
-     * @param occurrence the occurrence
-     * @param waitingSteps the list to which the steps are added
-     */
-    private void collectWaitingSteps(OccurrenceRecord occurrence, List<WaitingStep> waitingSteps) {
-        long now = context.now();
-        context.passCounters.onStepsVisited(occurrence.steps.size());
-        for (StepRecord step : occurrence.steps) {
-            if (step.isDone() || !step.areDependenciesDone()) {
-                continue;
-            }
-            boolean hasWaitingTask = step.freshWaitingCount() > 0;
-            boolean hasRunBefore = false;
-            if (hasWaitingTask && step.freshReadySinceMillis == 0) {
-                step.freshReadySinceMillis = now;
-            }
-            for (TaskRecord task : step.records) {
-                if (mayStart(task, now)) {
-                    hasWaitingTask = true;
-                    hasRunBefore |= task.everRan;
-                    if (task.readySinceMillis == 0) {
-                        task.readySinceMillis = now;
-                    }
-                }
-            }
-            if (hasWaitingTask) {
-                waitingSteps.add(toWaitingStep(step, hasRunBefore));
-            }
-        }
-    }
-
-    /**
-     * Computes the sort keys of a waiting step.
-     *
-     * @param step the step
-     * @param hasRunBefore whether one of its waiting tasks has run before
-     * @return the step with its sort keys
-     */
-    private WaitingStep toWaitingStep(StepRecord step, boolean hasRunBefore) {
-        StepSpec spec = step.spec;
-        Job job = step.occurrence.job;
-        WorkRank rank = WorkRank.URGENT;
-        if (spec.lasting()) {
-            rank = hasRunBefore ? WorkRank.RESTART : WorkRank.LONG_RUNNING;
-        } else if (spec.filling()) {
-            rank = WorkRank.FILLER;
-        }
-        long objectiveMillis = objectives.objectiveMillis(job);
-        long expectedLatencyMillis =
-                objectives.elapsedMillis(job) + objectives.remainingMillis(step);
-        Lateness lateness =
-                expectedLatencyMillis <= objectiveMillis ? Lateness.ON_TIME : Lateness.LATE;
-        if (expectedLatencyMillis > TOO_LATE_FACTOR * objectiveMillis) {
-            lateness = Lateness.TOO_LATE;
-        }
-        step.lateness = lateness;
-        return new WaitingStep(
-                step,
-                new OrderKey(
-                        rank,
-                        lateness,
-                        job.terms().priority(),
-                        estimateRemainingWork(step),
-                        job.createdRevision));
-    }
-
-    /**
-     * Estimates the remaining work of an occurrence from a step on.
-     *
-     * @param step the first step to count
-     * @return the work, in millicores times milliseconds
-     */
-    private double estimateRemainingWork(StepRecord step) {
-        double work = 0;
-        for (StepRecord later : step.occurrence.steps) {
-            if (later.number >= step.number) {
-                double cpu = later.spec.need().cpuMillicores();
-                int openTasks = later.count() - later.doneCount;
-                work += openTasks * cpu * runTimes.expectedMillis(later.spec);
+                startTasks(waiting.step());
             }
         }
-        return work;
     }
 
     /**
@@ -406,7 +223,7 @@
         long now = context.now();
         List<TaskRecord> waiting = new ArrayList<>();
         for (TaskRecord task : step.records) {
-            if (mayStart(task, now) && !crashTracker.isOutcomePending(task)) {
+            if (collector.mayStart(task, now) && !crashTracker.isOutcomePending(task)) {
                 waiting.add(task);
             }
         }
@@ -424,7 +241,7 @@
             return;
         }
         for (TaskRecord task : step.records) {
-            if (!mayStart(task, now) || crashTracker.isOutcomePending(task)) {
+            if (!collector.mayStart(task, now) || crashTracker.isOutcomePending(task)) {
                 return;
             }
         }
@@ -487,12 +304,4 @@
         int base = task.runNumberOffset + context.term.runNumberBase();
         return Math.max(task.highestRunNumber, base) + 1;
     }
-
-    /**
-     * A step with waiting tasks.
-     *
-     * @param step the step
-     * @param key what its place in the order depends on
-     */
-    private record WaitingStep(StepRecord step, OrderKey key) {}
 }
