--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
@@ -92,7 +92,7 @@
     final DepartedSubmissions departed = new DepartedSubmissions();
 
     /** Counts what the passes over the waiting tasks do. */
-    final PassCounters passCounters = new PassCounters();
+    final WorkCounters workCounters = new WorkCounters();
 
     /** Logs the work that holds the event loop for long. */
     final LoopUsage loopUsage = new LoopUsage(this);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -178,7 +178,7 @@
     private static RunTimeEstimator createRunTimes(CellContext context) {
         boolean learns = context.settings.policies().isEnabled(Policy.LEARNED_RUN_TIMES);
         return new CountedRunTimes(
-                learns ? new LearnedRunTimes() : new DeclaredRunTimes(), context.passCounters);
+                learns ? new LearnedRunTimes() : new DeclaredRunTimes(), context.workCounters);
     }
 
     /** Starts to load the cell; tasks are scheduled once all records have been read. */
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CountedRunTimes.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CountedRunTimes.java
@@ -10,7 +10,7 @@
     private final RunTimeEstimator estimator;
 
     /** Counts the estimates. */
-    private final PassCounters counters;
+    private final WorkCounters counters;
 
     /**
      * Creates an estimator.
@@ -18,7 +18,7 @@
      * @param estimator the other estimator
      * @param counters counts the estimates
      */
-    CountedRunTimes(RunTimeEstimator estimator, PassCounters counters) {
+    CountedRunTimes(RunTimeEstimator estimator, WorkCounters counters) {
         this.estimator = estimator;
         this.counters = counters;
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
@@ -375,7 +375,7 @@
     void releaseEnded() {
         if (blocks != null && part == null) {
             for (OccurrenceRecord occurrence : occurrences.values()) {
-                occurrence.steps.forEach(step -> step.records.releaseEnded());
+                occurrence.stepsWithRecords().forEach(StepRecord::releaseEnded);
             }
             if (accepted.submission().scheduled()) {
                 occurrences.values().removeIf(this::isReleased);
@@ -391,9 +391,7 @@
      */
     private boolean isReleased(OccurrenceRecord occurrence) {
         boolean released =
-                occurrence.isDone()
-                        && occurrence.steps.stream()
-                                .allMatch(step -> step.records.recordCount() == 0);
+                occurrence.isDone() && !occurrence.stepsWithRecords().iterator().hasNext();
         if (released) {
             endedOccurrences.set(occurrence.number);
         }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
@@ -414,6 +414,7 @@
      * @param job the job
      */
     private void finishIfDoneOrFailed(Job job) {
+        context.workCounters.onEnd();
         if (job.isDone()) {
             job.state = SubmissionState.SUCCEEDED;
         } else if (hasExhaustedAttempts(job)) {
@@ -435,7 +436,8 @@
     private boolean hasExhaustedAttempts(Job job) {
         int maxAttempts = job.terms().maximumAttempts();
         for (OccurrenceRecord occurrence : job.occurrences.values()) {
-            for (StepRecord step : occurrence.steps) {
+            for (StepRecord step : occurrence.stepsWithRecords()) {
+                context.workCounters.onStepOfEnd();
                 boolean givenUp =
                         step.records.stream()
                                 .anyMatch(task -> task.isOwed() && task.crashes.isGivenUp());
@@ -476,7 +478,7 @@
      */
     private void stopAllRuns(Job job) {
         for (OccurrenceRecord occurrence : job.occurrences.values()) {
-            for (StepRecord step : occurrence.steps) {
+            for (StepRecord step : occurrence.stepsWithRecords()) {
                 for (TaskRecord task : step.records) {
                     stopRuns(task);
                 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PassSchedule.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PassSchedule.java
@@ -48,7 +48,7 @@
                 () -> {
                     scheduled = false;
                     lastPassMillis = context.now();
-                    context.passCounters.onPass();
+                    context.workCounters.onPass();
                     context.loopUsage.run("pass", pass);
                 });
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StepRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/StepRecord.java
@@ -127,9 +127,16 @@
      */
     TaskRecord keep(TaskRecord view) {
         records.add(view);
+        occurrence.onRecordsChanged(this, true);
         return view;
     }
 
+    /** Removes the records of tasks that are done and have no runs, and keeps a bit of each. */
+    void releaseEnded() {
+        records.releaseEnded();
+        occurrence.onRecordsChanged(this, records.recordCount() > 0);
+    }
+
     /**
      * Returns all tasks, which have records from now on.
      *
@@ -244,6 +251,7 @@
         if (!task.done) {
             task.done = true;
             doneCount++;
+            occurrence.onTaskDone(this);
         }
     }
 
@@ -259,6 +267,7 @@
         } else if (!records.hasEnded(index)) {
             records.end(index);
             doneCount++;
+            occurrence.onTaskDone(this);
         }
     }
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecordKeeper.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecordKeeper.java
@@ -37,7 +37,7 @@
 
     /** Logs the counts, those of tasks only if a submission is open. */
     private void report() {
-        context.passCounters.report(context);
+        context.workCounters.report(context);
         if (context.jobs.isEmpty()) {
             return;
         }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WaitingReporter.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WaitingReporter.java
@@ -29,6 +29,9 @@
     /** The most steps that are explained at a look. */
     private static final int MAX_STEPS_PER_CHECK = 8;
 
+    /** The most steps of a submission whose waiting is followed; each of them takes a record. */
+    private static final int MAX_STEPS_PER_SUBMISSION = 64;
+
     /** The order in which steps are explained. */
     private static final Comparator<WaitingSample> ORDER =
             Comparator.comparing((WaitingSample sample) -> !sample.task.step.spec.lasting())
@@ -119,23 +122,38 @@
                                 age.getMax()));
     }
 
-    /** Determines a waiting task of each step. It is the same as before while that one waits. */
+    /**
+     * Determines a waiting task of each step, of the first ones of a submission if many wait. It is
+     * the same as before while that one waits.
+     */
     private void updateSamples() {
         Map<StepRecord, WaitingSample> next = new HashMap<>();
         for (Job job : context.jobs.values()) {
             if (job.state.isFinal()) {
                 continue;
             }
-            for (OccurrenceRecord occurrence : job.occurrences.values()) {
-                for (StepRecord step : occurrence.steps) {
-                    WaitingSample sample = sampleOf(step);
-                    if (sample != null) {
-                        next.put(step, sample);
-                    }
+            addSamples(job, next);
+        }
+        samples = next;
+    }
+
+    /**
+     * Determines a waiting task of each of the first waiting steps of a submission.
+     *
+     * @param job the submission
+     * @param next receives the tasks
+     */
+    private void addSamples(Job job, Map<StepRecord, WaitingSample> next) {
+        int left = MAX_STEPS_PER_SUBMISSION;
+        for (OccurrenceRecord occurrence : job.occurrences.values()) {
+            for (StepRecord step : occurrence.steps) {
+                WaitingSample sample = left > 0 ? sampleOf(step) : null;
+                if (sample != null) {
+                    next.put(step, sample);
+                    left--;
                 }
             }
         }
-        samples = next;
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WaitingStepCollector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WaitingStepCollector.java
@@ -140,7 +140,7 @@
     private void collect(OccurrenceRecord occurrence, List<WaitingStep> waitingSteps) {
         long now = context.now();
         @Nullable RemainingWork remaining = null;
-        context.passCounters.onStepsVisited(occurrence.steps.size());
+        context.workCounters.onStepsVisited(occurrence.steps.size());
         for (StepRecord step : occurrence.steps) {
             if (step.isDone() || !step.areDependenciesDone()) {
                 continue;
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PassCounters.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkCounters.java
@@ -1,10 +1,10 @@
 package org.damasktiller.scheduler.cell;
 
 /**
- * Counts what the passes over the waiting tasks do, in elementary steps that do not depend on the
- * speed of the machine.
+ * Counts what the passes over the waiting tasks and the ends of runs take, in numbers that do not
+ * depend on the speed of the machine.
  */
-final class PassCounters {
+final class WorkCounters {
 
     /** The number of passes since the last report. */
     private long passes;
@@ -15,8 +15,14 @@
     /** The number of run times that were estimated since the last report. */
     private long estimates;
 
+    /** The number of ends of runs since the last report. */
+    private long ends;
+
+    /** The number of steps of open submissions at which these ends have looked. */
+    private long endSteps;
+
     /** Creates counters at zero. */
-    PassCounters() {}
+    WorkCounters() {}
 
     /** Counts a pass. */
     void onPass() {
@@ -37,6 +43,16 @@
         estimates++;
     }
 
+    /** Counts the end of a run. */
+    void onEnd() {
+        ends++;
+    }
+
+    /** Counts a step at which the end of a run looks. */
+    void onStepOfEnd() {
+        endSteps++;
+    }
+
     /**
      * Logs the counts since the last report, unless there was no pass, and sets them to zero.
      *
@@ -54,11 +70,17 @@
                     visitedSteps,
                     "estimates",
                     estimates,
+                    "ends",
+                    ends,
+                    "endSteps",
+                    endSteps,
                     "waitingSteps",
                     context.waitingSteps);
         }
         passes = 0;
         visitedSteps = 0;
         estimates = 0;
+        ends = 0;
+        endSteps = 0;
     }
 }
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/ManyStepsTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/ManyStepsTest.java
@@ -26,6 +26,15 @@
     /** The most run times that a pass may estimate for each step at which it looks. */
     private static final long MAX_ESTIMATES_PER_STEP = 4;
 
+    /** The tasks that run at once: sixteen on each of four workers. */
+    private static final long SLOTS = 64;
+
+    /**
+     * The most steps at which the end of a run may look: those of the tasks that run, of those that
+     * have ended since the last removal of records, and of those whose waiting is logged.
+     */
+    private static final long MAX_STEPS_PER_END = 4 * SLOTS;
+
     /** The identifier of the submission with many steps. */
     private static final String LARGE = "00000000000000a1";
 
@@ -36,6 +45,9 @@
     private static final Pattern PASSES =
             Pattern.compile("passes, (\\d+), visitedSteps, (\\d+), estimates, (\\d+)");
 
+    /** The counts that an owner logs of the ends of runs. */
+    private static final Pattern ENDS = Pattern.compile("ends, (\\d+), endSteps, (\\d+)");
+
     /** The cell. */
     private final CellSimulation simulation = new CellSimulation(4);
 
@@ -62,6 +74,27 @@
         assertThatPassesAreLinear();
     }
 
+    // Each end of a run looked at all steps, which held the loop for 0.4 s after a poll.
+    @Test
+    void endOfARunLooksAtNoStepsWithoutRuns() {
+        simulation.startOwner();
+        submitLarge(Collections.nCopies(STEPS, shortStep()));
+        simulation.runtime.advance(60_000);
+
+        assertThat(simulation.submissionState(LARGE), equalTo(SubmissionState.SUCCEEDED));
+        assertThat(simulation.invariants.violations(), empty());
+        long ends = 0;
+        for (String line : simulation.logLines) {
+            Matcher matcher = ENDS.matcher(line);
+            if (matcher.find()) {
+                ends += Long.parseLong(matcher.group(1));
+                long bound = MAX_STEPS_PER_END * Long.parseLong(matcher.group(1));
+                assertThat(line, Long.parseLong(matcher.group(2)), lessThanOrEqualTo(bound));
+            }
+        }
+        assertThat(ends, greaterThan(0L));
+    }
+
     // Steps that wait for earlier ones, occurrences and gangs take the same way.
     @Test
     void stepsOfAllKindsRunBesideAnOrdinarySubmission() {
