--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
@@ -3,7 +3,7 @@
 import java.util.BitSet;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Set;
 import java.util.TreeMap;
 import org.damasktiller.scheduler.model.AcceptedSubmission;
@@ -51,7 +51,7 @@
     long partsRevision;
 
     /** The occurrences that have begun and are not released, by number. */
-    final Map<Integer, OccurrenceRecord> occurrences = new TreeMap<>();
+    final NavigableMap<Integer, OccurrenceRecord> occurrences = new TreeMap<>();
 
     /** The numbers of the occurrences that are done and may be released. */
     final BitSet endedOccurrences = new BitSet();
@@ -68,6 +68,12 @@
      */
     long idleSinceMillis;
 
+    /** The occurrence from which on the next pass collects waiting steps. */
+    int nextCollectedOccurrence;
+
+    /** The step of that occurrence from which on it does so. */
+    int nextCollectedStep;
+
     /** The current state; a final state may not be stored yet. */
     SubmissionState state = SubmissionState.QUEUED;
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PassSchedule.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PassSchedule.java
@@ -10,6 +10,12 @@
      */
     private static final int WORKERS_PER_PASS_MILLISECOND = 20;
 
+    /**
+     * The number of steps of open submissions for which the shortest time between two passes grows
+     * by a millisecond. A pass looks at each of them.
+     */
+    private static final long STEPS_PER_PASS_MILLISECOND = 1_000;
+
     /** The shared state of the cell's owner. */
     private final CellContext context;
 
@@ -35,14 +41,16 @@
 
     /**
      * Schedules a pass unless one is scheduled or the term has ended. The time between passes grows
-     * with the number of workers.
+     * with the number of workers and of the steps at which the last one has looked.
      */
     void request() {
         if (scheduled || context.ended) {
             return;
         }
         scheduled = true;
-        long intervalMillis = context.workers.size() / WORKERS_PER_PASS_MILLISECOND;
+        long intervalMillis =
+                context.workers.size() / WORKERS_PER_PASS_MILLISECOND
+                        + context.workCounters.lastPassSteps() / STEPS_PER_PASS_MILLISECOND;
         context.schedule(
                 Math.max(1, lastPassMillis + intervalMillis - context.now()),
                 () -> {
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskBlocks.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskBlocks.java
@@ -193,9 +193,15 @@
      * @return the place of the task
      */
     private TaskPlace placeOf(OccurrenceRecord occurrence, long number) {
-        int step = firstNumbers.length - 1;
-        while (firstNumbers[step] > number) {
-            step--;
+        int step = 0;
+        int end = firstNumbers.length;
+        while (end - step > 1) {
+            int middle = (step + end) >>> 1;
+            if (firstNumbers[middle] > number) {
+                end = middle;
+            } else {
+                step = middle;
+            }
         }
         return new TaskPlace(occurrence.steps.get(step), (int) (number - firstNumbers[step]));
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WaitingStepCollector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WaitingStepCollector.java
@@ -7,7 +7,6 @@
 import org.damasktiller.scheduler.order.Lateness;
 import org.damasktiller.scheduler.order.OrderKey;
 import org.damasktiller.scheduler.order.WorkRank;
-import org.jspecify.annotations.Nullable;
 
 /** Collects the steps that have waiting tasks, with what their place in the order depends on. */
 final class WaitingStepCollector {
@@ -18,6 +17,12 @@
      */
     private static final int TOO_LATE_FACTOR = 3;
 
+    /**
+     * The most waiting steps of a submission that a pass collects, which bounds its duration: some
+     * times as many as it may start. Each pass goes on where the one before has stopped.
+     */
+    private static final int MAX_STEPS_PER_SUBMISSION = 4 * TaskScheduler.MAX_STARTS_PER_PASS;
+
     /** The shared state of the cell's owner. */
     private final CellContext context;
 
@@ -70,13 +75,35 @@
                 job.idleSinceMillis = context.now();
             }
             dueOccurrences.begin(job, dueLimitUnixMillis);
-            for (OccurrenceRecord occurrence : job.occurrences.values()) {
-                collect(occurrence, waitingSteps);
-            }
+            collect(job, waitingSteps);
         }
         return waitingSteps;
     }
 
+    /**
+     * Collects the waiting steps of a job, or the next ones if there are very many.
+     *
+     * @param job the job
+     * @param waitingSteps the list to which the steps are added
+     */
+    private void collect(Job job, List<WaitingStep> waitingSteps) {
+        int limit = waitingSteps.size() + MAX_STEPS_PER_SUBMISSION;
+        int first = job.nextCollectedOccurrence;
+        int firstStep = job.nextCollectedStep;
+        for (OccurrenceRecord occurrence : job.occurrences.tailMap(first, true).values()) {
+            int from = occurrence.number == first ? firstStep : 0;
+            if (!collect(occurrence, from, occurrence.steps.size(), waitingSteps, limit)) {
+                return;
+            }
+        }
+        for (OccurrenceRecord occurrence : job.occurrences.headMap(first, true).values()) {
+            int end = occurrence.number == first ? firstStep : occurrence.steps.size();
+            if (!collect(occurrence, 0, end, waitingSteps, limit)) {
+                return;
+            }
+        }
+    }
+
     /**
      * Returns the CPU that the waiting urgent tasks need.
      *
@@ -131,41 +158,75 @@
     }
 
     /**
-     * Collects the steps of an occurrence that have waiting tasks, and records since when they
-     * wait.
+     * Collects steps of an occurrence that have waiting tasks, and records since when they wait.
      *
      * @param occurrence the occurrence
+     * @param from the number of the first step to look at
+     * @param end the number of the step before which to stop
      * @param waitingSteps the list to which the steps are added
+     * @param limit the size of the list from which on no step is added
+     * @return whether all steps that wait were added; if not, the next pass begins with the others
      */
-    private void collect(OccurrenceRecord occurrence, List<WaitingStep> waitingSteps) {
+    private boolean collect(
+            OccurrenceRecord occurrence,
+            int from,
+            int end,
+            List<WaitingStep> waitingSteps,
+            int limit) {
         long now = context.now();
-        @Nullable RemainingWork remaining = null;
-        context.workCounters.onStepsVisited(occurrence.steps.size());
-        for (StepRecord step : occurrence.steps) {
+        RemainingWork remaining = null;
+        context.workCounters.onStepsVisited(end - from);
+        for (StepRecord step : occurrence.steps.subList(from, end)) {
             if (step.isDone() || !step.areDependenciesDone()) {
                 continue;
             }
-            boolean hasWaitingTask = step.freshWaitingCount() > 0;
-            boolean hasRunBefore = false;
-            if (hasWaitingTask && step.freshReadySinceMillis == 0) {
+            boolean fresh = step.freshWaitingCount() > 0;
+            List<TaskRecord> recorded = waitingRecords(step, now);
+            if (!fresh && recorded.isEmpty()) {
+                continue;
+            }
+            if (waitingSteps.size() >= limit) {
+                occurrence.job.nextCollectedOccurrence = occurrence.number;
+                occurrence.job.nextCollectedStep = step.number;
+                return false;
+            }
+            if (fresh && step.freshReadySinceMillis == 0) {
                 step.freshReadySinceMillis = now;
             }
-            for (TaskRecord task : step.records) {
-                if (mayStart(task, now)) {
-                    hasWaitingTask = true;
-                    hasRunBefore |= task.everRan;
-                    if (task.readySinceMillis == 0) {
-                        task.readySinceMillis = now;
-                    }
+            boolean hasRunBefore = false;
+            for (TaskRecord task : recorded) {
+                hasRunBefore |= task.everRan;
+                if (task.readySinceMillis == 0) {
+                    task.readySinceMillis = now;
                 }
             }
-            if (hasWaitingTask) {
-                if (remaining == null) {
-                    remaining = new RemainingWork(occurrence, runTimes);
-                }
-                waitingSteps.add(toWaitingStep(step, hasRunBefore, remaining));
+            if (remaining == null) {
+                context.workCounters.onStepsVisited(occurrence.steps.size());
+                remaining = new RemainingWork(occurrence, runTimes);
+            }
+            waitingSteps.add(toWaitingStep(step, hasRunBefore, remaining));
+        }
+        return true;
+    }
+
+    /**
+     * Lists the tasks of a step that have records and may start.
+     *
+     * @param step the step
+     * @param nowMillis the current time, in milliseconds
+     * @return the records
+     */
+    private List<TaskRecord> waitingRecords(StepRecord step, long nowMillis) {
+        if (step.records.recordCount() == 0) {
+            return List.of();
+        }
+        List<TaskRecord> waiting = new ArrayList<>();
+        for (TaskRecord task : step.records) {
+            if (mayStart(task, nowMillis)) {
+                waiting.add(task);
             }
         }
+        return waiting;
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkCounters.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkCounters.java
@@ -12,6 +12,9 @@
     /** The number of steps of open submissions at which these passes have looked. */
     private long visitedSteps;
 
+    /** The number of steps at which the last pass has looked. */
+    private long lastPassSteps;
+
     /** The number of run times that were estimated since the last report. */
     private long estimates;
 
@@ -24,9 +27,10 @@
     /** Creates counters at zero. */
     WorkCounters() {}
 
-    /** Counts a pass. */
+    /** Counts a pass that begins. */
     void onPass() {
         passes++;
+        lastPassSteps = 0;
     }
 
     /**
@@ -36,6 +40,16 @@
      */
     void onStepsVisited(int count) {
         visitedSteps += count;
+        lastPassSteps += count;
+    }
+
+    /**
+     * Returns at how many steps the last pass has looked.
+     *
+     * @return the number, 0 before the first pass
+     */
+    long lastPassSteps() {
+        return lastPassSteps;
     }
 
     /** Counts an estimate of a run time. */
--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/ManyStepsTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/ManyStepsTest.java
@@ -14,6 +14,7 @@
 import org.damasktiller.scheduler.model.Resources;
 import org.damasktiller.scheduler.model.StepSpec;
 import org.damasktiller.scheduler.model.SubmissionState;
+import org.damasktiller.scheduler.model.TaskId;
 import org.damasktiller.verification.owner.CellSimulation.OwnerProcess;
 import org.junit.jupiter.api.Test;
 
@@ -35,6 +36,9 @@
      */
     private static final long MAX_STEPS_PER_END = 4 * SLOTS;
 
+    /** The most waiting steps of a submission that a pass may try to start. */
+    private static final long MAX_WAITING_STEPS = 4 * 64;
+
     /** The identifier of the submission with many steps. */
     private static final String LARGE = "00000000000000a1";
 
@@ -45,6 +49,9 @@
     private static final Pattern PASSES =
             Pattern.compile("passes, (\\d+), visitedSteps, (\\d+), estimates, (\\d+)");
 
+    /** The number of waiting steps that an owner logs. */
+    private static final Pattern WAITING = Pattern.compile("waitingSteps, (\\d+)");
+
     /** The counts that an owner logs of the ends of runs. */
     private static final Pattern ENDS = Pattern.compile("ends, (\\d+), endSteps, (\\d+)");
 
@@ -95,6 +102,31 @@
         assertThat(ends, greaterThan(0L));
     }
 
+    // A pass sorted all steps that wait and looked for a worker for each, on all workers.
+    @Test
+    void stepThatCanStartIsFoundAmongManyThatCanNot() {
+        List<StepSpec> steps = new ArrayList<>(Collections.nCopies(STEPS, missingLabel()));
+        steps.set(STEPS / 2, shortStep());
+        simulation.startOwner();
+        submitLarge(steps);
+        simulation.runtime.advance(11_000);
+
+        assertThat(
+                simulation.invariants.startCount(new TaskId(LARGE, 0, STEPS / 2, 0)), equalTo(1));
+        long reports = 0;
+        for (String line : simulation.logLines) {
+            Matcher matcher = WAITING.matcher(line);
+            if (line.contains(" owner.passes ") && matcher.find()) {
+                reports++;
+                assertThat(
+                        line,
+                        Long.parseLong(matcher.group(1)),
+                        lessThanOrEqualTo(MAX_WAITING_STEPS));
+            }
+        }
+        assertThat(reports, greaterThan(0L));
+    }
+
     // Steps that wait for earlier ones, occurrences and gangs take the same way.
     @Test
     void stepsOfAllKindsRunBesideAnOrdinarySubmission() {
