--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/OpenWork.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/OpenWork.java
@@ -36,11 +36,20 @@
      * @return the part that their estimate takes of {@link CellSettings#openWorkBytes}, in percent
      */
     int percent() {
+        return (int) Math.min(Integer.MAX_VALUE, bytes() * 100 / context.settings.openWorkBytes());
+    }
+
+    /**
+     * Estimates the memory that the open submissions take.
+     *
+     * @return the memory, in bytes
+     */
+    long bytes() {
         long bytes = 0;
         for (Job job : context.jobs.values()) {
             bytes += estimateBytes(job);
         }
-        return (int) Math.min(Integer.MAX_VALUE, bytes * 100 / context.settings.openWorkBytes());
+        return bytes;
     }
 
     /**
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecordKeeper.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecordKeeper.java
@@ -68,6 +68,10 @@
                 "done",
                 done,
                 "records",
-                records);
+                records,
+                "bytes",
+                new OpenWork(context).bytes(),
+                "bound",
+                context.settings.openWorkBytes());
     }
 }
