--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/CountAgeTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/CountAgeTest.java
@@ -114,7 +114,7 @@
         for (String cell : CELLS) {
             PendingRecord record =
                     new PendingRecord(
-                            Map.of("queue", count), List.of(), 1, List.of(), List.of(), null, 0);
+                            Map.of("queue", count), List.of(), 1, List.of(), List.of(), null, 0, 0);
             store.commit(
                     new StoreTransaction()
                             .put(CellKeys.pending(cell), StoredValueCodec.encode(record)));
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
@@ -19,6 +19,7 @@
 import org.damasktiller.scheduler.port.WorkerClient;
 import org.damasktiller.scheduler.port.WorkerReply;
 import org.damasktiller.scheduler.port.WorkerStatus;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Holds the state that the components of a cell's owner share: the open jobs, the workers, the
@@ -91,6 +92,12 @@
     /** The submissions that have moved to another cell. */
     final DepartedSubmissions departed = new DepartedSubmissions();
 
+    /** The stored submissions that are not loaded. */
+    final UnloadedSubmissions unloaded = new UnloadedSubmissions();
+
+    /** Estimates the memory that the open submissions take. */
+    final OpenWork openWork = new OpenWork(this);
+
     /** Counts what the passes over the waiting tasks do. */
     final WorkCounters workCounters = new WorkCounters();
 
@@ -165,6 +172,7 @@
     void addJob(Job job) {
         job.updateTerms(manifest.findRouteByName(job.accepted.route()), manifest.version());
         jobs.put(job.id(), job);
+        openWork.onLoaded(job);
         for (TaskId task : previousOwners.heldTasks()) {
             if (task.submission().equals(job.id())) {
                 job.findTask(task);
@@ -294,13 +302,39 @@
      * @param job the job
      */
     void removeJob(Job job) {
-        jobs.remove(job.id());
+        if (jobs.remove(job.id()) != null) {
+            openWork.onRemoved(job);
+        }
         closedIds.add(job.id());
         if (job.part != null) {
             closedMovedIds.add(job.id());
         }
     }
 
+    /**
+     * Returns the state of an open submission.
+     *
+     * @param id the identifier of the submission
+     * @return the state, or null if the submission is not open in this cell
+     */
+    @Nullable SubmissionState submissionState(String id) {
+        Job job = jobs.get(id);
+        if (job != null) {
+            return job.state;
+        }
+        return unloaded.contains(id) ? SubmissionState.QUEUED : null;
+    }
+
+    /**
+     * Remembers the identifier of a submission that is over without having been loaded, so that it
+     * is not admitted again.
+     *
+     * @param id the identifier of the submission
+     */
+    void close(String id) {
+        closedIds.add(id);
+    }
+
     /**
      * Removes a job that has moved to another cell, from which it may return.
      *
@@ -308,7 +342,9 @@
      * @param revision the store revision at which it has left
      */
     void removeDeparted(Job job, long revision) {
-        jobs.remove(job.id());
+        if (jobs.remove(job.id()) != null) {
+            openWork.onRemoved(job);
+        }
         closedMovedIds.add(job.id());
         departed.add(job.id(), revision);
         if (job.state == SubmissionState.QUEUED) {
@@ -328,7 +364,7 @@
     }
 
     /**
-     * Returns whether a submission is open or was closed in this term.
+     * Returns whether a submission is loaded or was closed in this term.
      *
      * @param id the identifier of the submission
      * @return true if this owner has already seen the submission
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -159,7 +159,8 @@
         taskMover = new TaskMover(context, commits, ownership);
         submissionMover = new SubmissionMover(context, commits, ownership, jobTracker::cancel);
         counts = new CountPublisher(context, jobTracker, new FreeRooms(context, workerSelector));
-        submissionWatcher = new SubmissionWatcher(context, new SubmissionListener());
+        submissionWatcher =
+                new SubmissionWatcher(context, progressRemover, new SubmissionListener());
         workerWatcher =
                 new WorkerEntryWatcher(
                         context, environment.formats(), belongsToCell, new WorkerListener());
@@ -256,8 +257,7 @@
      * @return the state, or null if the submission is not open in this cell or the term has ended
      */
     public @Nullable SubmissionState submissionState(String id) {
-        Job job = context.jobs.get(id);
-        return job == null || context.ended ? null : job.state;
+        return context.ended ? null : context.submissionState(id);
     }
 
     /**
@@ -294,7 +294,7 @@
 
     /** Reads the stored progress, then the roster, then the worker entries. */
     private void loadProgress() {
-        new ProgressReader(context, progressRemover, commits::remove, this::loadRoster).start();
+        ProgressReader.ofCell(context, progressRemover, commits::remove, this::loadRoster).start();
     }
 
     /** Reads the roster, which lists the workers that previous owners used. */
@@ -350,14 +350,15 @@
                 commits.enqueueRoster();
             }
         }
+        submissionWatcher.loadNext();
         taskMover.update();
         submissionMover.update();
         schedulePass();
     }
 
     /**
-     * Checks whether previous owners can no longer start anything. Once that is so, submissions
-     * from before this term may be scheduled and the run ends of previous owners acknowledged.
+     * Checks whether previous owners can no longer start anything. From then on submissions from
+     * before this term may be scheduled and run ends of previous owners acknowledged.
      */
     private void checkPreviousOwners() {
         if (context.previousOwners.update()) {
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CountPublisher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CountPublisher.java
@@ -44,9 +44,6 @@
     /** Sums up the free room of the workers. */
     private final FreeRooms freeRooms;
 
-    /** Estimates the memory that the open submissions take. */
-    private final OpenWork openWork;
-
     /** The free room that is published, or about to be. */
     private CellRoom room = CellRoom.NONE;
 
@@ -79,7 +76,6 @@
         this.context = context;
         this.jobTracker = jobTracker;
         this.freeRooms = freeRooms;
-        this.openWork = new OpenWork(context);
         this.storedRecord =
                 new RewrittenRecord(
                         context,
@@ -124,7 +120,8 @@
                         context.settings.policies().isEnabled(Policy.TASK_MOVES)
                                 ? room.idleWorkers()
                                 : null,
-                        memoryPercent());
+                        roundDown(context.openWork.percent()),
+                        roundDown(context.openWork.ordinaryPercent()));
         if (!record.equals(published)) {
             logIfFullChanges(record);
             published = record;
@@ -134,12 +131,12 @@
     }
 
     /**
-     * Returns how much of the memory for open submissions is in use.
+     * Rounds a use of memory down, so that the record changes seldom.
      *
-     * @return the use in percent, rounded down to the published steps
+     * @param percent the use, in percent
+     * @return the use in tens of percent
      */
-    private int memoryPercent() {
-        int percent = openWork.percent();
+    private static int roundDown(int percent) {
         return percent - percent % MEMORY_STEP_PERCENT;
     }
 
@@ -157,8 +154,12 @@
                     context.cell,
                     "submissions",
                     context.jobs.size(),
+                    "unloaded",
+                    context.unloaded.count(),
                     "percent",
                     record.memoryPercent(),
+                    "ordinaryPercent",
+                    context.openWork.ordinaryPercent(),
                     "bytes",
                     context.settings.openWorkBytes());
         }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/DueOccurrences.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/DueOccurrences.java
@@ -68,7 +68,9 @@
      */
     private boolean hasRoom(Job job) {
         long maxSteps =
-                context.settings.openWorkBytes() / OPEN_WORK_DIVISOR / OpenWork.BYTES_PER_STEP;
+                context.settings.openWorkBytes()
+                        / OPEN_WORK_DIVISOR
+                        / SubmissionSize.BYTES_PER_STEP;
         return stepCount + stepsPerOccurrence(job) <= maxSteps
                 || job.occurrences.values().stream().allMatch(OccurrenceRecord::isDone);
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/Job.java
@@ -41,6 +41,9 @@
     /** The length of the submission's entry in the cell when it was read first, in bytes. */
     int entryBytes;
 
+    /** The memory that the submission was estimated to take when it was loaded, in bytes. */
+    long estimatedBytes;
+
     /** The tasks that have their home in the cell, or null if no task has ever moved. */
     @Nullable SubmissionPart part;
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/JobTracker.java
@@ -259,6 +259,9 @@
                 counts.merge(job.accepted.route(), 1, Integer::sum);
             }
         }
+        for (UnloadedSubmission submission : context.unloaded.all()) {
+            counts.merge(submission.route(), 1, Integer::sum);
+        }
         context.departed.addTo(counts, context.now());
         return counts;
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PendingRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PendingRecord.java
@@ -20,8 +20,10 @@
  *     without an entry has an unknown share
  * @param idleRooms the room of workers of which less than half is in use, or null if the owner
  *     takes no submissions from other cells, as those of earlier releases
- * @param memoryPercent how much of the memory for open submissions is in use, in percent rounded
- *     down to tens; 0 from an owner of an earlier release
+ * @param memoryPercent how much of the memory for open submissions is in use or asked for, in
+ *     percent rounded down to tens; 0 from an owner of an earlier release
+ * @param ordinaryPercent the same without the large submissions that wait to be loaded, or null
+ *     from an owner of an earlier release
  */
 public record PendingRecord(
         Map<String, Integer> byRoute,
@@ -30,7 +32,8 @@
         List<WorkerRoom> rooms,
         List<DividedStep> dividedSteps,
         @Nullable List<WorkerRoom> idleRooms,
-        int memoryPercent) {
+        int memoryPercent,
+        @Nullable Integer ordinaryPercent) {
 
     /** The use of the memory for open submissions from which on the cell is full, in percent. */
     private static final int FULL_PERCENT = 100;
@@ -46,14 +49,24 @@
     }
 
     /**
-     * Returns whether the owner has no memory for further submissions.
+     * Returns whether the owner has no memory for further submissions that are large.
      *
-     * @return whether entry VMs should accept none for the cell
+     * @return whether entry VMs should accept no large ones for the cell
      */
     public boolean isFull() {
         return memoryPercent >= FULL_PERCENT;
     }
 
+    /**
+     * Returns whether the owner has no memory for further submissions.
+     *
+     * @return whether entry VMs should accept none for the cell
+     */
+    public boolean isFullForAll() {
+        Integer percent = ordinaryPercent;
+        return percent == null ? isFull() : percent >= FULL_PERCENT;
+    }
+
     /**
      * Returns how many slots of the room tasks of a step take or may still take.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PrefixWatcher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PrefixWatcher.java
@@ -230,7 +230,11 @@
         }
         noteSuccess();
         StorePage page = result.require();
-        items.addAll(page.items());
+        for (StoreItem item : page.items()) {
+            items.add(item);
+            int index = items.size() - 1;
+            guard.run(item.key(), item.revision(), () -> items.set(index, listener.onListed(item)));
+        }
         if (watchRevision == 0) {
             watchRevision = page.storeRevision();
         }
@@ -345,6 +349,16 @@
     /** Called with the items and changes of a watched prefix. */
     public interface Listener {
 
+        /**
+         * Called with each item as its page is read, before all of them are reported.
+         *
+         * @param item the item
+         * @return the item to report later, which may lack a value that is not needed any more
+         */
+        default StoreItem onListed(StoreItem item) {
+            return item;
+        }
+
         /**
          * Called with all items, on start and after changes were missed. Keys without an item did
          * not exist when their page was read.
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressReader.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/ProgressReader.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
@@ -11,8 +12,9 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Restores the jobs of a cell from a single reading of the stored progress. If a record can't be
- * read, that is logged, and the tasks of its job are held back, since they may be done.
+ * Restores the jobs of a cell, or one job, from a single reading of the stored progress. A
+ * submission that is not loaded although it has progress is requested. If a record can't be read,
+ * that is logged, and the tasks of its job are held back, since they may be done.
  */
 final class ProgressReader implements PrefixWatcher.Listener {
 
@@ -25,6 +27,9 @@
     /** The identifiers of the submissions with progress and without a job. */
     private final List<String> withoutJob = new ArrayList<>();
 
+    /** The jobs to restore, by the identifier of the submission. */
+    private final Map<String, Job> jobs;
+
     /** Called once the jobs have been restored. */
     private final Runnable onRestored;
 
@@ -41,27 +46,69 @@
      * Creates a reader that has not started.
      *
      * @param context the shared state of the cell's owner
+     * @param prefix the prefix of the keys to read
+     * @param jobs the jobs to restore, by the identifier of the submission
      * @param remover removes the progress of submissions that are over
      * @param onOrphan called with each key of a block that is left of a submission that is over
      * @param onRestored called once the jobs have been restored
      */
-    ProgressReader(
+    private ProgressReader(
             CellContext context,
+            String prefix,
+            Map<String, Job> jobs,
             ProgressRemover remover,
             Consumer<String> onOrphan,
             Runnable onRestored) {
         this.context = context;
+        this.jobs = jobs;
         this.remover = remover;
         this.onOrphan = onOrphan;
         this.onRestored = onRestored;
         this.watcher =
-                new PrefixWatcher(
-                        CellKeys.progressPrefix(context.cell),
-                        0,
-                        context.store,
-                        context.runtime,
-                        context.log,
-                        this);
+                new PrefixWatcher(prefix, 0, context.store, context.runtime, context.log, this);
+    }
+
+    /**
+     * Creates a reader of the progress of all loaded submissions of a cell.
+     *
+     * @param context the shared state of the cell's owner
+     * @param remover removes the progress of submissions that are over
+     * @param onOrphan called with each key of a block that is left of a submission that is over
+     * @param onRestored called once the jobs have been restored
+     * @return the reader, which has not started
+     */
+    static ProgressReader ofCell(
+            CellContext context,
+            ProgressRemover remover,
+            Consumer<String> onOrphan,
+            Runnable onRestored) {
+        return new ProgressReader(
+                context,
+                CellKeys.progressPrefix(context.cell),
+                context.jobs,
+                remover,
+                onOrphan,
+                onRestored);
+    }
+
+    /**
+     * Creates a reader of the progress of a submission that is being loaded.
+     *
+     * @param context the shared state of the cell's owner
+     * @param remover removes the progress of submissions that are over
+     * @param job the job of the submission
+     * @param onRestored called once the job has been restored
+     * @return the reader, which has not started
+     */
+    static ProgressReader ofSubmission(
+            CellContext context, ProgressRemover remover, Job job, Runnable onRestored) {
+        return new ProgressReader(
+                context,
+                CellKeys.progressPrefix(context.cell) + job.id(),
+                Map.of(job.id(), job),
+                remover,
+                key -> {},
+                onRestored);
     }
 
     /** Starts to read the records. */
@@ -86,8 +133,8 @@
         snapshot.forEach(item -> restore(item, false));
         snapshot.forEach(item -> restore(item, true));
         snapshot.forEach(this::removeIfOrphan);
-        context.jobs.values().forEach(Job::alignGangs);
-        context.jobs.values().forEach(ProgressReader::divide);
+        jobs.values().forEach(Job::alignGangs);
+        jobs.values().forEach(ProgressReader::divide);
     }
 
     /**
@@ -98,7 +145,7 @@
      */
     private void restore(StoreItem item, boolean block) {
         String[] names = namesOf(item);
-        Job job = context.jobs.get(names[0]);
+        Job job = jobs.get(names[0]);
         if ((names.length > 1) != block) {
             return;
         }
@@ -116,7 +163,9 @@
         }
         if (!block) {
             recordedIds.add(names[0]);
-            if (job == null) {
+            if (context.unloaded.contains(names[0])) {
+                context.unloaded.request(names[0]);
+            } else if (job == null) {
                 withoutJob.add(names[0]);
             }
         }
@@ -184,9 +233,7 @@
      */
     private void removeIfOrphan(StoreItem item) {
         String[] names = namesOf(item);
-        if (names.length > 1
-                && !context.jobs.containsKey(names[0])
-                && !recordedIds.contains(names[0])) {
+        if (names.length > 1 && !jobs.containsKey(names[0]) && !recordedIds.contains(names[0])) {
             onOrphan.accept(item.key());
         }
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionWatcher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionWatcher.java
@@ -5,7 +5,6 @@
 import java.util.Set;
 import org.damasktiller.scheduler.model.AcceptedSubmission;
 import org.damasktiller.scheduler.model.SubmissionPart;
-import org.damasktiller.scheduler.order.SubmissionAge;
 import org.damasktiller.scheduler.port.StoreEvent;
 import org.damasktiller.scheduler.port.StoreItem;
 import org.damasktiller.scheduler.port.StoreReading;
@@ -32,6 +31,9 @@
     /** Called for new and cancelled submissions. */
     private final Listener listener;
 
+    /** Decides which submissions are loaded. */
+    private final SubmissionLoader loader;
+
     /** The prefix of the keys; the submission identifier follows it. */
     private final String prefix;
 
@@ -47,10 +49,12 @@
      * Creates a watcher that has not started.
      *
      * @param context the shared state of the cell's owner
+     * @param progressRemover removes the progress of submissions that are over
      * @param listener called for new and cancelled submissions
      */
-    SubmissionWatcher(CellContext context, Listener listener) {
+    SubmissionWatcher(CellContext context, ProgressRemover progressRemover, Listener listener) {
         this.context = context;
+        this.loader = new SubmissionLoader(context, progressRemover, listener::onSubmission);
         this.listener = listener;
         this.prefix = CellKeys.openSubmissionsPrefix(context.cell);
         this.watcher =
@@ -63,6 +67,11 @@
         watcher.start();
     }
 
+    /** Loads the next submission that was left in the store, if there is memory for it. */
+    void loadNext() {
+        loader.update();
+    }
+
     /** Stops watching; the listener is not called for later changes. */
     void close() {
         watcher.close();
@@ -82,17 +91,24 @@
     private void applySnapshot(Snapshot snapshot) {
         snapshotRevision = snapshot.highestRevision();
         Set<String> present = new HashSet<>();
-        snapshot.forEach(
-                item -> {
-                    present.add(idOf(item.key()));
-                    admit(item);
-                });
+        snapshot.forEach(item -> present.add(idOf(item.key())));
         for (Job job : new ArrayList<>(context.jobs.values())) {
             boolean older = job.createdRevision <= snapshotRevision;
             if (older && !present.contains(job.id()) && !job.state.isFinal()) {
                 reread(prefix + job.id());
             }
         }
+        for (UnloadedSubmission submission : context.unloaded.all()) {
+            if (submission.revision() <= snapshotRevision && !present.contains(submission.id())) {
+                reread(prefix + submission.id());
+            }
+        }
+    }
+
+    @Override
+    public StoreItem onListed(StoreItem item) {
+        admit(item);
+        return item.withoutValue();
     }
 
     @Override
@@ -103,6 +119,8 @@
         if (item == null) {
             if (job != null && event.revision() > job.createdRevision) {
                 onRemoved(job);
+            } else if (job == null && isRemovalOfUnloaded(id, event.revision())) {
+                loader.onRemoved(id);
             }
         } else if (job == null && event.revision() <= snapshotRevision) {
             reread(event.key());
@@ -141,9 +159,23 @@
             admit(item);
         } else if (job != null) {
             onRemoved(job);
+        } else {
+            loader.onRemoved(idOf(key));
         }
     }
 
+    /**
+     * Returns whether a removed key was that of a submission that is not loaded.
+     *
+     * @param id the identifier of the submission
+     * @param revision the revision of the removal
+     * @return whether the submission was stored before that
+     */
+    private boolean isRemovalOfUnloaded(String id, long revision) {
+        UnloadedSubmission submission = context.unloaded.find(id);
+        return submission != null && revision > submission.revision();
+    }
+
     /**
      * Reports that the caller has cancelled a submission whose key is removed. The key of one that
      * is about to move may be removed by the move, whose outcome decides then.
@@ -159,8 +191,9 @@
     }
 
     /**
-     * Reports a submission unless it is already open or closed, or takes over which tasks of an
-     * open one have their home here. A record that can't be decoded is logged and skipped.
+     * Reports a submission unless it is already open or closed or is left in the store, or takes
+     * over which tasks of an open one have their home here. A record that can't be decoded is
+     * logged and skipped.
      *
      * @param item the stored submission
      */
@@ -169,7 +202,9 @@
         Job open = context.jobs.get(id);
         boolean changed = open != null && item.revision() > open.openRevision;
         boolean known = context.isKnown(id) || context.departed.isOutdated(id, item.revision());
-        if (known && !changed) {
+        UnloadedSubmission unloaded = context.unloaded.find(id);
+        boolean left = unloaded != null && item.revision() <= unloaded.revision();
+        if ((known && !changed) || left) {
             return;
         }
         AcceptedSubmission accepted =
@@ -182,11 +217,11 @@
             updatePart(open, accepted, item.revision());
             return;
         }
-        long ageMillis =
-                SubmissionAge.estimateMillis(
-                        accepted.acceptedUnixMillis(), context.runtime.unixMillis());
-        Job job = new Job(accepted, item.revision(), context.now() - ageMillis);
-        job.entryBytes = item.value().length;
+        context.unloaded.remove(id);
+        if (loader.leave(accepted, item)) {
+            return;
+        }
+        Job job = SubmissionLoader.createJob(context, accepted, item);
         logPart(job);
         listener.onSubmission(job);
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecordKeeper.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskRecordKeeper.java
@@ -38,7 +38,7 @@
     /** Logs the counts, those of tasks only if a submission is open. */
     private void report() {
         context.workCounters.report(context);
-        if (context.jobs.isEmpty()) {
+        if (context.jobs.isEmpty() && context.unloaded.count() == 0) {
             return;
         }
         long occurrences = 0;
@@ -70,7 +70,9 @@
                 "records",
                 records,
                 "bytes",
-                new OpenWork(context).bytes(),
+                context.openWork.bytes(),
+                "unloaded",
+                context.unloaded.count(),
                 "bound",
                 context.settings.openWorkBytes());
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerPoller.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerPoller.java
@@ -154,6 +154,10 @@
             context.schedule(context.settings.pollRetryMillis(), () -> poll(worker));
             return;
         }
+        if (context.unloaded.requestListed(inventory)) {
+            context.schedule(context.settings.pollRetryMillis(), () -> poll(worker));
+            return;
+        }
         boolean outdated = pollNumber <= worker.doubtedPollNumber;
         if (outdated || reply.bootUnixMillis() < worker.bootUnixMillis) {
             poll(worker);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/port/StoreItem.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/port/StoreItem.java
@@ -13,4 +13,13 @@
 
     /** The revision that represents a key that does not exist. */
     public static final long ABSENT = 0;
+
+    /**
+     * Returns the item without its value, which may be long.
+     *
+     * @return the key with the revisions and an empty value
+     */
+    public StoreItem withoutValue() {
+        return new StoreItem(key, new byte[0], revision, createdRevision);
+    }
 }
--- a/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/cell/PendingRecordTest.java
+++ b/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/cell/PendingRecordTest.java
@@ -78,6 +78,6 @@
      * @return the record
      */
     private static PendingRecord record(List<DividedStep> dividedSteps) {
-        return new PendingRecord(Map.of(), List.of(), 1, List.of(), dividedSteps, null, 0);
+        return new PendingRecord(Map.of(), List.of(), 1, List.of(), dividedSteps, null, 0, 0);
     }
 }
