--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/FullCellCheck.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/FullCellCheck.java
@@ -1,7 +1,6 @@
 package org.damasktiller.node.caller;
 
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import org.damasktiller.scheduler.cell.CellKeys;
 import org.damasktiller.scheduler.port.DecisionLog;
 import org.damasktiller.scheduler.port.MetadataStore;
@@ -13,8 +12,8 @@
     /** The store. */
     private final MetadataStore store;
 
-    /** Tells of a cell by its name whether its owner has no memory for further submissions. */
-    private final Predicate<String> fullCells;
+    /** Tells whether the owners of cells have memory for further submissions. */
+    private final CellAdmission admission;
 
     /** The log. */
     private final DecisionLog log;
@@ -23,13 +22,12 @@
      * Creates a check.
      *
      * @param store the store
-     * @param fullCells tells of a cell by its name whether its owner has no memory for further
-     *     submissions
+     * @param admission tells whether the owners of cells have memory for further submissions
      * @param log the log
      */
-    FullCellCheck(MetadataStore store, Predicate<String> fullCells, DecisionLog log) {
+    FullCellCheck(MetadataStore store, CellAdmission admission, DecisionLog log) {
         this.store = store;
-        this.fullCells = fullCells;
+        this.admission = admission;
         this.log = log;
     }
 
@@ -39,12 +37,17 @@
      *
      * @param request the request
      * @param cell the name of the cell
+     * @param bytes the memory that the submission will take of the owner of the cell, in bytes
      * @param write writes the submission, or finds the record that is there
      * @param callback receives the refusal
      */
     void check(
-            CallerRequest request, String cell, Runnable write, Consumer<CallerResponse> callback) {
-        if (!fullCells.test(cell)) {
+            CallerRequest request,
+            String cell,
+            long bytes,
+            Runnable write,
+            Consumer<CallerResponse> callback) {
+        if (admission.admits(cell, bytes)) {
             write.run();
             return;
         }
@@ -59,7 +62,9 @@
                                 "route",
                                 request.route().name(),
                                 "cell",
-                                cell);
+                                cell,
+                                "bytes",
+                                bytes);
                         callback.accept(CallerResponse.cellFull());
                     } else {
                         write.run();
--- a/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/caller/SubmissionAcceptor.java
@@ -4,11 +4,11 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.damasktiller.scheduler.cell.CellKeys;
 import org.damasktiller.scheduler.cell.CellLayout;
 import org.damasktiller.scheduler.cell.StoredValueCodec;
+import org.damasktiller.scheduler.cell.SubmissionSize;
 import org.damasktiller.scheduler.cell.SubmissionTombstone;
 import org.damasktiller.scheduler.cell.TombstoneCause;
 import org.damasktiller.scheduler.model.AcceptedSubmission;
@@ -91,8 +91,7 @@
      * @param zone the availability zone of this process; submissions go to its cell
      * @param largestWorkers returns the largest workers of a service by its name, empty if they are
      *     not known
-     * @param fullCells tells of a cell by its name whether its owner has no memory for further
-     *     submissions
+     * @param admission tells whether the owners of cells have memory for further submissions
      * @param valueBytes the longest value of the store, in bytes
      * @param runtime the clock and the timers
      * @param log the log
@@ -102,7 +101,7 @@
             Supplier<@Nullable CellLayout> layout,
             String zone,
             Function<String, List<Resources>> largestWorkers,
-            Predicate<String> fullCells,
+            CellAdmission admission,
             int valueBytes,
             ProcessRuntime runtime,
             DecisionLog log) {
@@ -110,7 +109,7 @@
         this.layout = layout;
         this.zone = zone;
         this.largestWorkers = largestWorkers;
-        this.fullCells = new FullCellCheck(store, fullCells, log);
+        this.fullCells = new FullCellCheck(store, admission, log);
         this.valueBytes = valueBytes;
         this.tombstones = new TombstoneWriter(store, runtime, log);
         this.runtime = runtime;
@@ -152,6 +151,7 @@
                 fullCells.check(
                         request,
                         cell,
+                        SubmissionSize.estimateBytes(submission, accepted.length),
                         () -> new RetryingWrite(request, accepted, cell, callback).start(),
                         callback);
             }
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterMember.java
@@ -63,6 +63,9 @@
     /** The settings of the cells. */
     private final CellSettings settings;
 
+    /** Decides which submissions this VM may accept. */
+    private final AcceptanceBound acceptanceBound;
+
     /** The region of each availability zone, by the name of the zone. */
     private final Map<String, String> regionByZone;
 
@@ -141,6 +144,7 @@
         this.balancer = new OwnershipBalancer(identity, context, cells);
         this.layouts = new LayoutCoordinator(context, layoutSettings);
         this.pendingCounts = new PendingCounts(context);
+        this.acceptanceBound = new AcceptanceBound(view, settings.openWorkBytes(), runtime);
         this.manifestPublisher = new ManifestPublisher(context, identity.node());
     }
 
@@ -261,13 +265,14 @@
     }
 
     /**
-     * Returns whether the owner of a cell has no memory for further submissions.
+     * Decides whether this VM may accept a submission for a cell. One that is admitted is counted.
      *
      * @param cell the name of the cell
-     * @return whether its last owner has published that
+     * @param bytes the memory that the submission will take of the owner of the cell, in bytes
+     * @return whether there is memory for it, as far as this VM knows
      */
-    public boolean isFull(String cell) {
-        return context.view().isFull(cell);
+    public boolean admits(String cell, long bytes) {
+        return acceptanceBound.admits(cell, bytes);
     }
 
     /**
--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterView.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/ClusterView.java
@@ -228,14 +228,13 @@
     }
 
     /**
-     * Returns whether the owner of a cell has no memory for further submissions.
+     * Returns what the owner of a cell has published.
      *
      * @param cell the name of the cell
-     * @return whether its last owner has published that
+     * @return the record of its last owner, or null if there is none
      */
-    public boolean isFull(String cell) {
-        PendingRecord record = pendingByCell.get(cell);
-        return record != null && record.isFull();
+    @Nullable PendingRecord pendingRecord(String cell) {
+        return pendingByCell.get(cell);
     }
 
     /**
--- a/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/process/NodeProcess.java
@@ -287,7 +287,7 @@
                         clusterMember::layout,
                         settings.zone(),
                         clusterMember::largestWorkers,
-                        clusterMember::isFull,
+                        clusterMember::admits,
                         settings.bounds().storeValueBytes(),
                         runtime,
                         log),
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/SubmissionAcceptorTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/SubmissionAcceptorTest.java
@@ -256,7 +256,7 @@
                         () -> layout,
                         "a",
                         service -> largestWorkers,
-                        cell -> full,
+                        (cell, bytes) -> !full,
                         valueBytes,
                         runtime,
                         (event, fields) -> {});
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/TestVm.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/TestVm.java
@@ -124,7 +124,7 @@
                                 member::layout,
                                 ZONE,
                                 member::largestWorkers,
-                                member::isFull,
+                                member::admits,
                                 1 << 20,
                                 runtime,
                                 (event, fields) -> {}),
--- a/damasktiller-node/src/test/java/org/damasktiller/node/caller/UnknownSubmissionCancelTest.java
+++ b/damasktiller-node/src/test/java/org/damasktiller/node/caller/UnknownSubmissionCancelTest.java
@@ -414,7 +414,7 @@
                         () -> layout,
                         "a",
                         service -> largestWorkers,
-                        cell -> false,
+                        (cell, bytes) -> true,
                         1 << 20,
                         runtime,
                         (event, fields) -> {})
