--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellOwner.java
@@ -154,7 +154,7 @@
                         advice,
                         jobTracker.crashTracker(),
                         lookAhead,
-                        new WaitingStepCollector(context, runTimes, ownership));
+                        new WaitingStepCollector(context, runTimes, ownership, workerSelector));
         passSchedule = new PassSchedule(context, taskScheduler::runPass);
         taskMover = new TaskMover(context, commits, ownership);
         submissionMover = new SubmissionMover(context, commits, ownership, jobTracker::cancel);
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/TaskScheduler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.damasktiller.scheduler.order.ArrivalOrder;
 import org.damasktiller.scheduler.order.Lateness;
+import org.damasktiller.scheduler.order.PreferredFirst;
 import org.damasktiller.scheduler.order.UrgencyOrder;
 import org.damasktiller.scheduler.order.WaitingOrder;
 import org.damasktiller.scheduler.order.WorkRank;
@@ -84,7 +85,7 @@
                 context.settings.policies().isEnabled(Policy.URGENCY_ORDER)
                         ? new UrgencyOrder()
                         : new ArrivalOrder();
-        this.order = Comparator.comparing(WaitingStep::key, waitingOrder);
+        this.order = Comparator.comparing(WaitingStep::key, new PreferredFirst(waitingOrder));
         this.suspectPlacement = new SuspectPlacement(context, workerSelector, advice);
         this.gangPlacement = new GangPlacement(context, workerSelector, advice);
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WaitingStepCollector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WaitingStepCollector.java
@@ -23,6 +23,12 @@
      */
     private static final int MAX_STEPS_PER_SUBMISSION = 4 * TaskScheduler.MAX_STARTS_PER_PASS;
 
+    /**
+     * How long nothing of a submission has run until it goes before others, in milliseconds: half
+     * of what the platform allows while the cell has room.
+     */
+    private static final long MAX_IDLE_MILLIS = 1_500;
+
     /** The shared state of the cell's owner. */
     private final CellContext context;
 
@@ -32,6 +38,9 @@
     /** Tells up to which store revision this owner is verified to own the cell. */
     private final OwnershipVerifier ownership;
 
+    /** Knows how much of the cell is in use. */
+    private final WorkerSelector workerSelector;
+
     /** Begins the occurrences that are due. */
     private final DueOccurrences dueOccurrences;
 
@@ -44,12 +53,17 @@
      * @param context the shared state of the cell's owner
      * @param runTimes estimates run times
      * @param ownership tells up to which store revision this owner is verified to own the cell
+     * @param workerSelector knows how much of the cell is in use
      */
     WaitingStepCollector(
-            CellContext context, RunTimeEstimator runTimes, OwnershipVerifier ownership) {
+            CellContext context,
+            RunTimeEstimator runTimes,
+            OwnershipVerifier ownership,
+            WorkerSelector workerSelector) {
         this.context = context;
         this.runTimes = runTimes;
         this.ownership = ownership;
+        this.workerSelector = workerSelector;
         this.dueOccurrences = new DueOccurrences(context);
         this.objectives = new JobObjectives(context);
     }
@@ -258,10 +272,25 @@
         return new WaitingStep(
                 step,
                 new OrderKey(
+                        rank == WorkRank.RESTART || isPassedOver(job),
                         rank,
                         lateness,
                         job.terms().priority(),
                         remaining.work(step),
                         job.createdRevision));
     }
+
+    /**
+     * Returns whether nothing of a job has run for some time although the cell is less than half
+     * full.
+     *
+     * @param job the job
+     * @return whether it goes before jobs of which something runs
+     */
+    private boolean isPassedOver(Job job) {
+        return job.runCount == 0
+                && job.idleSinceMillis > 0
+                && context.now() - job.idleSinceMillis >= MAX_IDLE_MILLIS
+                && workerSelector.hasRoomInCell();
+    }
 }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/WorkerSelector.java
@@ -274,6 +274,15 @@
         return counts;
     }
 
+    /**
+     * Returns whether less than half of the cell's CPU is in use.
+     *
+     * @return whether it was, as of the last update of the reserve
+     */
+    boolean hasRoomInCell() {
+        return load.reservedFraction() < YIELD_FRACTION;
+    }
+
     /**
      * Returns whether a usable worker may get one more start now, whatever the task.
      *
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/order/OrderKey.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/order/OrderKey.java
@@ -3,6 +3,8 @@
 /**
  * What the order of waiting steps depends on.
  *
+ * @param preferred whether the step goes before all others: long-running tasks that have run
+ *     before, and submissions that were passed over although the cell has room
  * @param rank the kind of work
  * @param lateness whether the job can be on time, will be late, or will be too late to be of use
  * @param priority the priority of the route, 0 for the most urgent
@@ -10,4 +12,9 @@
  * @param arrival the store revision at which the submission was stored, which rises with each one
  */
 public record OrderKey(
-        WorkRank rank, Lateness lateness, int priority, double remainingWork, long arrival) {}
+        boolean preferred,
+        WorkRank rank,
+        Lateness lateness,
+        int priority,
+        double remainingWork,
+        long arrival) {}
