--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
@@ -331,7 +331,7 @@
      *
      * @param id the identifier of the submission
      */
-    void close(String id) {
+    void rememberClosed(String id) {
         closedIds.add(id);
     }
 
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionLoader.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionLoader.java
@@ -74,7 +74,7 @@
      * @param item its entry in the cell
      * @return whether it is not to be loaded now
      */
-    boolean leave(AcceptedSubmission accepted, StoreItem item) {
+    boolean leaveInStore(AcceptedSubmission accepted, StoreItem item) {
         long bytes = SubmissionSize.estimateBytes(accepted.submission(), item.value().length);
         UnloadedSubmission submission =
                 new UnloadedSubmission(
@@ -223,7 +223,7 @@
             return;
         }
         context.unloaded.remove(id);
-        context.close(id);
+        context.rememberClosed(id);
         context.log.log("job.cancelled", "id", id, "cell", context.cell);
         if (mayHaveProgress(submission)) {
             progressRemover.removeIfOver(List.of(id));
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionWatcher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionWatcher.java
@@ -218,7 +218,7 @@
             return;
         }
         context.unloaded.remove(id);
-        if (loader.leave(accepted, item)) {
+        if (loader.leaveInStore(accepted, item)) {
             return;
         }
         Job job = SubmissionLoader.createJob(context, accepted, item);
