--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/crowd/Crowd.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/crowd/Crowd.java
@@ -12,8 +12,8 @@
 
 /**
  * Many hostile callers at once, all against one entry VM on loopback. Their connections stay open
- * until the crowd is closed. Each body is a valid submission of one task, filled up by a field that
- * nobody reads. Not thread-safe.
+ * until the crowd is closed. Each body is a valid submission, filled up by a field that nobody
+ * reads. Not thread-safe.
  */
 public final class Crowd implements AutoCloseable {
 
@@ -29,9 +29,11 @@
     /** How many rounds in series may move no byte before the server counts as not reading. */
     private static final int MAX_IDLE_ROUNDS = 1_000;
 
-    /** The begin of each body, up to the field that fills it up. */
-    private static final String BODY_HEAD =
-            "{\"spec\":\"crowd\",\"steps\":[{\"count\":1,\"cpu\":10,\"mem_mb\":10}],\"note\":\"";
+    /** The begin of each body, up to its steps. */
+    private static final String BODY_HEAD = "{\"spec\":\"crowd\",\"steps\":[";
+
+    /** What follows the steps, up to the field that fills the body up. */
+    private static final String AFTER_STEPS = "],\"note\":\"";
 
     /** The end of each body. */
     private static final String BODY_TAIL = "\"}";
@@ -55,7 +57,7 @@
         if (address == null || !address.isLoopbackAddress()) {
             throw new IllegalArgumentException(server + " is not on loopback");
         }
-        byte[] framed = kind.framed(body(bodyBytes));
+        byte[] framed = kind.framed(body(kind, bodyBytes));
         for (int index = 0; index < count; index++) {
             String path = route.pathPrefix() + String.format("%016x", FIRST_IDENTIFIER + index);
             HostileRequest request =
@@ -112,13 +114,15 @@
     /**
      * Creates the body of a valid submission.
      *
+     * @param kind what the callers send
      * @param bytes its size, in bytes
      * @return the body
      */
-    private static byte[] body(int bytes) {
+    private static byte[] body(HostileKind kind, int bytes) {
         byte[] body = new byte[bytes];
         Arrays.fill(body, (byte) 'x');
-        byte[] head = BODY_HEAD.getBytes(StandardCharsets.US_ASCII);
+        String begin = BODY_HEAD + kind.steps(bytes) + AFTER_STEPS;
+        byte[] head = begin.getBytes(StandardCharsets.US_ASCII);
         byte[] tail = BODY_TAIL.getBytes(StandardCharsets.US_ASCII);
         System.arraycopy(head, 0, body, 0, head.length);
         System.arraycopy(tail, 0, body, bytes - tail.length, tail.length);
--- a/damasktiller-lab/src/main/java/org/damasktiller/lab/crowd/HostileKind.java
+++ b/damasktiller-lab/src/main/java/org/damasktiller/lab/crowd/HostileKind.java
@@ -5,6 +5,7 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.zip.GZIPOutputStream;
 
 /** What a hostile caller sends. The size of its body is given with each request. */
@@ -104,8 +105,34 @@
         String framing(int bodyBytes) {
             return CHUNKED + "\r\nContent-Encoding: gzip";
         }
+    },
+    /** A body of legal size with as many steps as it can hold, none of which waits for another. */
+    MANY_STEPS {
+        @Override
+        String steps(int bodyBytes) {
+            return repeat(SMALLEST_STEP, bodyBytes);
+        }
+    },
+    /** The same with steps that all wait for the first one, which runs for a minute. */
+    MANY_LATER_STEPS {
+        @Override
+        String steps(int bodyBytes) {
+            return FIRST_STEP + ',' + repeat(LATER_STEP, bodyBytes);
+        }
     };
 
+    /** A step that needs nothing. */
+    private static final String SMALLEST_STEP = "{\"count\":1}";
+
+    /** A step that runs for a minute. */
+    private static final String FIRST_STEP = "{\"count\":1,\"cpu\":10,\"estimate_ms\":60000}";
+
+    /** A step that waits for the first one. */
+    private static final String LATER_STEP = "{\"count\":1,\"after\":[0]}";
+
+    /** The bytes of a body that are not filled with steps. */
+    private static final int BODY_RESERVE_BYTES = 200;
+
     /** The number of fields in a large head. */
     private static final int HEAD_FIELDS = 20;
 
@@ -156,6 +183,28 @@
         return contentLength(bodyBytes);
     }
 
+    /**
+     * Returns the steps of the submission.
+     *
+     * @param bodyBytes the size of the body, in bytes
+     * @return JSON objects, separated by commas
+     */
+    String steps(int bodyBytes) {
+        return "{\"count\":1,\"cpu\":10,\"mem_mb\":10}";
+    }
+
+    /**
+     * Repeats a step as often as a body can hold it.
+     *
+     * @param step the step, a JSON object
+     * @param bodyBytes the size of the body, in bytes
+     * @return the steps, separated by commas
+     */
+    private static String repeat(String step, int bodyBytes) {
+        int count = (bodyBytes - BODY_RESERVE_BYTES) / (step.length() + 1);
+        return String.join(",", Collections.nCopies(count, step));
+    }
+
     /**
      * Returns how much is sent at a time.
      *
--- a/damasktiller-lab/src/test/java/org/damasktiller/lab/crowd/HostileCallersTest.java
+++ b/damasktiller-lab/src/test/java/org/damasktiller/lab/crowd/HostileCallersTest.java
@@ -58,6 +58,9 @@
     /** The size of large bodies that are within the limit, in bytes. */
     private static final int LARGE_BODY_BYTES = 250_000;
 
+    /** The size of bodies of many steps, whose records the store can hold, in bytes. */
+    private static final int STEPS_BODY_BYTES = 180_000;
+
     /** The size of small bodies, in bytes. */
     private static final int SMALL_BODY_BYTES = 200;
 
@@ -139,6 +142,18 @@
         assertOutlasts(HostileKind.COMPRESSED, LARGE_BODY_BYTES, MANY_DESCRIPTORS);
     }
 
+    // One submission of 15,000 steps hung each entry VM in turn.
+    @Test
+    void submissionsOfVeryManyStepsDoNotHangTheProcess() throws IOException {
+        assertOutlasts(HostileKind.MANY_STEPS, STEPS_BODY_BYTES, MANY_DESCRIPTORS);
+    }
+
+    // Thirty submissions of 9,000 steps ended each entry VM in turn, which ran out of memory.
+    @Test
+    void submissionsOfVeryManyLaterStepsDoNotEndTheProcess() throws IOException {
+        assertOutlasts(HostileKind.MANY_LATER_STEPS, STEPS_BODY_BYTES, MANY_DESCRIPTORS);
+    }
+
     @Test
     void connectionsThatStayOpenDoNotUseUpTheDescriptors() throws IOException {
         assertOutlasts(HostileKind.WHOLE_BODIES, SMALL_BODY_BYTES, FEW_DESCRIPTORS);
