--- a/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/WaitingMatrixTest.java
+++ b/damasktiller-verification/src/test/java/org/damasktiller/verification/owner/WaitingMatrixTest.java
@@ -29,7 +29,6 @@
 
     /** Tasks that may have crashed their workers waited for good although there was room. */
     @Test
-    @Tag("known-red")
     void nothingWaitsWithRoomAfterDisruptionsWithCrashes() {
         Set<Disruption> kinds = kindsWithoutCrashes();
         kinds.addAll(WaitingCase.CRASHES);
