--- a/damasktiller-node/src/main/java/org/damasktiller/node/cluster/AcceptanceBound.java
+++ b/damasktiller-node/src/main/java/org/damasktiller/node/cluster/AcceptanceBound.java
@@ -61,7 +61,7 @@
      */
     boolean admits(String cell, long bytes) {
         PendingRecord published = view.pendingRecord(cell);
-        if (published != null && published.isFullForAll()) {
+        if (published != null && published.refusesAll()) {
             return false;
         }
         if (!SubmissionSize.isLarge(bytes, openWorkBytes)) {
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/CellContext.java
@@ -98,7 +98,7 @@
     /** Estimates the memory that the open submissions take. */
     final OpenWork openWork = new OpenWork(this);
 
-    /** Counts what the passes over the waiting tasks do. */
+    /** Counts what the passes over the waiting tasks and the ends of runs take. */
     final WorkCounters workCounters = new WorkCounters();
 
     /** Logs the work that holds the event loop for long. */
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PendingRecord.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/PendingRecord.java
@@ -58,11 +58,12 @@
     }
 
     /**
-     * Returns whether the owner has no memory for further submissions.
+     * Returns whether the owner has no memory for further submissions of any size. The name has no
+     * prefix by which the record would be stored with a property of that name.
      *
      * @return whether entry VMs should accept none for the cell
      */
-    public boolean isFullForAll() {
+    public boolean refusesAll() {
         Integer percent = ordinaryPercent;
         return percent == null ? isFull() : percent >= FULL_PERCENT;
     }
--- a/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionWatcher.java
+++ b/damasktiller-scheduler/src/main/java/org/damasktiller/scheduler/cell/SubmissionWatcher.java
@@ -84,7 +84,8 @@
     }
 
     /**
-     * Reports the submissions of a listing, and looks for open ones that are not in it.
+     * Reads the entries of open submissions again that a listing lacks. What it has was admitted
+     * page by page.
      *
      * @param snapshot the listing
      */
--- a/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/cell/PendingRecordTest.java
+++ b/damasktiller-scheduler/src/test/java/org/damasktiller/scheduler/cell/PendingRecordTest.java
@@ -52,6 +52,20 @@
         assertThat(record.isFull(), equalTo(false));
     }
 
+    // A method that was named like a property was stored with the components.
+    @Test
+    void storedRecordHasNoOtherPropertiesThanThoseOfEarlierReleasesAndItsComponents() {
+        String stored =
+                new String(StoredValueCodec.encode(record(List.of())), StandardCharsets.UTF_8);
+
+        assertThat(
+                stored,
+                equalTo(
+                        "{\"byRoute\":{},\"largestWorkers\":[],\"generation\":1,\"rooms\":[],"
+                                + "\"dividedSteps\":[],\"idleRooms\":null,\"memoryPercent\":0,"
+                                + "\"ordinaryPercent\":0,\"full\":false}"));
+    }
+
     @Test
     void recordWithSharesIsReadAgain() {
         PendingRecord record = record(List.of(new DividedStep("step", 3, 1)));
